Serve a request end to end by separate processes

Ruled out: FlatBuffers' object API for the messages (its tables hold unique_ptrs, so they cannot be copied or compared by value); a frame finished with FlatBuffers' own size prefix (the prefix is part of the alignment, so the buffer without it failed verification and every connection closed).

Change: wire, transport, http, config, claims, admission, routing, request, endpoint, platform and process slices; gullward-entry, gullward-endpoint, gullwardctl, gullward-load; stand-ins for engine, platform and service; ./dev demo.

--- /dev/null
+++ b/src/base/result_code.h
@@ -0,0 +1,84 @@
+// The numbered result codes: one for each way a request, a setting or a
+// published configuration can fail.
+//
+// The first digit says who has to act: 1 the caller, 2 nobody yet (the work was
+// not run; come back), 3 look at what ran, 4 the operator, 5 the developers.
+// docs/RESULT-CODES.md holds the same table; a test compares the two.
+//
+//   SendError(HttpStatus(code), Name(code), Describe(code));
+
+#ifndef GULLWARD_BASE_RESULT_CODE_H_
+#define GULLWARD_BASE_RESULT_CODE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gullward {
+
+enum class ResultCode : uint32_t {
+  kOk = 0,
+
+  kMalformedBody = 1001,
+  kInvalidField = 1002,
+  kBodyTooLarge = 1003,
+  kUnknownModel = 1004,
+  kMissingKey = 1005,
+  kWrongKey = 1006,
+  kAccountSuspended = 1007,
+  kUnknownPath = 1008,
+  kMethodNotAllowed = 1009,
+  kUnknownService = 1010,
+  kInvalidHeader = 1011,
+  kPromptTooLong = 1012,
+  kCallerStalled = 1013,
+  kKeyAlreadyClaimed = 1014,
+
+  kRateLimited = 2001,
+  kTooManyInFlight = 2002,
+  kOverloaded = 2003,
+  kNoEndpoint = 2004,
+  kDraining = 2005,
+  kNoMemory = 2006,
+  kNotReady = 2007,
+  kLogUnavailable = 2008,
+  kStaleOffer = 2009,
+  kDuplicateAttempt = 2010,
+  kRetryBudgetSpent = 2011,
+  kTimeTooShort = 2012,
+
+  kDeadlineExceeded = 3001,
+  kEndpointLost = 3002,
+  kEngineFailed = 3003,
+  kLeaseLapsed = 3004,
+  kCallerGone = 3005,
+  kServiceFailed = 3006,
+
+  kSettingsInvalid = 4001,
+  kConfigInvalid = 4002,
+  kConfigConflict = 4003,
+  kUnknownSchema = 4004,
+  kPlatformUnavailable = 4005,
+
+  kBadFrame = 5001,
+  kInternal = 5002,
+};
+
+// One row of the table of result codes.
+struct ResultCodeInfo {
+  ResultCode code;
+  const char* name;
+  // HTTP status that a caller sees with this code; 0 where no caller sees it.
+  int http_status;
+  const char* description;
+};
+
+// All codes but kOk, in ascending order.
+const std::vector<ResultCodeInfo>& AllResultCodes();
+
+// The row of a code; codes that no row has give the row of kInternal.
+const ResultCodeInfo& Info(ResultCode code);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_BASE_RESULT_CODE_H_
--- /dev/null
+++ b/src/base/toml.h
@@ -0,0 +1,12 @@
+// The one place that includes toml++, so that every file sees it with the same
+// options: no exceptions, header only.
+
+#ifndef GULLWARD_BASE_TOML_H_
+#define GULLWARD_BASE_TOML_H_
+
+#define TOML_EXCEPTIONS 0
+#define TOML_HEADER_ONLY 1
+#define TOML_ENABLE_FORMATTERS 1
+#include <toml++/toml.h>
+
+#endif  // GULLWARD_BASE_TOML_H_
--- /dev/null
+++ b/src/endpoint/ledger.cc
@@ -0,0 +1,132 @@
+// ledger.h tells the rules.
+
+#include "endpoint/ledger.h"
+
+#include <algorithm>
+
+namespace gullward {
+
+Ledger::Ledger(uint64_t total, double group_share)
+    : total_tokens(total),
+      group_tokens(static_cast<uint64_t>(static_cast<double>(total) * group_share)) {}
+
+Ledger::Rank Ledger::RankOf(const MemoryClaim& claim) {
+  return {claim.arrival - kAgePerValue * claim.value, claim.id};
+}
+
+bool Ledger::Fits(const MemoryClaim& claim) const {
+  if (claim.tokens > this->free()) return false;
+  return !claim.group || this->held_by_groups + claim.tokens <= this->group_tokens;
+}
+
+bool Ledger::MayPass(const MemoryClaim& claim, const MemoryClaim& first) const {
+  bool harmless = claim.tokens + first.tokens <= this->free() && !claim.group;
+  return harmless || this->held_by_passed + claim.tokens <= this->FloorTokens();
+}
+
+bool Ledger::GroupMayWait(const MemoryClaim& claim) const {
+  Rank rank = RankOf(claim);
+  for (const auto& [id, holding] : this->held) {
+    if (holding.claim.group && RankOf(holding.claim) < rank) return false;
+  }
+  for (const auto& [other_rank, other] : this->waiting) {
+    if (other.group && other_rank < rank) return false;
+  }
+  return true;
+}
+
+void Ledger::Hold(const MemoryClaim& claim, bool passed) {
+  this->held[claim.id] = {claim, passed};
+  this->held_tokens += claim.tokens;
+  if (claim.group) this->held_by_groups += claim.tokens;
+  if (passed) this->held_by_passed += claim.tokens;
+}
+
+Grant Ledger::Ask(const MemoryClaim& claim, std::vector<AttemptId>* displaced) {
+  if (this->Holds(claim.id)) return Grant::kGranted;
+  Rank rank = RankOf(claim);
+  if (this->waiting.count(rank) > 0) return Grant::kWaiting;
+  uint64_t most = claim.group ? this->group_tokens : this->total_tokens;
+  if (claim.tokens > most) return Grant::kRefused;
+
+  bool first = this->waiting.empty() || rank < this->waiting.begin()->first;
+  if (this->Fits(claim) && (first || this->MayPass(claim, this->waiting.begin()->second))) {
+    this->Hold(claim, !first);
+    return Grant::kGranted;
+  }
+  if (this->waiting.size() >= kMaxWaiting) return Grant::kRefused;
+  if (claim.group && !this->GroupMayWait(claim)) return Grant::kRefused;
+  if (claim.group) {
+    // A group that now has one ranked before it may not wait any longer.
+    for (auto it = this->waiting.begin(); it != this->waiting.end();) {
+      if (!it->second.group) {
+        ++it;
+        continue;
+      }
+      displaced->push_back(it->second.id);
+      it = this->waiting.erase(it);
+    }
+  }
+  this->waiting[rank] = claim;
+  return Grant::kWaiting;
+}
+
+Freed Ledger::Free(const AttemptId& id) {
+  Freed freed;
+  auto found = this->held.find(id);
+  if (found != this->held.end()) {
+    const Holding& holding = found->second;
+    this->held_tokens -= holding.claim.tokens;
+    if (holding.claim.group) this->held_by_groups -= holding.claim.tokens;
+    if (holding.passed) this->held_by_passed -= holding.claim.tokens;
+    this->held.erase(found);
+    freed.known = true;
+  } else {
+    auto waiter = std::find_if(this->waiting.begin(), this->waiting.end(),
+                               [&](const auto& item) { return item.second.id == id; });
+    if (waiter != this->waiting.end()) {
+      this->waiting.erase(waiter);
+      freed.known = true;
+    }
+  }
+  freed.granted = this->GrantWaiters();
+  return freed;
+}
+
+std::vector<AttemptId> Ledger::SetGroupShare(double group_share) {
+  this->group_tokens =
+      static_cast<uint64_t>(static_cast<double>(this->total_tokens) * group_share);
+  return this->GrantWaiters();
+}
+
+std::vector<AttemptId> Ledger::GrantWaiters() {
+  std::vector<AttemptId> granted;
+  for (auto it = this->waiting.begin(); it != this->waiting.end();) {
+    const MemoryClaim& claim = it->second;
+    bool first = it == this->waiting.begin();
+    if (this->Fits(claim) && (first || this->MayPass(claim, this->waiting.begin()->second))) {
+      granted.push_back(claim.id);
+      this->Hold(claim, !first);
+      it = this->waiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return granted;
+}
+
+bool Ledger::Consistent() const {
+  uint64_t sum = 0;
+  uint64_t groups = 0;
+  uint64_t passed = 0;
+  for (const auto& [id, holding] : this->held) {
+    sum += holding.claim.tokens;
+    if (holding.claim.group) groups += holding.claim.tokens;
+    if (holding.passed) passed += holding.claim.tokens;
+  }
+  bool counted = sum == this->held_tokens && groups == this->held_by_groups &&
+                 passed == this->held_by_passed;
+  return counted && this->held_tokens <= this->total_tokens;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/endpoint/main.cc
@@ -0,0 +1,32 @@
+// gullward-endpoint: stands in front of a box's engines, or of a plain service.
+
+#include <glog/logging.h>
+
+#include "endpoint/endpoint_server.h"
+#include "endpoint/settings.h"
+#include "process/process.h"
+
+int main(int argc, char** argv) {
+  using namespace gullward;
+  InitProcess("gullward-endpoint --settings FILE: runs work on a box's engines", &argc, &argv);
+  std::vector<ConfigError> errors;
+  std::string file;
+  std::optional<toml::table> table = LoadSettings(&errors, &file);
+  EndpointSettings settings;
+  if (table) settings = ReadEndpointSettings(*table, file, &errors);
+  FinishSettings(errors);
+
+  EventLoop loop;
+  EndpointServer* running = nullptr;
+  HandleStopSignals(&loop, [&] { running->DrainAndStop(); });
+  EndpointServer server(&loop, settings, RandomIncarnation());
+  running = &server;
+  absl::Status status = server.Start();
+  if (!status.ok()) {
+    LOG(ERROR) << status.message();
+    return 1;
+  }
+  loop.Run();
+  LOG(INFO) << "stopped";
+  return 0;
+}
--- /dev/null
+++ b/src/process/metrics.h
@@ -0,0 +1,41 @@
+// Metrics in Prometheus's text format, by prometheus-cpp.
+//
+// The decision cores keep plain counters; a process's shell copies them into a
+// registry when it is asked, so that the cores know nothing of metrics.
+//
+//   MetricsText text;
+//   text.Counter("gullward_requests_total", "Requests admitted", {}, counters.admitted);
+//   return text.Serialize();
+
+#ifndef GULLWARD_PROCESS_METRICS_H_
+#define GULLWARD_PROCESS_METRICS_H_
+
+#include <prometheus/metric_family.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gullward {
+
+class MetricsText {
+ public:
+  using MetricLabels = std::map<std::string, std::string>;
+
+  void Counter(const std::string& name, const std::string& help, const MetricLabels& labels,
+               double value);
+  void Gauge(const std::string& name, const std::string& help, const MetricLabels& labels,
+             double value);
+
+  std::string Serialize() const;
+
+ private:
+  prometheus::ClientMetric& Add(const std::string& name, const std::string& help,
+                                prometheus::MetricType type, const MetricLabels& labels);
+
+  std::vector<prometheus::MetricFamily> families;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_PROCESS_METRICS_H_
--- /dev/null
+++ b/src/standins/engine_model.h
@@ -0,0 +1,137 @@
+// A model engine in thought: continuous batching with a time model.
+//
+// The engine works in steps.  Each step prefills up to chunk_tokens of the most
+// urgent prompts and adds one token to every answer under way; it takes
+//
+//   step + prefill tokens * a + pairs of tokens compared * b + answers * d
+//
+// seconds.  Memory is counted in tokens and held by allocation name.  Time is
+// passed in, so the trials run it as fast as they like and the stand-in program
+// runs it on the machine's clock.
+//
+//   EngineModel engine(options);
+//   engine.Submit(job, now);
+//   for (const EngineEvent& event : engine.AdvanceTo(now)) ...
+
+#ifndef GULLWARD_STANDINS_ENGINE_MODEL_H_
+#define GULLWARD_STANDINS_ENGINE_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/prefill_speed.h"
+#include "base/prefix_hash.h"
+
+namespace gullward {
+
+struct EngineModelOptions {
+  uint64_t memory_tokens = 400'000;
+  uint64_t cache_tokens = 200'000;
+  uint64_t chunk_tokens = 2048;
+  PrefillSpeed speed{5e-5, 1e-10};
+  double step_seconds = 0.004;
+  double answer_seconds = 0.0002;
+};
+
+struct EngineJob {
+  std::string allocation;
+  uint64_t memory_tokens = 0;
+  uint64_t prompt_tokens = 0;
+  // Tokens of earlier pieces, held elsewhere.
+  uint64_t before_tokens = 0;
+  uint32_t max_tokens = 0;
+  uint32_t priority = 0;
+  // Only prefill, and keep the memory.
+  bool keep = false;
+  // Hash of the whole text so far.
+  uint64_t hash = 0;
+  std::vector<PrefixHash> prefixes;
+};
+
+struct EngineEvent {
+  std::string allocation;
+  Time at;
+  // A token of the answer; empty in the last event.
+  std::string text;
+  bool finished = false;
+  std::string finish_reason;
+  uint64_t prompt_tokens = 0;
+  uint64_t cached_tokens = 0;
+  uint64_t answer_tokens = 0;
+  double prefill_seconds = 0;
+};
+
+// What an allocation holds.
+struct EngineHolding {
+  uint64_t tokens = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t hash = 0;
+  bool kept = false;
+};
+
+class EngineModel {
+ public:
+  enum class Submitted { kOk, kNoMemory, kDuplicate };
+
+  explicit EngineModel(const EngineModelOptions& options);
+
+  Submitted Submit(const EngineJob& job, Time now);
+
+  // Cancels and frees; false where there is no such allocation.
+  bool Free(const std::string& allocation);
+
+  // Runs the steps that end by `now`; their events in order.
+  std::vector<EngineEvent> AdvanceTo(Time now);
+
+  // When the step under way ends; none where the engine is idle.
+  std::optional<Time> NextEvent() const;
+
+  // Multiplies the time of steps that begin from now on.
+  void SetSlowness(double factor) { this->slowness = factor; }
+
+  const std::map<std::string, EngineHolding>& holdings() const { return this->held; }
+  uint64_t free_tokens() const { return this->options.memory_tokens - this->held_tokens; }
+  size_t jobs() const { return this->running.size(); }
+
+ private:
+  struct Running {
+    EngineJob job;
+    uint64_t cached = 0;
+    uint64_t prefilled = 0;
+    uint64_t answered = 0;
+    double prefill_seconds = 0;
+    // Prompt tokens in the step under way.
+    uint64_t in_step = 0;
+    bool answering = false;
+  };
+
+  void BeginStep(Time now);
+  void EndStep(std::vector<EngineEvent>* events);
+  void FinishPrefill(Running* running, std::vector<EngineEvent>* events);
+  bool AddToken(Running* running, std::vector<EngineEvent>* events);
+  uint64_t CachedTokens(const EngineJob& job) const;
+  void RememberPrefixes(const EngineJob& job);
+  void ReleaseMemory(const std::string& allocation);
+
+  EngineModelOptions options;
+  std::map<std::string, EngineHolding> held;
+  uint64_t held_tokens = 0;
+  // In order of priority, then of arrival.
+  std::vector<Running> running;
+  bool stepping = false;
+  Time step_end;
+  double slowness = 1;
+  std::unordered_map<uint64_t, uint64_t> cache;
+  std::deque<uint64_t> cache_order;
+  uint64_t cached_total = 0;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_STANDINS_ENGINE_MODEL_H_
--- /dev/null
+++ b/src/transport/event_loop.cc
@@ -0,0 +1,125 @@
+// The loop itself; event_loop.h tells how it is used.
+
+#include "transport/event_loop.h"
+
+#include <glog/logging.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace gullward {
+namespace {
+
+constexpr int kMaxEvents = 64;
+constexpr int kLongestWaitMillis = 1000;
+
+}  // namespace
+
+EventLoop::EventLoop()
+    : epoll_fd(epoll_create1(EPOLL_CLOEXEC)), wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  CHECK_GE(this->epoll_fd, 0);
+  CHECK_GE(this->wake_fd, 0);
+  this->Watch(this->wake_fd, EPOLLIN, [this](uint32_t) {
+    uint64_t count = 0;
+    ssize_t ignored = read(this->wake_fd, &count, sizeof(count));
+    static_cast<void>(ignored);
+  });
+}
+
+EventLoop::~EventLoop() {
+  close(this->wake_fd);
+  close(this->epoll_fd);
+}
+
+void EventLoop::Run() {
+  epoll_event events[kMaxEvents];
+  while (!this->stopping.load()) {
+    int count = epoll_wait(this->epoll_fd, events, kMaxEvents, this->WaitMillis());
+    for (int i = 0; i < count; ++i) {
+      auto found = this->handlers.find(events[i].data.fd);
+      if (found == this->handlers.end()) continue;
+      // A copy, since the handler may unwatch itself.
+      FdHandler handler = found->second;
+      handler(events[i].events);
+    }
+    this->RunPosted();
+    this->RunTimers();
+  }
+}
+
+void EventLoop::Stop() {
+  this->stopping.store(true);
+  this->Post([] {});
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->posted.push_back(std::move(task));
+  }
+  uint64_t one = 1;
+  ssize_t ignored = write(this->wake_fd, &one, sizeof(one));
+  static_cast<void>(ignored);
+}
+
+void EventLoop::RunAfter(Duration delay, std::function<void()> task) {
+  this->timers.push(Timer{Now() + delay, this->next_order++, std::move(task)});
+}
+
+void EventLoop::RunEvery(Duration period, std::function<void()> task) {
+  this->RunAfter(period, [this, period, task = std::move(task)] {
+    task();
+    this->RunEvery(period, task);
+  });
+}
+
+void EventLoop::Watch(int fd, uint32_t events, FdHandler handler) {
+  this->handlers[fd] = std::move(handler);
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = fd;
+  PCHECK(epoll_ctl(this->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0);
+}
+
+void EventLoop::Rewatch(int fd, uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = fd;
+  PCHECK(epoll_ctl(this->epoll_fd, EPOLL_CTL_MOD, fd, &event) == 0);
+}
+
+void EventLoop::Unwatch(int fd) {
+  if (this->handlers.erase(fd) == 0) return;
+  epoll_ctl(this->epoll_fd, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+void EventLoop::RunPosted() {
+  std::vector<std::function<void()>> tasks;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    tasks.swap(this->posted);
+  }
+  for (std::function<void()>& task : tasks) task();
+}
+
+void EventLoop::RunTimers() {
+  Time now = Now();
+  while (!this->timers.empty() && this->timers.top().due <= now) {
+    std::function<void()> task = this->timers.top().task;
+    this->timers.pop();
+    task();
+  }
+}
+
+int EventLoop::WaitMillis() const {
+  if (this->timers.empty()) return kLongestWaitMillis;
+  Duration left = this->timers.top().due - Now();
+  if (left.count() <= 0) return 0;
+  // Rounded up, so that the loop does not spin through the last millisecond.
+  return static_cast<int>(std::min<int64_t>(left.count() / 1000 + 1, kLongestWaitMillis));
+}
+
+}  // namespace gullward
