--- a/src/trial/testing/fault_matrix_test.cc
+++ b/src/trial/testing/fault_matrix_test.cc
@@ -72,9 +72,9 @@
 }
 
 const std::vector<Kind>& Kinds() {
-  static const std::vector<Kind> kinds = {{"short", Short},         {"once", Once},
-                                          {"keyed", Keyed},         {"huge", Huge},
-                                          {"huge_once", HugeOnce},  {"service", ServiceCall}};
+  static const std::vector<Kind> kinds = {{"short", Short},        {"once", Once},
+                                          {"keyed", Keyed},        {"huge", Huge},
+                                          {"huge_once", HugeOnce}, {"service", ServiceCall}};
   return kinds;
 }
 
@@ -92,9 +92,12 @@
 
 const std::vector<std::pair<std::string, Step>>& Steps() {
   static const std::vector<std::pair<std::string, Step>> steps = {
-      {"before_submit", Step::kBeforeSubmit}, {"offer_sent", Step::kOfferSent},
-      {"started", Step::kStarted},            {"first_chunk", Step::kFirstChunk},
-      {"mid_stream", Step::kMidStream},       {"last_message", Step::kLastMessage}};
+      {"before_submit", Step::kBeforeSubmit},
+      {"offer_sent", Step::kOfferSent},
+      {"started", Step::kStarted},
+      {"first_chunk", Step::kFirstChunk},
+      {"mid_stream", Step::kMidStream},
+      {"last_message", Step::kLastMessage}};
   return steps;
 }
 
@@ -173,12 +176,10 @@
          w->KillEndpoint(at);
          w->At(w->now() + seconds(2), [w, at] { w->RestartEndpoint(at); });
        }},
-      {"endpoint_paused",
-       [](World* w, size_t at, size_t) { w->PauseEndpoint(at, seconds(6)); }},
+      {"endpoint_paused", [](World* w, size_t at, size_t) { w->PauseEndpoint(at, seconds(6)); }},
       {"endpoint_drains", [](World* w, size_t at, size_t) { w->DrainEndpoint(at); }},
       {"link_cut", [](World* w, size_t at, size_t) { w->CutLink(0, at); }},
-      {"link_silent",
-       [](World* w, size_t at, size_t) { w->SilenceLink(0, at, seconds(8)); }},
+      {"link_silent", [](World* w, size_t at, size_t) { w->SilenceLink(0, at, seconds(8)); }},
       {"entry_dies",
        [](World* w, size_t, size_t) {
          w->KillEntry(0);
@@ -261,8 +262,7 @@
   bool alone = fault.name != "entry_dies" && fault.name != "caller_leaves" &&
                fault.name != "all_engines_die";
   if (kind.name == "short" && alone && !result.finished) {
-    broken.push_back(std::string("a repeatable request failed: ") +
-                     Info(result.failure.code).name);
+    broken.push_back(std::string("a repeatable request failed: ") + Info(result.failure.code).name);
   }
   return broken;
 }
--- a/src/trial/testing/history_test.cc
+++ b/src/trial/testing/history_test.cc
@@ -119,9 +119,8 @@
       case 4:
         if (this->world.endpoint(at) == nullptr) break;
         this->world.KillEndpoint(at);
-        this->world.At(this->world.now() + while_long, [this, at] {
-          this->world.RestartEndpoint(at);
-        });
+        this->world.At(this->world.now() + while_long,
+                       [this, at] { this->world.RestartEndpoint(at); });
         break;
       case 5:
         this->world.PauseEndpoint(at, while_long);
@@ -138,9 +137,8 @@
       case 9:
         if (this->world.entry(entry) == nullptr) break;
         this->world.KillEntry(entry);
-        this->world.At(this->world.now() + while_long, [this, entry] {
-          this->world.RestartEntry(entry);
-        });
+        this->world.At(this->world.now() + while_long,
+                       [this, entry] { this->world.RestartEntry(entry); });
         break;
       default:
         this->world.SetLogDown(true);
