Cut the pieces of a huge prompt between characters

Cause: a prompt larger than one engine was cut at any byte. In Hungarian or Japanese text a cut inside a character made two broken ones, which the JSON writer replaced, so the engines saw another prompt than the caller sent.

Ruled out: sending pieces as raw bytes (the engines' API takes JSON text).

--- a/src/request/entry_core.cc
+++ b/src/request/entry_core.cc
@@ -25,6 +25,14 @@
          FromSeconds(static_cast<double>(input.prompt->size()) / kLeastBytesPerSecond);
 }
 
+// The nearest place at or before `at` where a character of UTF-8 begins: half a
+// character at the end of one piece and half at the start of the next would be
+// two broken ones.
+size_t CharacterStart(const std::string& text, size_t at) {
+  while (at > 0 && at < text.size() && (static_cast<unsigned char>(text[at]) & 0xc0) == 0x80) --at;
+  return at;
+}
+
 Ran Weaker(Ran a, Ran b) {
   return static_cast<Ran>(std::max(static_cast<int>(a), static_cast<int>(b)));
 }
@@ -287,6 +295,7 @@
     double part =
         static_cast<double>(piece.plan.prompt_tokens) / static_cast<double>(request->prompt_tokens);
     count = std::min(count, static_cast<size_t>(part * static_cast<double>(input.prompt->size())));
+    count = CharacterStart(*input.prompt, begin + count) - begin;
   }
   offer.prompt = input.prompt->substr(begin, count);
   if (last) offer.prompt += request->delivered_text;
