Read the actions before asking whether the request has finished

Ruled out: a fault of the core; the pieces joined were the whole prompt.

Change: one call in the test.

--- a/src/request/testing/entry_core_test.cc
+++ b/src/request/testing/entry_core_test.cc
@@ -334,6 +334,7 @@
       entry.Say(box, done);
     }
     BOOST_TEST((joined == prompt));
+    entry.Actions();
     BOOST_TEST(entry.finished);
   }
 }
