Test callers and faults against real processes

Cause: a process boundary decides some promises: what a killed or stopped process leaves behind, what a half-open socket does, what callers get byte for byte.

--- /dev/null
+++ b/src/testing/fleet.cc
@@ -0,0 +1,272 @@
+// fleet.h tells the rules.
+
+#include "testing/fleet.h"
+
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+extern char** environ;
+
+namespace gullward {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kKey[] = "test-key";
+// SHA-256 of kKey.
+constexpr char kKeyHash[] = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
+
+std::string ReadWhole(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+// Starts a program with its output in a file; dies with the test.
+pid_t Spawn(const std::string& program, const std::vector<std::string>& arguments,
+            const std::string& output) {
+  std::string path = std::string(GULLWARD_BIN_DIR) + "/" + program;
+  std::vector<char*> argv;
+  argv.push_back(const_cast<char*>(path.c_str()));
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = 0;
+  int error = posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+  CHECK_EQ(error, 0) << path;
+  posix_spawn_file_actions_destroy(&actions);
+  return pid;
+}
+
+}  // namespace
+
+Fleet::Fleet() {
+  std::string pattern = "/tmp/gullward-test-XXXXXX";
+  CHECK(mkdtemp(pattern.data()) != nullptr);
+  this->directory = pattern;
+}
+
+Fleet::~Fleet() {
+  for (const auto& [name, child] : this->children) kill(child.pid, SIGKILL);
+  for (const auto& [name, child] : this->children) waitpid(child.pid, nullptr, 0);
+  if (std::getenv("GULLWARD_KEEP_LOGS") != nullptr) return;
+  std::string command = "rm -rf " + this->directory;
+  int ignored = std::system(command.c_str());
+  static_cast<void>(ignored);
+}
+
+std::string Fleet::WriteFile(const std::string& name, const std::string& text) {
+  std::string path = this->directory + "/" + name;
+  std::ofstream(path, std::ios::binary) << text;
+  return path;
+}
+
+void Fleet::Start(const std::string& name, const std::string& program,
+                  const std::vector<std::string>& arguments) {
+  std::string ready = this->directory + "/" + name + ".ready";
+  unlink(ready.c_str());
+  std::vector<std::string> all = arguments;
+  all.push_back("--ready_file=" + ready);
+  pid_t pid = Spawn(program, all, this->directory + "/" + name + ".log");
+  this->children[name] = {pid, program, arguments};
+  bool started = WaitFor([&] { return access(ready.c_str(), R_OK) == 0; });
+  CHECK(started) << name << " did not start: " << ReadWhole(this->directory + "/" + name + ".log");
+}
+
+void Fleet::Restart(const std::string& name) {
+  Child child = this->stopped.at(name);
+  this->Start(name, child.program, child.arguments);
+}
+
+Fleet::Finished Fleet::Run(const std::string& program, const std::vector<std::string>& arguments) {
+  std::string output = this->directory + "/run.out";
+  unlink(output.c_str());
+  pid_t pid = Spawn(program, arguments, output);
+  int status = 0;
+  waitpid(pid, &status, 0);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, ReadWhole(output)};
+}
+
+void Fleet::Kill(const std::string& name, int signal) {
+  const Child& child = this->children.at(name);
+  kill(child.pid, signal);
+  if (signal != SIGKILL) return;
+  this->WaitForExit(name);
+}
+
+int Fleet::WaitForExit(const std::string& name) {
+  Child child = this->children.at(name);
+  int status = 0;
+  bool ended = WaitFor([&] { return waitpid(child.pid, &status, WNOHANG) == child.pid; });
+  CHECK(ended) << name << " did not end";
+  this->stopped[name] = child;
+  this->children.erase(name);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string Fleet::Address(const std::string& name, const std::string& key) const {
+  json ready = json::parse(ReadWhole(this->directory + "/" + name + ".ready"));
+  return ready[key].get<std::string>();
+}
+
+bool Fleet::WaitFor(const std::function<bool()>& condition) {
+  Time end = Now() + kPatience;
+  while (!condition()) {
+    if (Now() >= end) return false;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return true;
+}
+
+HttpResult Fleet::Call(const std::string& method, const std::string& url,
+                       const HttpHeaders& headers, const std::string& body, Duration timeout) {
+  EventLoop loop;
+  HttpClient client(&loop);
+  HttpResult answer;
+  HttpCall call;
+  call.method = method;
+  call.url = url;
+  call.headers = headers;
+  call.body = body;
+  call.timeout = timeout;
+  client.Start(std::move(call), {nullptr, [&](const HttpResult& result) {
+                                   answer = result;
+                                   loop.Stop();
+                                 }});
+  loop.Run();
+  return answer;
+}
+
+HttpHeaders Fleet::Authorization() { return {{"Authorization", std::string("Bearer ") + kKey}}; }
+
+HttpResult Fleet::Complete(int entry, const std::string& prompt, uint32_t max_tokens, bool stream,
+                           HttpHeaders headers) {
+  json body = {
+      {"model", "base"}, {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", stream}};
+  HttpHeaders all = Authorization();
+  all.insert(all.end(), headers.begin(), headers.end());
+  std::string url =
+      "http://" + this->Address("entry-" + std::to_string(entry + 1)) + "/v1/completions";
+  return Call("POST", url, all, body.dump());
+}
+
+void Fleet::Fault(const std::string& name, const json& knobs) {
+  Call("POST", "http://" + this->Address(name) + "/fault", {}, knobs.dump());
+}
+
+json Fleet::GetJson(const std::string& address, const std::string& path) {
+  HttpResult result = Call("GET", "http://" + address + path, {}, "", seconds(10));
+  return json::parse(result.body, nullptr, false);
+}
+
+void Fleet::UpdateBoxes(const std::vector<std::string>& leaving) {
+  json boxes = json::array();
+  for (const auto& [name, child] : this->children) {
+    bool endpoint = name.compare(0, 9, "endpoint-") == 0;
+    bool entry = name.compare(0, 6, "entry-") == 0;
+    if (!endpoint && !entry) continue;
+    std::string box = endpoint ? "box-" + name.substr(9) : name;
+    bool leaves = std::find(leaving.begin(), leaving.end(), box) != leaving.end();
+    boxes.push_back({{"box", box},
+                     {"zone", "fukuoka"},
+                     {"role", endpoint ? "endpoint" : "entry"},
+                     {"address", this->Address(name)},
+                     {"state", leaves ? "leaving" : "live"}});
+  }
+  Call("PUT", "http://" + this->Address("platform") + "/boxes", {}, boxes.dump());
+}
+
+bool Fleet::WaitForEngines(int entry, int engines) {
+  return WaitFor([&] {
+    json state = this->EntryState(entry);
+    if (!state.is_object() || state["config_objects"] == 0) return false;
+    int up = 0;
+    for (const json& box : state["boxes"]) {
+      if (!box["usable"].get<bool>()) continue;
+      for (const json& engine : box["engines"]) up += engine["up"].get<bool>() ? 1 : 0;
+    }
+    return up == engines;
+  });
+}
+
+std::string Fleet::ConfigText() {
+  return std::string("[[class]]\nname = \"counter\"\ntimeout_seconds = 60\npriority = 1\n") +
+         "value = 10\n[[account]]\nname = \"shop\"\nclass = \"counter\"\nkey_sha256 = \"" +
+         kKeyHash +
+         "\"\n[[account]]\nname = \"closed\"\nclass = \"counter\"\nsuspended = true\n"
+         // SHA-256 of "closed-key".
+         "key_sha256 = \"04e3b29a2fd090b49021a722a3cd829d9eef812f38e82c0c2cfa753468225a39\"\n"
+         "[[model]]\nname = \"base\"\nbytes_per_token = 5\ncontext_tokens = 1200000\n"
+         "[[service]]\nname = \"desk\"\ntimeout_seconds = 30\n"
+         "[[routing]]\nname = \"default\"\nlong_tokens = 32768\nlong_share = 0.67\n";
+}
+
+void Fleet::StartEndpoint(int index) {
+  std::string number = std::to_string(index + 1);
+  std::string settings = "box = \"box-" + number +
+                         "\"\ndata_centre = \"fukuoka\"\nlisten = \"127.0.0.1:0\"\nplatform = \"" +
+                         this->Address("platform") + "\"\nsweep_seconds = 0.2\n";
+  if (index < this->options.engines) {
+    settings += "[[engine]]\nname = \"engine-" + number + "\"\naddress = \"" +
+                this->Address("engine-" + number) + "\"\nmodel = \"base\"\nmemory_tokens = " +
+                std::to_string(this->options.memory_tokens) + "\n";
+  } else {
+    settings += "[[service]]\nname = \"desk\"\naddress = \"" + this->Address("service") + "\"\n";
+  }
+  std::string path = this->WriteFile("endpoint-" + number + ".toml", settings);
+  this->Start("endpoint-" + number, "gullward-endpoint", {"--settings=" + path});
+}
+
+void Fleet::StartEntry(int index) {
+  std::string name = "entry-" + std::to_string(index + 1);
+  std::string settings = "box = \"" + name +
+                         "\"\ndata_centre = \"fukuoka\"\nlisten = \"127.0.0.1:0\"\nplatform = \"" +
+                         this->Address("platform") +
+                         "\"\nbox_list_seconds = 0.1\nmax_body_bytes = 8000000\n"
+                         "caller_idle_seconds = 3\n";
+  std::string path = this->WriteFile(name + ".toml", settings);
+  this->Start(name, "gullward-entry", {"--settings=" + path});
+}
+
+void Fleet::StartAll(const FleetOptions& fleet_options) {
+  this->options = fleet_options;
+  this->Start("platform", "standin-platform", {"--lag_ms=20"});
+  if (this->options.service) this->Start("service", "standin-service", {});
+  for (int i = 0; i < this->options.engines; ++i) {
+    this->Start("engine-" + std::to_string(i + 1), "standin-engine",
+                {"--memory_tokens=" + std::to_string(this->options.memory_tokens),
+                 "--tokens_per_second=" + std::to_string(this->options.tokens_per_second),
+                 "--seconds_per_token_pair=1e-12",
+                 "--step_seconds=" + std::to_string(this->options.step_seconds)});
+    this->StartEndpoint(i);
+  }
+  if (this->options.service) this->StartEndpoint(this->options.engines);
+  for (int i = 0; i < this->options.entries; ++i) this->StartEntry(i);
+  this->UpdateBoxes();
+  std::string config = this->WriteFile("config.toml", ConfigText());
+  Finished published =
+      this->Run("gullwardctl", {"publish", config, "--platform=" + this->Address("platform")});
+  CHECK_EQ(published.status, 0) << published.output;
+  for (int i = 0; i < this->options.entries; ++i) {
+    CHECK(this->WaitForEngines(i, this->options.engines)) << "the fleet did not get ready";
+  }
+}
+
+}  // namespace gullward
