Keep the short's place: memory floor, and one step's wait beside long prompts

Two reasons, found by varying one thing at a time: long prompts on one engine could fill its memory to the last token, so that a short waited for a manual to end; and the estimate charged a short 0.15 s for every long prompt in flight on an engine, though only one step is ever under way, so shorts crowded on the engines without long prompts.

Change: the ledger's share for groups now binds every large claim, so that a floor stays free for shorts; the load report tells what a new small claim could get past those that wait; the estimate adds at most one step. Prompts over the share go to a group. The exhaustive ledger test follows the new rule.

--- a/src/endpoint/endpoint_core.cc
+++ b/src/endpoint/endpoint_core.cc
@@ -442,7 +442,7 @@
   if (group_memory_share == this->settings.group_memory_share) return;
   this->settings.group_memory_share = group_memory_share;
   for (uint32_t i = 0; i < this->engines.size(); ++i) {
-    this->StartGranted(this->engines[i].ledger.SetGroupShare(group_memory_share), now);
+    this->StartGranted(this->engines[i].ledger.SetLargeShare(group_memory_share), now);
   }
 }
 
@@ -499,7 +499,7 @@
     load.model = engine.options.model;
     load.up = engine.up;
     load.total_tokens = engine.ledger.total();
-    load.free_tokens = engine.ledger.free();
+    load.free_tokens = engine.ledger.available();
     load.backlog_ms = engine.backlog.Millis();
     load.seconds_per_token = engine.speed.speed().seconds_per_token;
     load.seconds_per_token_pair = engine.speed.speed().seconds_per_token_pair;
--- a/src/endpoint/ledger.cc
+++ b/src/endpoint/ledger.cc
@@ -6,9 +6,9 @@
 
 namespace gullward {
 
-Ledger::Ledger(uint64_t total, double group_share)
+Ledger::Ledger(uint64_t total, double large_share)
     : total_tokens(total),
-      group_tokens(static_cast<uint64_t>(static_cast<double>(total) * group_share)) {}
+      large_tokens(static_cast<uint64_t>(static_cast<double>(total) * large_share)) {}
 
 Ledger::Rank Ledger::RankOf(const MemoryClaim& claim) {
   return {claim.arrival - kAgePerValue * claim.value, claim.id};
@@ -16,11 +16,11 @@
 
 bool Ledger::Fits(const MemoryClaim& claim) const {
   if (claim.tokens > this->free()) return false;
-  return !claim.group || this->held_by_groups + claim.tokens <= this->group_tokens;
+  return !this->Large(claim) || this->held_by_large + claim.tokens <= this->large_tokens;
 }
 
 bool Ledger::MayPass(const MemoryClaim& claim, const MemoryClaim& first) const {
-  bool harmless = claim.tokens + first.tokens <= this->free() && !claim.group;
+  bool harmless = claim.tokens + first.tokens <= this->free() && !this->Large(claim);
   return harmless || this->held_by_passed + claim.tokens <= this->FloorTokens();
 }
 
@@ -36,9 +36,9 @@
 }
 
 void Ledger::Hold(const MemoryClaim& claim, bool passed) {
-  this->held[claim.id] = {claim, passed};
+  this->held[claim.id] = {claim, passed, this->Large(claim)};
   this->held_tokens += claim.tokens;
-  if (claim.group) this->held_by_groups += claim.tokens;
+  if (this->Large(claim)) this->held_by_large += claim.tokens;
   if (passed) this->held_by_passed += claim.tokens;
 }
 
@@ -46,7 +46,7 @@
   if (this->Holds(claim.id)) return Grant::kGranted;
   Rank rank = RankOf(claim);
   if (this->waiting.count(rank) > 0) return Grant::kWaiting;
-  uint64_t most = claim.group ? this->group_tokens : this->total_tokens;
+  uint64_t most = this->Large(claim) ? this->large_tokens : this->total_tokens;
   if (claim.tokens > most) return Grant::kRefused;
 
   bool first = this->waiting.empty() || rank < this->waiting.begin()->first;
@@ -77,7 +77,7 @@
   if (found != this->held.end()) {
     const Holding& holding = found->second;
     this->held_tokens -= holding.claim.tokens;
-    if (holding.claim.group) this->held_by_groups -= holding.claim.tokens;
+    if (holding.large) this->held_by_large -= holding.claim.tokens;
     if (holding.passed) this->held_by_passed -= holding.claim.tokens;
     this->held.erase(found);
     freed.known = true;
@@ -93,8 +93,8 @@
   return freed;
 }
 
-std::vector<AttemptId> Ledger::SetGroupShare(double group_share) {
-  this->group_tokens = static_cast<uint64_t>(static_cast<double>(this->total_tokens) * group_share);
+std::vector<AttemptId> Ledger::SetLargeShare(double large_share) {
+  this->large_tokens = static_cast<uint64_t>(static_cast<double>(this->total_tokens) * large_share);
   return this->GrantWaiters();
 }
 
@@ -114,17 +114,26 @@
   return granted;
 }
 
+uint64_t Ledger::available() const {
+  if (this->waiting.empty()) return this->free();
+  uint64_t first = this->waiting.begin()->second.tokens;
+  uint64_t harmless = this->free() > first ? this->free() - first : 0;
+  uint64_t floor = this->FloorTokens();
+  uint64_t passing = floor > this->held_by_passed ? floor - this->held_by_passed : 0;
+  return std::max(harmless, std::min(passing, this->free()));
+}
+
 bool Ledger::Consistent() const {
   uint64_t sum = 0;
-  uint64_t groups = 0;
+  uint64_t large = 0;
   uint64_t passed = 0;
   for (const auto& [id, holding] : this->held) {
     sum += holding.claim.tokens;
-    if (holding.claim.group) groups += holding.claim.tokens;
+    if (holding.large) large += holding.claim.tokens;
     if (holding.passed) passed += holding.claim.tokens;
   }
   bool counted =
-      sum == this->held_tokens && groups == this->held_by_groups && passed == this->held_by_passed;
+      sum == this->held_tokens && large == this->held_by_large && passed == this->held_by_passed;
   return counted && this->held_tokens <= this->total_tokens;
 }
 
--- a/src/endpoint/ledger.h
+++ b/src/endpoint/ledger.h
@@ -17,11 +17,14 @@
 // unit of value: a valuable request overtakes, but only so far, so that no rank
 // is overtaken for ever.
 //
+// The short's place.  A large claim (a group's, or one of more tokens than the
+// floor) may use a share of the memory only, so that the rest, the floor, is left
+// for shorts whatever binders and manuals do.
+//
 // Nobody starves.  The first waiter in rank has all memory that comes free
 // earmarked for it.  Claims behind it may pass where that leaves the first its
-// memory, and else only within a floor, the share of memory that groups may not
-// hold: shorts go on being served while a binder waits, and still cannot keep it
-// waiting.
+// memory, and else only as much as the floor in all: shorts go on being served
+// while a binder waits, and still cannot keep it waiting.
 //
 // No deadlock.  A prompt larger than one engine holds memory on several, so two
 // such groups could wait for each other.  Wait-die forbids it: a group may wait
@@ -75,8 +78,8 @@
 
 class Ledger {
  public:
-  // group_share is the part of the memory that groups may hold, in [0, 1].
-  Ledger(uint64_t total_tokens, double group_share);
+  // large_share is the part of the memory that large claims may hold, in [0, 1].
+  Ledger(uint64_t total_tokens, double large_share);
 
   // Asks for memory.  Asking again with an id that holds or waits changes
   // nothing and tells its state.  `displaced` gets the id of a group that may
@@ -86,11 +89,13 @@
   // Gives back what the id holds, or ends its wait.  Safe to repeat.
   Freed Free(const AttemptId& id);
 
-  // Changes the share that groups may hold, and grants what that allows.
-  std::vector<AttemptId> SetGroupShare(double group_share);
+  // Changes the share that large claims may hold, and grants what that allows.
+  std::vector<AttemptId> SetLargeShare(double large_share);
 
   uint64_t total() const { return this->total_tokens; }
   uint64_t free() const { return this->total_tokens - this->held_tokens; }
+  // What a new small claim could get now, past those that wait.
+  uint64_t available() const;
   size_t holders() const { return this->held.size(); }
   size_t waiters() const { return this->waiting.size(); }
   bool Holds(const AttemptId& id) const { return this->held.count(id) > 0; }
@@ -103,7 +108,10 @@
   using Rank = std::pair<Time, AttemptId>;
 
   static Rank RankOf(const MemoryClaim& claim);
-  uint64_t FloorTokens() const { return this->total_tokens - this->group_tokens; }
+  uint64_t FloorTokens() const { return this->total_tokens - this->large_tokens; }
+  bool Large(const MemoryClaim& claim) const {
+    return claim.group || claim.tokens > this->FloorTokens();
+  }
   bool Fits(const MemoryClaim& claim) const;
   bool MayPass(const MemoryClaim& claim, const MemoryClaim& first) const;
   bool GroupMayWait(const MemoryClaim& claim) const;
@@ -114,12 +122,14 @@
     MemoryClaim claim;
     // Whether it was granted past a waiter that ranked before it.
     bool passed = false;
+    // Whether it counted as large when it was granted.
+    bool large = false;
   };
 
   uint64_t total_tokens;
-  uint64_t group_tokens;
+  uint64_t large_tokens;
   uint64_t held_tokens = 0;
-  uint64_t held_by_groups = 0;
+  uint64_t held_by_large = 0;
   uint64_t held_by_passed = 0;
   std::map<AttemptId, Holding> held;
   std::map<Rank, MemoryClaim> waiting;
--- a/src/endpoint/testing/ledger_test.cc
+++ b/src/endpoint/testing/ledger_test.cc
@@ -20,10 +20,10 @@
 // recounts everything each time.
 class SlowLedger {
  public:
-  SlowLedger(uint64_t total, uint64_t group_most) : total_tokens(total), group_tokens(group_most) {}
+  SlowLedger(uint64_t total, uint64_t large_most) : total_tokens(total), large_tokens(large_most) {}
 
   Grant Ask(const MemoryClaim& claim) {
-    uint64_t most = claim.group ? this->group_tokens : this->total_tokens;
+    uint64_t most = this->Large(claim) ? this->large_tokens : this->total_tokens;
     if (claim.tokens > most) return Grant::kRefused;
     if (this->MayHold(claim)) {
       bool passes = this->AnyWaitsBefore(claim);
@@ -82,18 +82,23 @@
                        [&](const MemoryClaim& other) { return other.arrival < claim.arrival; });
   }
 
+  bool Large(const MemoryClaim& claim) const {
+    return claim.group || claim.tokens > this->total_tokens - this->large_tokens;
+  }
+
   bool MayHold(const MemoryClaim& claim) const {
     if (claim.tokens > this->free()) return false;
-    uint64_t groups = this->Sum([](const Item& item) { return item.claim.group; });
-    if (claim.group && groups + claim.tokens > this->group_tokens) return false;
+    uint64_t large = this->Sum([this](const Item& item) { return this->Large(item.claim); });
+    if (this->Large(claim) && large + claim.tokens > this->large_tokens) return false;
     if (!this->AnyWaitsBefore(claim)) return true;
-    if (!claim.group && claim.tokens + this->waiting.front().tokens <= this->free()) return true;
+    if (!this->Large(claim) && claim.tokens + this->waiting.front().tokens <= this->free())
+      return true;
     uint64_t passed = this->Sum([](const Item& item) { return item.passed; });
-    return passed + claim.tokens <= this->total_tokens - this->group_tokens;
+    return passed + claim.tokens <= this->total_tokens - this->large_tokens;
   }
 
   uint64_t total_tokens;
-  uint64_t group_tokens;
+  uint64_t large_tokens;
   std::vector<Item> held;
   std::vector<MemoryClaim> waiting;
 };
--- a/src/request/entry_core.cc
+++ b/src/request/entry_core.cc
@@ -142,8 +142,8 @@
   if (candidates.empty()) return ResultCode::kOk;
   RoutingRequest routing = this->RoutingOf(request);
   double least = -1;
-  if (NeedsGroup(routing, candidates)) {
-    double share = this->config->state().Routing().group_memory_share;
+  double share = this->config->state().Routing().group_memory_share;
+  if (NeedsGroup(routing, candidates, share)) {
     least = 0;
     for (const GroupPiece& piece : PlanGroup(routing, candidates, share)) {
       least += piece.prefill_seconds;
@@ -212,7 +212,8 @@
     return;
   }
   RoutingRequest routing = this->RoutingOf(*request);
-  if (NeedsGroup(routing, candidates)) {
+  double share = this->config->state().Routing().group_memory_share;
+  if (NeedsGroup(routing, candidates, share)) {
     this->StartGroup(request, candidates, now);
     return;
   }
--- a/src/routing/fleet_view.cc
+++ b/src/routing/fleet_view.cc
@@ -20,6 +20,13 @@
   return sum;
 }
 
+bool EngineView::HasLessUrgent(uint32_t priority) const {
+  for (size_t i = priority + 1; i < this->backlog_seconds.size(); ++i) {
+    if (this->backlog_seconds[i] > 0) return true;
+  }
+  return false;
+}
+
 FleetView::FleetView(uint64_t own_incarnation) : incarnation(own_incarnation) {}
 
 void FleetView::OnHeartbeat(const std::string& name, const EndpointHeartbeat& heartbeat, Time now) {
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -66,6 +66,8 @@
 
   // Seconds of work of equal or higher priority.
   double WaitSeconds(uint32_t priority) const;
+  // Whether there is prefill of lower priority.
+  bool HasLessUrgent(uint32_t priority) const;
 };
 
 class FleetView {
--- a/src/routing/group_plan.cc
+++ b/src/routing/group_plan.cc
@@ -28,10 +28,12 @@
 
 }  // namespace
 
-bool NeedsGroup(const RoutingRequest& request, const std::vector<EngineView>& candidates) {
+bool NeedsGroup(const RoutingRequest& request, const std::vector<EngineView>& candidates,
+                double memory_share) {
   uint64_t needed = request.prompt_tokens + request.max_tokens;
-  return std::all_of(candidates.begin(), candidates.end(),
-                     [&](const EngineView& engine) { return needed > engine.total_tokens; });
+  return std::all_of(candidates.begin(), candidates.end(), [&](const EngineView& engine) {
+    return needed > ShareOf(engine, memory_share);
+  });
 }
 
 std::vector<GroupPiece> PlanGroup(const RoutingRequest& request,
--- a/src/routing/group_plan.h
+++ b/src/routing/group_plan.h
@@ -34,8 +34,10 @@
   bool operator==(const GroupPiece&) const = default;
 };
 
-// Whether the prompt and its answer are too large for every candidate alone.
-bool NeedsGroup(const RoutingRequest& request, const std::vector<EngineView>& candidates);
+// Whether the prompt and its answer are too large for the share of every single
+// candidate that large prompts may hold.
+bool NeedsGroup(const RoutingRequest& request, const std::vector<EngineView>& candidates,
+                double memory_share);
 
 // The pieces in order, or none where even all candidates together cannot hold
 // the prompt.  `memory_share` is the part of each engine that groups may hold.
--- a/src/routing/policy.cc
+++ b/src/routing/policy.cc
@@ -15,8 +15,11 @@
 namespace gullward {
 namespace {
 
-// Seconds that a short prompt is thought to lose on an engine for each long one
-// that runs there: about the length of one long piece.
+// Seconds that a prompt loses, on average, to the step under way when less urgent
+// prefill runs: half the time of one piece. It cannot be interrupted.
+constexpr double kStepSeconds = 0.05;
+
+// The same where a long prompt runs, whose pieces look back at many tokens.
 constexpr double kLongNeighbourSeconds = 0.15;
 
 // Seconds for each request in flight: breaks ties towards the emptier engine.
@@ -127,8 +130,13 @@
   double estimate = engine.WaitSeconds(request.priority);
   estimate += Seconds(engine.speed, cached, request.prompt_tokens);
   estimate += kOutstandingSeconds * engine.outstanding;
+  // Only one step is under way, however many prompts wait behind it.
   bool is_long = request.prompt_tokens >= request.long_tokens;
-  if (!is_long) estimate += kLongNeighbourSeconds * engine.long_running;
+  if (!is_long && engine.long_running > 0) {
+    estimate += kLongNeighbourSeconds;
+  } else if (!is_long && engine.HasLessUrgent(request.priority)) {
+    estimate += kStepSeconds;
+  }
   if (request.prompt_tokens + request.max_tokens > engine.free_tokens) estimate += kNoMemorySeconds;
   return estimate;
 }
--- a/src/routing/testing/routing_test.cc
+++ b/src/routing/testing/routing_test.cc
@@ -106,7 +106,7 @@
           80'000 + 10'000 * static_cast<uint64_t>(i % 3);
     }
     RoutingRequest request = Request(tokens);
-    if (!NeedsGroup(request, engines)) continue;
+    if (!NeedsGroup(request, engines, 0.9)) continue;
     std::vector<GroupPiece> plan = PlanGroup(request, engines, 0.9);
     uint64_t room = 0;
     for (const EngineView& engine : engines) room += engine.total_tokens * 9 / 10;
--- /dev/null
+++ b/src/trial/main.cc
@@ -0,0 +1,349 @@
+// gullward-trial: measures the choice of endpoint under load and under faults.
+//
+// A run is a deployment, a load, a condition and a policy: the real cores on a
+// passed-in clock against the stand-in engine's time model (trial/world), with
+// the same arrivals for every policy. It prints one row for each run, in the form
+// of docs/MEASUREMENTS.md. Runs do not depend on the machine: the same command
+// gives the same figures.
+//
+//   gullward-trial --deployments=catalogue --loads=80 --conditions=calm
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_split.h"
+#include "process/process.h"
+#include "standins/answer.h"
+#include "trial/world.h"
+
+DEFINE_string(deployments, "catalogue,berkapu", "which deployments");
+DEFINE_string(loads, "50,80,100,130", "per cent of the fleet's capacity");
+DEFINE_string(conditions, "calm",
+              "calm, engine_dead, engine_slow, zone_lost, reports_late, "
+              "hints_lost, log_down, entry_restarted");
+DEFINE_string(policies, "estimate,round_robin,least_outstanding,longest_prefix,trapezoid",
+              "which policies");
+DEFINE_double(seconds, 600, "how long requests arrive");
+DEFINE_double(long_share, 0, "overrides the deployments' share of engines for long prompts");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_int32(threads, 6, "runs at once");
+
+namespace gullward {
+namespace {
+
+constexpr size_t kEndpoints = 7;
+constexpr size_t kEnginesPerEndpoint = 3;
+constexpr size_t kEntries = 2;
+constexpr uint32_t kAnswerTokens = 16;
+
+// When the fault strikes, and for how long.
+constexpr Duration kFaultAt = seconds(30);
+constexpr Duration kFaultFor = seconds(40);
+
+// ---------------------------------------------------------------- deployments
+
+// Requests of one length: how they share the fleet's work and how long they may
+// take.
+struct Band {
+  const char* account;
+  uint64_t least_tokens;
+  uint64_t most_tokens;
+  double work_share;
+  Duration timeout;
+  // Of so many requests one asks again about a text sent shortly before.
+  double repeats;
+};
+
+struct Deployment {
+  std::string name;
+  std::vector<Band> bands;
+  std::string routing;
+  double long_share;
+};
+
+const std::vector<Deployment>& Deployments() {
+  static const std::vector<Deployment> all = {
+      {"catalogue",
+       {{"counter", 800, 2000, 0.35, seconds(20), 0},
+        {"clerk", 20'000, 30'000, 0.15, seconds(120), 0.3},
+        {"clerk", 60'000, 180'000, 0.25, seconds(240), 0.3},
+        {"archive", 600'000, 1'000'000, 0.25, seconds(900), 0}},
+       "long_tokens = 16384\n",
+       1.0},
+      {"berkapu",
+       {{"counter", 800, 2000, 0.55, seconds(20), 0},
+        {"clerk", 20'000, 30'000, 0.15, seconds(120), 0.3},
+        {"clerk", 60'000, 180'000, 0.20, seconds(240), 0.3},
+        {"archive", 600'000, 800'000, 0.10, seconds(900), 0}},
+       "long_tokens = 16384\n",
+       0.75},
+  };
+  return all;
+}
+
+std::string Key(char digit) { return std::string(64, digit); }
+
+std::string KeyOf(const std::string& account) {
+  return Key(account == "counter" ? 'a' : account == "clerk" ? 'b' : 'c');
+}
+
+std::string ConfigOf(const Deployment& deployment, const std::string& policy) {
+  std::string text =
+      "[[class]]\nname = \"short\"\ntimeout_seconds = 20\npriority = 0\nvalue = 10\n"
+      "[[class]]\nname = \"manual\"\ntimeout_seconds = 120\npriority = 2\nvalue = 10\n"
+      "[[class]]\nname = \"binder\"\ntimeout_seconds = 900\npriority = 2\nvalue = 30\n"
+      "[[model]]\nname = \"base\"\nbytes_per_token = 5\ncontext_tokens = 1200000\n";
+  text += "[[account]]\nname = \"counter\"\nclass = \"short\"\nkey_sha256 = \"" + Key('a') + "\"\n";
+  text += "[[account]]\nname = \"clerk\"\nclass = \"manual\"\nkey_sha256 = \"" + Key('b') + "\"\n";
+  text +=
+      "[[account]]\nname = \"archive\"\nclass = \"binder\"\nkey_sha256 = \"" + Key('c') + "\"\n";
+  text += "[[routing]]\nname = \"default\"\npolicy = \"" + policy + "\"\n" + deployment.routing;
+  double share = FLAGS_long_share > 0 ? FLAGS_long_share : deployment.long_share;
+  text += "long_share = " + std::to_string(share) + "\n";
+  return text;
+}
+
+// -------------------------------------------------------------------- arrivals
+
+struct Arrival {
+  Time at;
+  size_t band;
+  uint64_t tokens;
+  // Requests with the same text number begin with the same text.
+  uint64_t text;
+};
+
+double WorkOf(uint64_t tokens) { return Seconds(EngineModelOptions{}.speed, 0, tokens); }
+
+std::vector<Arrival> MakeArrivals(const Deployment& deployment, double load, bool shorts_only) {
+  std::vector<Arrival> arrivals;
+  Time start{std::chrono::hours(1)};
+  double capacity = static_cast<double>(kEndpoints * kEnginesPerEndpoint);
+  for (size_t b = 0; b < deployment.bands.size(); ++b) {
+    if (shorts_only && b > 0) break;
+    const Band& band = deployment.bands[b];
+    // A stream of its own for each band, so that the shorts alone are the same
+    // shorts as in the mix.
+    std::mt19937_64 random(FLAGS_seed * 1000 + b);
+    std::uniform_int_distribution<uint64_t> length(band.least_tokens, band.most_tokens);
+    double mean = WorkOf((band.least_tokens + band.most_tokens) / 2);
+    double rate = load * capacity * band.work_share / mean;
+    std::exponential_distribution<double> gap(rate);
+    uint64_t text = 0;
+    std::vector<uint64_t> recent;
+    for (double at = gap(random); at < FLAGS_seconds; at += gap(random)) {
+      bool again =
+          !recent.empty() && std::uniform_real_distribution<double>(0, 1)(random) < band.repeats;
+      uint64_t tokens = length(random);
+      uint64_t number = (b + 1) * 1'000'000 + text++;
+      if (again) {
+        number = recent[random() % recent.size()];
+      } else {
+        recent.push_back(number);
+        if (recent.size() > 5) recent.erase(recent.begin());
+      }
+      arrivals.push_back({start + seconds(1) + FromSeconds(at), b, tokens, number});
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end(),
+            [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+  return arrivals;
+}
+
+RequestInput MakeInput(const Deployment& deployment, const Arrival& arrival) {
+  const Band& band = deployment.bands[arrival.band];
+  RequestInput input = BasicRequest(arrival.tokens, kAnswerTokens, arrival.text);
+  input.key_sha256 = KeyOf(band.account);
+  input.timeout = band.timeout;
+  return input;
+}
+
+// ------------------------------------------------------------------------ runs
+
+struct Run {
+  const Deployment* deployment;
+  int load;
+  std::string condition;
+  std::string policy;
+  bool shorts_only = false;
+};
+
+struct Figures {
+  std::vector<double> first[4];
+  size_t sent = 0;
+  size_t in_time = 0;
+  size_t refused = 0;
+  double refused_after = 0;
+  double retries = 0;
+  std::vector<std::string> broken;
+};
+
+void Strike(World* world, const std::string& condition) {
+  Time at = world->now() + kFaultAt;
+  if (condition == "engine_dead") {
+    world->At(at, [world] {
+      world->KillEngine(0, 0);
+      world->FreezeEngine(0, 0, kFaultFor);
+    });
+  } else if (condition == "engine_slow") {
+    world->At(at, [world] { world->SlowEngine(0, 0, 10); });
+  } else if (condition == "zone_lost") {
+    for (size_t i = 0; i < 2; ++i) {
+      world->At(at, [world, i] { world->KillEndpoint(i); });
+      world->At(at + kFaultFor, [world, i] { world->RestartEndpoint(i); });
+    }
+  } else if (condition == "log_down") {
+    world->At(at, [world] { world->SetLogDown(true); });
+  } else if (condition == "entry_restarted") {
+    world->At(at, [world] { world->KillEntry(1); });
+    world->At(at + seconds(2), [world] { world->RestartEntry(1); });
+  }
+}
+
+Figures Measure(const Run& run) {
+  WorldOptions options;
+  options.entries = kEntries;
+  options.endpoints = kEndpoints;
+  options.engines_per_endpoint = kEnginesPerEndpoint;
+  options.seed = FLAGS_seed;
+  if (run.condition == "reports_late") options.report_lag = seconds(5);
+  if (run.condition == "hints_lost") options.hint_loss = 0.5;
+  World world(options);
+  world.Publish(ConfigOf(*run.deployment, run.policy));
+  world.RunFor(seconds(1));
+  Strike(&world, run.condition);
+  std::vector<Arrival> arrivals = MakeArrivals(*run.deployment, run.load / 100.0, run.shorts_only);
+  std::vector<size_t> band_of;
+  for (size_t i = 0; i < arrivals.size(); ++i) {
+    world.RunUntil(arrivals[i].at);
+    // Callers come back to the other entry while theirs is down.
+    size_t entry = i % kEntries;
+    if (world.entry(entry) == nullptr) entry = 0;
+    world.Submit(entry, MakeInput(*run.deployment, arrivals[i]));
+    band_of.push_back(arrivals[i].band);
+  }
+  auto all_ended = [&] {
+    return std::all_of(world.all_calls().begin(), world.all_calls().end(),
+                       [](const Call& call) { return call.ended; });
+  };
+  while (!all_ended()) world.RunFor(seconds(5));
+
+  Figures figures;
+  for (size_t i = 0; i < world.all_calls().size(); ++i) {
+    const Call& call = world.call(i);
+    ++figures.sent;
+    if (call.finished) ++figures.in_time;
+    if (call.finished) {
+      figures.first[band_of[i]].push_back(ToSeconds(call.first_token_at - call.submitted));
+    }
+    bool refused = !call.finished && !call.broken && call.failure.ran == Ran::kNo;
+    if (!refused) continue;
+    ++figures.refused;
+    figures.refused_after += ToSeconds(call.ended_at - call.submitted);
+  }
+  double retries = 0;
+  for (size_t e = 0; e < kEntries; ++e) {
+    retries += static_cast<double>(world.entry(e)->counters().retries);
+  }
+  figures.retries = retries / static_cast<double>(std::max<size_t>(figures.sent, 1));
+  figures.broken = world.CheckInvariants(false);
+  return figures;
+}
+
+double Percentile(std::vector<double> values, double part) {
+  if (values.empty()) return std::nan("");
+  std::sort(values.begin(), values.end());
+  auto index = static_cast<size_t>(std::lround(part * static_cast<double>(values.size() - 1)));
+  return values[index];
+}
+
+std::string Triple(const std::vector<double>& values) {
+  if (values.empty()) return "-";
+  char text[64];
+  std::snprintf(text, sizeof(text), "%.2f / %.2f / %.2f", Percentile(values, 0.5),
+                Percentile(values, 0.95), Percentile(values, 0.99));
+  return text;
+}
+
+void PrintRow(const Run& run, const Figures& figures, double alone_p95) {
+  double p95 = Percentile(figures.first[0], 0.95);
+  double refused_after =
+      figures.refused == 0 ? 0 : figures.refused_after / static_cast<double>(figures.refused);
+  std::printf("| %s | %d | %s | %s | %s | %s | %s | %s | %.2f | %.1f | %zu | %.3f | %.4f |%s\n",
+              run.deployment->name.c_str(), run.load, run.condition.c_str(), run.policy.c_str(),
+              Triple(figures.first[0]).c_str(), Triple(figures.first[1]).c_str(),
+              Triple(figures.first[2]).c_str(), Triple(figures.first[3]).c_str(), p95 / alone_p95,
+              100.0 * static_cast<double>(figures.in_time) / static_cast<double>(figures.sent),
+              figures.refused, refused_after, figures.retries,
+              figures.broken.empty() ? "" : " PROMISE BROKEN");
+  for (const std::string& what : figures.broken) std::printf("    %s\n", what.c_str());
+  std::fflush(stdout);
+}
+
+std::vector<std::string> Words(const std::string& text) {
+  return absl::StrSplit(text, ',', absl::SkipEmpty());
+}
+
+std::vector<Run> PlanRuns() {
+  std::vector<Run> runs;
+  for (const Deployment& deployment : Deployments()) {
+    std::vector<std::string> wanted = Words(FLAGS_deployments);
+    if (std::find(wanted.begin(), wanted.end(), deployment.name) == wanted.end()) continue;
+    for (const std::string& load : Words(FLAGS_loads)) {
+      // The shorts alone, as the measure of their slowdown in the mix.
+      runs.push_back({&deployment, std::stoi(load), "calm", "estimate", true});
+      for (const std::string& condition : Words(FLAGS_conditions)) {
+        for (const std::string& policy : Words(FLAGS_policies)) {
+          runs.push_back({&deployment, std::stoi(load), condition, policy, false});
+        }
+      }
+    }
+  }
+  return runs;
+}
+
+int RunAll() {
+  std::vector<Run> runs = PlanRuns();
+  std::vector<Figures> figures(runs.size());
+  std::atomic<size_t> next{0};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < FLAGS_threads; ++t) {
+    threads.emplace_back([&] {
+      for (size_t i = next++; i < runs.size(); i = next++) figures[i] = Measure(runs[i]);
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  std::printf(
+      "| deployment | load %% | condition | policy | short, first token s p50/p95/p99 | "
+      "to 32k | to 200k | above | short slowdown | in time %% | refused | refused after s "
+      "| retries a request |\n");
+  std::printf("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+  double alone_p95 = 1;
+  bool broken = false;
+  for (size_t i = 0; i < runs.size(); ++i) {
+    if (runs[i].shorts_only) {
+      alone_p95 = Percentile(figures[i].first[0], 0.95);
+      continue;
+    }
+    PrintRow(runs[i], figures[i], alone_p95);
+    broken = broken || !figures[i].broken.empty();
+  }
+  return broken ? 1 : 0;
+}
+
+}  // namespace
+}  // namespace gullward
+
+int main(int argc, char** argv) {
+  gullward::InitProcess("gullward-trial: measures the choice of endpoint", &argc, &argv);
+  return gullward::RunAll();
+}
--- a/src/trial/world.cc
+++ b/src/trial/world.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 World::World(const WorldOptions& world_options)
-    : options(world_options), clock(std::chrono::hours(1)) {
+    : options(world_options), clock(std::chrono::hours(1)), random(world_options.seed) {
   for (size_t i = 0; i < this->options.endpoints; ++i) {
     auto node = std::make_unique<EndpointNode>();
     node->index = i;
@@ -255,13 +255,23 @@
         this->SendToEndpoint(e, b, EntryHeartbeat{this->entry_nodes[e]->life, 0, offset});
       }
       if (endpoint_node->alive && endpoint_node->paused_until <= this->clock) {
-        this->SendToEntry(b, e + 1, endpoint_node->core->Heartbeat(-1, this->clock));
+        this->SendToEntry(b, e + 1, this->ReportOf(endpoint_node));
       }
     }
   }
   this->At(this->clock + kReportPeriod, [this] { this->HeartbeatLinks(); });
 }
 
+EndpointHeartbeat World::ReportOf(EndpointNode* node) {
+  EndpointHeartbeat report = node->core->Heartbeat(-1, this->clock);
+  if (this->options.hint_loss <= 0) return report;
+  std::bernoulli_distribution lost(this->options.hint_loss);
+  for (EngineLoad& load : report.engines) {
+    std::erase_if(load.cached, [&](const CacheHint&) { return lost(this->random); });
+  }
+  return report;
+}
+
 void World::ConnectLink(size_t e, size_t b) {
   Link& link = this->links[{e, b}];
   link.up = true;
--- a/src/trial/world.h
+++ b/src/trial/world.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,8 @@
   Duration service_time = milliseconds(20);
   // How late load reports reach the entries, besides the link's delay.
   Duration report_lag{};
+  // The share of cache hints in the reports that get lost.
+  double hint_loss = 0;
   uint64_t seed = 1;
 };
 
@@ -206,6 +209,7 @@
   void TickEntry(size_t entry, uint64_t life);
   void TickEndpoint(size_t endpoint, uint64_t life);
   void HeartbeatLinks();
+  EndpointHeartbeat ReportOf(EndpointNode* node);
   void ConnectLink(size_t entry, size_t endpoint);
   void BreakLink(size_t entry, size_t endpoint);
   void ReadClaims(EntryNode* node);
@@ -239,6 +243,7 @@
   std::map<RequestId, size_t> call_of;
   std::vector<std::string> journal;
   uint64_t next_incarnation = 1;
+  std::mt19937_64 random;
   size_t acting = 0;
   std::function<void(const std::string&)> trace;
 };
