Give hopeless waits up early; ask for the key first; bound slow readers

A caller with a wrong key was told of mistakes in its body before of its key. A caller that reads slower than the answer grows could have it buffered without bound. Boxes that are gone stayed in an entry's view for ever.

Ruled out: estimating the wait for memory at the door (the ledger's holders' ends are not known there).

Change: the endpoint process hands back what waits and can no longer finish, and the entry gives it up at once if it could not finish elsewhere either; the key is checked before anything else is told; 4 MiB of unread answer drops the caller; boxes gone for ten minutes are forgotten.

--- a/src/base/testing/result_code_test.cc
+++ b/src/base/testing/result_code_test.cc
@@ -4,7 +4,9 @@
 #include "base/result_code.h"
 
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <set>
 #include <sstream>
 
@@ -34,6 +36,26 @@
   BOOST_TEST(page_rows == rows);
 }
 
+// The pages name the mechanism that carries each line by its file.
+BOOST_AUTO_TEST_CASE(FilesThatPagesNameExist) {
+  const std::string root = std::string(GULLWARD_SOURCE_DIR) + "/";
+  const std::regex named("`((?:src|docs|scripts)/[A-Za-z0-9_./-]+)`");
+  int found = 0;
+  for (const char* page : {"README.md", "docs/CAPACITY.md", "docs/DESIGN.md", "docs/FAULTS.md",
+                           "docs/OPERATORS.md", "docs/ENGINES.md", "docs/PLATFORM.md"}) {
+    std::ifstream stream(root + page);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const std::string whole = text.str();
+    BOOST_TEST(!whole.empty(), page);
+    for (std::sregex_iterator it(whole.begin(), whole.end(), named), end; it != end; ++it) {
+      ++found;
+      BOOST_TEST(std::filesystem::exists(root + (*it)[1].str()), page << " names " << (*it)[1]);
+    }
+  }
+  BOOST_TEST(found > 30);
+}
+
 BOOST_AUTO_TEST_CASE(CodesAndNamesAreUnique) {
   std::set<uint32_t> codes;
   std::set<std::string> names;
--- a/src/endpoint/endpoint_core.cc
+++ b/src/endpoint/endpoint_core.cc
@@ -464,10 +464,19 @@
 
 void EndpointCore::CheckDeadlines(Time now) {
   std::vector<AttemptId> late;
+  std::vector<AttemptId> hopeless;
   for (const auto& [id, attempt] : this->live) {
-    if (attempt.deadline <= now) late.push_back(id);
+    if (attempt.deadline <= now) {
+      late.push_back(id);
+    } else if (attempt.state == State::kWaiting && !attempt.reserve_only) {
+      const PrefillSpeed& speed = this->engines[attempt.engine].speed.speed();
+      Duration least = FromSeconds(Seconds(speed, 0, attempt.offer.prompt_tokens));
+      if (now + least >= attempt.deadline) hopeless.push_back(id);
+    }
   }
   for (const AttemptId& id : late) this->GiveUp(id, ResultCode::kDeadlineExceeded, now);
+  // What waits for memory and could no longer finish is handed back now.
+  for (const AttemptId& id : hopeless) this->GiveUp(id, ResultCode::kOverloaded, now);
 }
 
 void EndpointCore::RetryFrees(Time now) {
--- a/src/endpoint/testing/endpoint_core_test.cc
+++ b/src/endpoint/testing/endpoint_core_test.cc
@@ -175,6 +175,23 @@
   BOOST_TEST(endpoint.starts == 1);
 }
 
+BOOST_AUTO_TEST_CASE(WhatWaitsAndCanNoLongerFinishIsHandedBackBeforeItsDeadline) {
+  Endpoint endpoint;
+  endpoint.Say(endpoint.OfferOf(Id(1), 9000));
+  Offer waiting = endpoint.OfferOf(Id(2), 9000);
+  // 9,000 tokens take 0.45 s at the guessed speed.
+  waiting.deadline_ms = 2000;
+  endpoint.Say(waiting);
+  endpoint.now += milliseconds(1500);
+  endpoint.core.Tick(endpoint.now);
+  endpoint.Actions();
+  BOOST_TEST(endpoint.refusals.empty());
+  endpoint.now += milliseconds(100);
+  endpoint.core.Tick(endpoint.now);
+  endpoint.Actions();
+  BOOST_TEST((endpoint.refusals == std::vector<ResultCode>{ResultCode::kOverloaded}));
+}
+
 BOOST_AUTO_TEST_CASE(AFrozenEngineIsGivenUpAfterTwoMisses) {
   Endpoint endpoint;
   endpoint.Say(endpoint.OfferOf(Id(1), 100));
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -27,6 +27,8 @@
 constexpr Duration kClaimsRetry = milliseconds(500);
 constexpr Duration kStopPoll = milliseconds(50);
 constexpr size_t kMaxIdempotencyKey = 256;
+// Answer that may wait for one caller to read it.
+constexpr size_t kMaxUnreadBytes = 4u << 20;
 constexpr double kMaxTimeout = 86400;
 constexpr char kServicePrefix[] = "/v1/services/";
 constexpr char kJson[] = "application/json";
@@ -174,53 +176,39 @@
                      ErrorBody(code, Ran::kNo, detail)});
 }
 
-bool EntryServer::ReadHeaders(const std::shared_ptr<HttpExchange>& exchange, RequestInput* input) {
-  input->key_sha256 = KeyHash(exchange->Header("authorization"));
-  std::string timeout = exchange->Header("gullward-timeout");
+ApiError EntryServer::ReadHeaders(const HttpExchange& exchange, RequestInput* input) {
+  auto wrong = [](const char* message) { return ApiError{ResultCode::kInvalidHeader, message}; };
+  input->key_sha256 = KeyHash(exchange.Header("authorization"));
+  std::string timeout = exchange.Header("gullward-timeout");
   if (!timeout.empty()) {
     double value = 0;
     if (!ParseSeconds(timeout, &value)) {
-      this->RespondError(exchange, ResultCode::kInvalidHeader,
-                         "Gullward-Timeout: expected seconds, above 0 and up to 86400");
-      return false;
+      return wrong("Gullward-Timeout: expected seconds, above 0 and up to 86400");
     }
     input->timeout = FromSeconds(value);
   }
-  std::string repeatable = exchange->Header("gullward-repeatable");
+  std::string repeatable = exchange.Header("gullward-repeatable");
   if (!repeatable.empty() && repeatable != "yes" && repeatable != "no") {
-    this->RespondError(exchange, ResultCode::kInvalidHeader,
-                       "Gullward-Repeatable: expected yes or no");
-    return false;
+    return wrong("Gullward-Repeatable: expected yes or no");
   }
   input->repeatable = repeatable != "no";
-  std::string key = exchange->Header("idempotency-key");
-  if (key.size() > kMaxIdempotencyKey) {
-    this->RespondError(exchange, ResultCode::kInvalidHeader,
-                       "Idempotency-Key: expected at most 256 bytes");
-    return false;
-  }
+  std::string key = exchange.Header("idempotency-key");
+  if (key.size() > kMaxIdempotencyKey) return wrong("Idempotency-Key: expected at most 256 bytes");
   if (!key.empty()) {
     // Two accounts may use the same key without meeting.
     std::string scoped = input->key_sha256 + "\n" + key;
     input->idempotency_key = std::max<uint64_t>(XXH3_64bits(scoped.data(), scoped.size()), 1);
   }
-  return true;
+  return {};
 }
 
 void EntryServer::HandleApi(const std::shared_ptr<HttpExchange>& exchange, ApiKind kind) {
   RequestInput input;
-  if (!this->ReadHeaders(exchange, &input)) return;
-  // Nothing about the rest is told to one without a key.
-  if (input.key_sha256.empty()) {
-    this->RespondError(exchange, ResultCode::kMissingKey, "");
-    return;
-  }
+  ApiError error = ReadHeaders(*exchange, &input);
   ApiRequest request;
-  ApiError error = ParseApiRequest(kind, exchange->body, &request);
-  if (error.code != ResultCode::kOk) {
-    this->RespondError(exchange, error.code, error.message);
-    return;
-  }
+  // Without a key the body is not worth the time.
+  bool parse = error.code == ResultCode::kOk && !input.key_sha256.empty();
+  if (parse) error = ParseApiRequest(kind, exchange->body, &request);
   exchange->body.clear();
   exchange->body.shrink_to_fit();
   input.model = request.model;
@@ -233,14 +221,14 @@
   caller.answer = {kind, "", request.model, static_cast<int64_t>(std::time(nullptr))};
   caller.stream = request.stream;
   caller.stream_usage = request.stream_usage;
-  this->loop->Post([this, caller = std::move(caller), input = std::move(input)]() mutable {
-    this->Submit(std::move(caller), std::move(input));
+  this->loop->Post([this, caller = std::move(caller), input = std::move(input), error]() mutable {
+    this->Submit(std::move(caller), std::move(input), error);
   });
 }
 
 void EntryServer::HandleService(const std::shared_ptr<HttpExchange>& exchange) {
   RequestInput input;
-  if (!this->ReadHeaders(exchange, &input)) return;
+  ApiError error = ReadHeaders(*exchange, &input);
   std::string rest = exchange->path.substr(sizeof(kServicePrefix) - 1);
   size_t slash = rest.find('/');
   input.service = rest.substr(0, slash);
@@ -248,22 +236,27 @@
   input.method = exchange->method;
   input.content_type = exchange->Header("content-type");
   input.prompt = std::make_shared<const std::string>(std::move(exchange->body));
-  if (input.service.empty()) {
-    this->RespondError(exchange, ResultCode::kUnknownService, "");
-    return;
-  }
+  if (input.service.empty()) error = {ResultCode::kUnknownService, ""};
   Caller caller;
   caller.exchange = exchange;
   caller.service = true;
-  this->loop->Post([this, caller = std::move(caller), input = std::move(input)]() mutable {
-    this->Submit(std::move(caller), std::move(input));
+  this->loop->Post([this, caller = std::move(caller), input = std::move(input), error]() mutable {
+    this->Submit(std::move(caller), std::move(input), error);
   });
 }
 
 // ------------------------------------------------------------------- the loop
 
-void EntryServer::Submit(Caller caller, RequestInput input) {
+void EntryServer::Submit(Caller caller, RequestInput input, const ApiError& error) {
   std::shared_ptr<HttpExchange> exchange = caller.exchange;
+  // Until there is a configuration no key is known, good or bad.
+  bool ready = this->follower.feed().Ready(Now(), kConfigPatience);
+  ResultCode key = ready ? this->core.CheckKey(input.key_sha256) : ResultCode::kOk;
+  if (key != ResultCode::kOk || (ready && error.code != ResultCode::kOk)) {
+    bool key_good = key == ResultCode::kOk;
+    this->RespondError(exchange, key_good ? error.code : key, key_good ? error.message : "");
+    return;
+  }
   RequestId id = this->core.Submit(std::move(input), Now());
   const char* kind = caller.answer.kind == ApiKind::kChat ? "chatcmpl-" : "cmpl-";
   caller.answer.id = kind + ToString(id);
@@ -282,15 +275,9 @@
 
 void EntryServer::ListModels(const std::shared_ptr<HttpExchange>& exchange) {
   const ConfigState& state = this->follower.state();
-  std::string hash = KeyHash(exchange->Header("authorization"));
-  const ConfigObject* account = state.AccountOfKey(hash);
-  if (hash.empty() || account == nullptr) {
-    this->RespondError(exchange, hash.empty() ? ResultCode::kMissingKey : ResultCode::kWrongKey,
-                       "");
-    return;
-  }
-  if (std::get<AccountSpec>(account->spec).suspended) {
-    this->RespondError(exchange, ResultCode::kAccountSuspended, "");
+  ResultCode key = this->core.CheckKey(KeyHash(exchange->Header("authorization")));
+  if (key != ResultCode::kOk) {
+    this->RespondError(exchange, key, "");
     return;
   }
   std::vector<std::string> names;
@@ -398,7 +385,11 @@
         {{"X-Request-Id", ToString(action.id)}, {"Cache-Control", "no-cache"}});
     caller.exchange->Write(StreamOpening(caller.answer));
   }
-  caller.exchange->Write(StreamEvent(caller.answer, action.text, ""));
+  size_t waiting = caller.exchange->Write(StreamEvent(caller.answer, action.text, ""));
+  if (waiting <= kMaxUnreadBytes) return;
+  LOG(WARNING) << "request " << ToString(action.id) << " dropped: the caller does not read";
+  // Its OnGone hook follows and cancels the work.
+  caller.exchange->Abort();
 }
 
 void EntryServer::Perform(const FinishAnswer& action) {
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -59,10 +59,12 @@
   void HandleService(const std::shared_ptr<HttpExchange>& exchange);
   void RespondError(const std::shared_ptr<HttpExchange>& exchange, ResultCode code,
                     const std::string& detail);
-  bool ReadHeaders(const std::shared_ptr<HttpExchange>& exchange, RequestInput* input);
+  static ApiError ReadHeaders(const HttpExchange& exchange, RequestInput* input);
 
   // On the loop.
-  void Submit(Caller caller, RequestInput input);
+  // `error` is what the HTTP threads found wrong; it is told only to a caller
+  // whose key is good.
+  void Submit(Caller caller, RequestInput input, const ApiError& error);
   void ListModels(const std::shared_ptr<HttpExchange>& exchange);
   void OnBoxMessage(const std::string& box, const Message& message);
   void OnConfigChanged();
--- a/src/request/entry_core.cc
+++ b/src/request/entry_core.cc
@@ -85,12 +85,19 @@
   return id;
 }
 
+ResultCode EntryCore::CheckKey(const std::string& key_sha256) const {
+  if (key_sha256.empty()) return ResultCode::kMissingKey;
+  const ConfigObject* object = this->config->state().AccountOfKey(key_sha256);
+  if (object == nullptr) return ResultCode::kWrongKey;
+  bool suspended = std::get<AccountSpec>(object->spec).suspended;
+  return suspended ? ResultCode::kAccountSuspended : ResultCode::kOk;
+}
+
 ResultCode EntryCore::CheckAccount(Request* request) {
-  if (request->input.key_sha256.empty()) return ResultCode::kMissingKey;
+  ResultCode code = this->CheckKey(request->input.key_sha256);
+  if (code != ResultCode::kOk) return code;
   const ConfigObject* object = this->config->state().AccountOfKey(request->input.key_sha256);
-  if (object == nullptr) return ResultCode::kWrongKey;
   const auto& account = std::get<AccountSpec>(object->spec);
-  if (account.suspended) return ResultCode::kAccountSuspended;
   const ClassSpec* spec = this->config->state().Get<ClassSpec>("class", account.class_name);
   if (spec == nullptr) return ResultCode::kInternal;
   request->account = object->id.name;
@@ -433,8 +440,12 @@
   request->pieces.clear();
   request->excluded.insert(engine);
   ++request->refusals;
-  if (request->refusals >= kMaxRefusals) {
-    this->Fail(request, refused.code, milliseconds(refused.retry_after_ms));
+  // Elsewhere it must be able to finish too, or it is given up at once.
+  Duration retry_after = milliseconds(refused.retry_after_ms);
+  ResultCode code = this->CheckEstimate(*request, now, &retry_after);
+  if (request->refusals >= kMaxRefusals) code = refused.code;
+  if (code != ResultCode::kOk) {
+    this->Fail(request, code, retry_after);
     return;
   }
   this->Dispatch(request, now);
@@ -698,6 +709,7 @@
   if (now - this->last_prune < kPrunePeriod) return;
   this->last_prune = now;
   this->account_limits.Prune(now);
+  this->view.Prune(now);
 }
 
 std::vector<EntryAction> EntryCore::TakeActions() { return std::exchange(this->actions, {}); }
--- a/src/request/entry_core.h
+++ b/src/request/entry_core.h
@@ -186,6 +186,10 @@
   // Takes a request.  Its answer comes as actions, perhaps before this returns.
   RequestId Submit(RequestInput input, Time now);
 
+  // Whether a key names an account that may send requests: kOk, kMissingKey,
+  // kWrongKey or kAccountSuspended.
+  ResultCode CheckKey(const std::string& key_sha256) const;
+
   // The caller has gone: its work is cancelled.
   void OnCallerGone(const RequestId& id, Time now);
 
--- a/src/routing/fleet_view.cc
+++ b/src/routing/fleet_view.cc
@@ -57,6 +57,12 @@
   found->second.own.clear();
 }
 
+void FleetView::Prune(Time now) {
+  std::erase_if(this->boxes, [&](const auto& item) {
+    return !item.second.connected && now - item.second.heard >= kForgetBoxAfter;
+  });
+}
+
 void FleetView::SetLeaving(const std::set<std::string>& leaving) { this->leaving_boxes = leaving; }
 
 uint64_t FleetView::NoteDispatch(const EngineRef& ref, uint32_t priority, double prefill_seconds,
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -39,6 +39,9 @@
 // Prefix hashes that are remembered for the whole fleet.
 inline constexpr size_t kMaxPrefixes = 200'000;
 
+// How long a box that is gone is remembered.
+inline constexpr Duration kForgetBoxAfter = std::chrono::minutes(10);
+
 // How long a failed engine is left out at first, and at most.
 inline constexpr Duration kFirstPenalty = seconds(1);
 inline constexpr Duration kMaxPenalty = seconds(30);
@@ -79,6 +82,10 @@
   // The connection to a box is lost; it is out until its next heartbeat.
   void OnBoxLost(const std::string& box);
 
+  // Forgets boxes that have been gone for kForgetBoxAfter: boxes are replaced all
+  // day, and a new one may have a new name.
+  void Prune(Time now);
+
   // A box is leaving, as the platform's list or the configuration says.
   void SetLeaving(const std::set<std::string>& boxes);
 
--- a/src/routing/testing/routing_test.cc
+++ b/src/routing/testing/routing_test.cc
@@ -97,6 +97,18 @@
   BOOST_TEST(used.size() == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(BoxesThatAreGoneAreForgotten) {
+  FleetView fleet(1);
+  Time start{std::chrono::hours(1)};
+  fleet.OnHeartbeat("gone", {}, start);
+  fleet.OnHeartbeat("here", {}, start);
+  fleet.OnBoxLost("gone");
+  fleet.Prune(start + std::chrono::minutes(9));
+  BOOST_TEST(fleet.Describe(start).size() == 2u);
+  fleet.Prune(start + std::chrono::minutes(11));
+  BOOST_TEST(fleet.Describe(start).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(GroupsHoldTheWholePromptInFewPieces) {
   for (uint64_t tokens = 60'000; tokens <= 450'000; tokens += 1'234) {
     std::vector<EngineView> engines;
