--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -75,8 +75,13 @@
 
   static MHD_Result QueueResponse(MHD_Connection* connection,
                                   const std::shared_ptr<HttpExchange>& exchange) {
-    std::lock_guard<std::mutex> lock(exchange->mutex);
-    if (exchange->aborted) return MHD_NO;
+    {
+      std::lock_guard<std::mutex> lock(exchange->mutex);
+      if (exchange->aborted) return MHD_NO;
+    }
+    // Without the lock: the library locks the response, and calls ReadStream with
+    // it locked, which takes ours. What is read here no longer changes, since the
+    // exchange has been answered.
     MHD_Response* answer;
     if (exchange->streaming) {
       answer = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlockBytes, &ReadStream,
@@ -87,7 +92,6 @@
       answer = MHD_create_response_from_buffer(body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
     }
     AddHeaders(answer, exchange->response);
-    exchange->queued = true;
     auto status = static_cast<unsigned>(exchange->response.status);
     MHD_Result result = MHD_queue_response(connection, status, answer);
     MHD_destroy_response(answer);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -96,7 +96,6 @@
   bool handed_over = false;
   bool suspended = false;
   bool responded = false;
-  bool queued = false;
   bool streaming = false;
   bool stream_finished = false;
   bool aborted = false;
--- a/src/trial/world.cc
+++ b/src/trial/world.cc
@@ -143,6 +143,7 @@
   node->alive = true;
   ++node->life;
   node->held.clear();
+  node->reports.clear();
   EndpointOptions endpoint_options;
   endpoint_options.box = this->BoxName(node->index);
   endpoint_options.incarnation = this->next_incarnation++;
@@ -264,6 +265,13 @@
 
 EndpointHeartbeat World::ReportOf(EndpointNode* node) {
   EndpointHeartbeat report = node->core->Heartbeat(-1, this->clock);
+  if (this->options.report_lag > Duration{}) {
+    node->reports.emplace_back(this->clock, report);
+    // The newest one that is old enough; the oldest one where none is.
+    Time wanted = this->clock - this->options.report_lag;
+    while (node->reports.size() > 1 && node->reports[1].first <= wanted) node->reports.pop_front();
+    report = node->reports.front().second;
+  }
   if (this->options.hint_loss <= 0) return report;
   std::bernoulli_distribution lost(this->options.hint_loss);
   for (EngineLoad& load : report.engines) {
@@ -335,8 +343,7 @@
   bool heartbeat = std::holds_alternative<EndpointHeartbeat>(message);
   if (!heartbeat)
     this->Trace(this->BoxName(b) + " > entry-" + std::to_string(e + 1) + " " + Text(message));
-  Duration delay = this->options.link_delay + (heartbeat ? this->options.report_lag : Duration{});
-  this->Deliver(node, delay, [this, node, e, b, session, message, heartbeat] {
+  this->Deliver(node, this->options.link_delay, [this, node, e, b, session, message, heartbeat] {
     Link& now_link = this->links[{e, b}];
     if (now_link.session != session) return;
     now_link.last_heard = this->clock;
--- a/src/trial/world.h
+++ b/src/trial/world.h
@@ -18,6 +18,7 @@
 #define GULLWARD_TRIAL_WORLD_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,7 +44,8 @@
   EngineModelOptions engine;
   Duration link_delay = milliseconds(1);
   Duration service_time = milliseconds(20);
-  // How late load reports reach the entries, besides the link's delay.
+  // How old the load is that a report tells. The report itself comes in time, as
+  // a heartbeat does.
   Duration report_lag{};
   // The share of cache hints in the reports that get lost.
   double hint_loss = 0;
@@ -173,6 +175,8 @@
     std::vector<std::function<void()>> held;
     std::vector<std::unique_ptr<EngineNode>> engines;
     Time last_start;
+    // Reports of the last while, for those that are told late.
+    std::deque<std::pair<Time, EndpointHeartbeat>> reports;
   };
 
   struct Link {
