One main for both servers, one blocking call, one service request

Cause: the list of twins showed the two servers' main functions, the blocking HTTP call of gullwardctl and of the tests, and the service call of three tests written twice or three times.

Ruled out: merging the shapes that only look alike (settings readers, value types).

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -131,18 +131,11 @@
 
 // One HTTP call, whose answer is printed.
 int CallAndPrint(const std::string& method, const std::string& url, Duration timeout) {
-  EventLoop loop;
-  HttpClient client(&loop);
-  HttpResult answer;
   HttpCall call;
   call.method = method;
   call.url = url;
   call.timeout = timeout;
-  client.Start(std::move(call), {nullptr, [&](const HttpResult& result) {
-                                   answer = result;
-                                   loop.Stop();
-                                 }});
-  loop.Run();
+  HttpResult answer = CallAndWait(std::move(call));
   if (!answer.complete) {
     std::fprintf(stderr, "%s: %s\n", url.c_str(), answer.error.c_str());
     return kExitFailed;
--- a/src/endpoint/main.cc
+++ b/src/endpoint/main.cc
@@ -1,7 +1,5 @@
 // gullward-endpoint: stands in front of a box's engines, or of a plain service.
 
-#include <glog/logging.h>
-
 #include "endpoint/endpoint_server.h"
 #include "endpoint/settings.h"
 #include "process/process.h"
@@ -16,17 +14,5 @@
   if (table) settings = ReadEndpointSettings(*table, file, &errors);
   FinishSettings(errors);
 
-  EventLoop loop;
-  EndpointServer* running = nullptr;
-  HandleStopSignals(&loop, [&] { running->DrainAndStop(); });
-  EndpointServer server(&loop, settings, RandomIncarnation());
-  running = &server;
-  absl::Status status = server.Start();
-  if (!status.ok()) {
-    LOG(ERROR) << status.message();
-    return 1;
-  }
-  loop.Run();
-  LOG(INFO) << "stopped";
-  return 0;
+  return RunServer<EndpointServer>(settings);
 }
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,7 +1,5 @@
 // gullward-entry: takes callers' requests and has them run on endpoint boxes.
 
-#include <glog/logging.h>
-
 #include "entry/entry_server.h"
 #include "entry/settings.h"
 #include "process/process.h"
@@ -16,17 +14,5 @@
   if (table) settings = ReadEntrySettings(*table, file, &errors);
   FinishSettings(errors);
 
-  EventLoop loop;
-  EntryServer* running = nullptr;
-  HandleStopSignals(&loop, [&] { running->DrainAndStop(); });
-  EntryServer server(&loop, settings, RandomIncarnation());
-  running = &server;
-  absl::Status status = server.Start();
-  if (!status.ok()) {
-    LOG(ERROR) << status.message();
-    return 1;
-  }
-  loop.Run();
-  LOG(INFO) << "stopped";
-  return 0;
+  return RunServer<EntryServer>(settings);
 }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -193,4 +193,16 @@
       });
 }
 
+HttpResult CallAndWait(HttpCall call) {
+  EventLoop loop;
+  HttpClient client(&loop);
+  HttpResult answer;
+  client.Start(std::move(call), {nullptr, [&](const HttpResult& result) {
+                                   answer = result;
+                                   loop.Stop();
+                                 }});
+  loop.Run();
+  return answer;
+}
+
 }  // namespace gullward
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -100,6 +100,10 @@
   std::thread thread;
 };
 
+// Makes one call on an event loop of its own and waits for its result: for
+// command lines and tests, never for a serving process.
+HttpResult CallAndWait(HttpCall call);
+
 }  // namespace gullward
 
 #endif  // GULLWARD_HTTP_HTTP_CLIENT_H_
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -12,6 +12,8 @@
 #ifndef GULLWARD_PROCESS_PROCESS_H_
 #define GULLWARD_PROCESS_PROCESS_H_
 
+#include <glog/logging.h>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -44,6 +46,11 @@
 // thread is started: they inherit the blocked signals.
 void HandleStopSignals(EventLoop* loop, std::function<void()> stop);
 
+// Runs a server until it stops: its constructor takes the loop, the settings and
+// an incarnation, and it has Start and DrainAndStop. Returns the exit status.
+template <typename Server, typename Settings>
+int RunServer(const Settings& settings);
+
 // A number that no earlier process of this box has used, for incarnations.
 uint64_t RandomIncarnation();
 
@@ -51,6 +58,23 @@
 // the process serves.  Tests find ports of the kernel's choice in it.
 void WriteReadyFile(const std::string& json);
 
+template <typename Server, typename Settings>
+int RunServer(const Settings& settings) {
+  EventLoop loop;
+  Server* running = nullptr;
+  HandleStopSignals(&loop, [&] { running->DrainAndStop(); });
+  Server server(&loop, settings, RandomIncarnation());
+  running = &server;
+  absl::Status status = server.Start();
+  if (!status.ok()) {
+    LOG(ERROR) << status.message();
+    return 1;
+  }
+  loop.Run();
+  LOG(INFO) << "stopped";
+  return 0;
+}
+
 }  // namespace gullward
 
 #endif  // GULLWARD_PROCESS_PROCESS_H_
--- a/src/testing/fleet.cc
+++ b/src/testing/fleet.cc
@@ -137,21 +137,13 @@
 
 HttpResult Fleet::Call(const std::string& method, const std::string& url,
                        const HttpHeaders& headers, const std::string& body, Duration timeout) {
-  EventLoop loop;
-  HttpClient client(&loop);
-  HttpResult answer;
   HttpCall call;
   call.method = method;
   call.url = url;
   call.headers = headers;
   call.body = body;
   call.timeout = timeout;
-  client.Start(std::move(call), {nullptr, [&](const HttpResult& result) {
-                                   answer = result;
-                                   loop.Stop();
-                                 }});
-  loop.Run();
-  return answer;
+  return CallAndWait(std::move(call));
 }
 
 HttpHeaders Fleet::Authorization() { return {{"Authorization", std::string("Bearer ") + kKey}}; }
--- a/src/trial/testing/fault_matrix_test.cc
+++ b/src/trial/testing/fault_matrix_test.cc
@@ -63,14 +63,8 @@
 }
 
 RequestInput ServiceCall() {
-  RequestInput input;
-  input.key_sha256 = BasicKey();
-  input.service = "desk";
-  input.method = "POST";
-  input.path = "/entries";
-  input.prompt = std::make_shared<const std::string>("gasket 4");
+  RequestInput input = ServiceRequest("gasket 4");
   input.repeatable = false;
-  input.timeout = seconds(10);
   return input;
 }
 
--- a/src/trial/testing/history_test.cc
+++ b/src/trial/testing/history_test.cc
@@ -81,12 +81,7 @@
       input = BasicRequest(50'000 + this->Pick(60'000), 100, static_cast<uint64_t>(index));
       input.timeout = seconds(60);
     } else if (kind == 1) {
-      input.key_sha256 = BasicKey();
-      input.service = "desk";
-      input.method = "POST";
-      input.path = "/entries";
-      input.prompt = std::make_shared<const std::string>("entry " + std::to_string(index));
-      input.timeout = seconds(10);
+      input = ServiceRequest("entry " + std::to_string(index));
     } else {
       uint64_t tokens = kind == 2 ? 20'000 : 200 + this->Pick(3000);
       input = BasicRequest(tokens, 1 + static_cast<uint32_t>(this->Pick(200)),
--- a/src/trial/testing/session_test.cc
+++ b/src/trial/testing/session_test.cc
@@ -29,13 +29,8 @@
   return options;
 }
 
-RequestInput Service() {
-  RequestInput input;
-  input.key_sha256 = BasicKey();
-  input.service = "desk";
-  input.method = "POST";
-  input.path = "/entries";
-  input.prompt = std::make_shared<const std::string>("gasket 4");
+RequestInput KeyedServiceCall() {
+  RequestInput input = ServiceRequest("gasket 4");
   input.idempotency_key = 5;
   return input;
 }
@@ -63,9 +58,9 @@
        }},
       {"service_call_twice_with_one_key",
        [](World* w) {
-         w->Submit(0, Service());
+         w->Submit(0, KeyedServiceCall());
          w->RunFor(seconds(1));
-         w->Submit(0, Service());
+         w->Submit(0, KeyedServiceCall());
          w->RunFor(seconds(1));
        }},
       {"engine_dies_mid_stream",
--- a/src/trial/world.cc
+++ b/src/trial/world.cc
@@ -775,4 +775,15 @@
   return input;
 }
 
+RequestInput ServiceRequest(const std::string& text) {
+  RequestInput input;
+  input.key_sha256 = BasicKey();
+  input.service = "desk";
+  input.method = "POST";
+  input.path = "/entries";
+  input.prompt = std::make_shared<const std::string>(text);
+  input.timeout = seconds(10);
+  return input;
+}
+
 }  // namespace gullward
--- a/src/trial/world.h
+++ b/src/trial/world.h
@@ -262,6 +262,9 @@
 // depends on `seed`.
 RequestInput BasicRequest(uint64_t tokens, uint32_t max_tokens, uint64_t seed);
 
+// A call of the plain service "desk" that makes an entry of `text`.
+RequestInput ServiceRequest(const std::string& text);
+
 }  // namespace gullward
 
 #endif  // GULLWARD_TRIAL_WORLD_H_
