--- a/src/trial/main.cc
+++ b/src/trial/main.cc
@@ -11,6 +11,7 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cmath>
 #include <cstdio>
@@ -178,7 +179,7 @@
 };
 
 struct Figures {
-  std::vector<double> first[4];
+  std::array<std::vector<double>, 4> first;
   size_t sent = 0;
   size_t in_time = 0;
   size_t refused = 0;
