--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -33,6 +33,9 @@
   kPromptTooLong = 1012,
   kCallerStalled = 1013,
   kKeyAlreadyClaimed = 1014,
+  kMalformedRequest = 1015,
+  kHeadTooLarge = 1016,
+  kUnknownRoute = 1017,
 
   kRateLimited = 2001,
   kTooManyInFlight = 2002,
@@ -46,6 +49,8 @@
   kDuplicateAttempt = 2010,
   kRetryBudgetSpent = 2011,
   kTimeTooShort = 2012,
+  kKeysNotVouched = 2013,
+  kEnginesRefused = 2014,
 
   kDeadlineExceeded = 3001,
   kEndpointLost = 3002,
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -8,7 +8,7 @@
 
 #include "config/config_feed.h"
 #include "config/config_file.h"
-#include "platform/log_client.h"
+#include "log/log_client.h"
 #include "process/process.h"
 #include "wire/codec.h"
 
--- a/src/endpoint/endpoint_server.h
+++ b/src/endpoint/endpoint_server.h
@@ -16,8 +16,8 @@
 #include "endpoint/endpoint_core.h"
 #include "endpoint/engine_client.h"
 #include "endpoint/settings.h"
-#include "platform/config_follower.h"
-#include "platform/log_client.h"
+#include "log/config_follower.h"
+#include "log/log_client.h"
 #include "process/admin_server.h"
 #include "transport/frame_server.h"
 
--- /dev/null
+++ b/src/gateway/engine_pool.cc
@@ -0,0 +1,47 @@
+// Last in, first out: the connection used last is the least likely to be closed.
+
+#include "gateway/engine_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gullward {
+
+std::shared_ptr<RequestChannel> EnginePool::Take(const EngineRecord& engine, Time now,
+                                                 bool fresh) {
+  std::vector<Idle>& waiting = this->idle[engine.id];
+  while (!fresh && !waiting.empty()) {
+    Idle last = std::move(waiting.back());
+    waiting.pop_back();
+    if (last.channel->reusable() && last.until > now) return last.channel;
+    last.channel->Close();
+  }
+  this->opened_count += 1;
+  return RequestChannel::Open(this->loop, engine.address);
+}
+
+void EnginePool::Give(const std::string& engine, const std::shared_ptr<RequestChannel>& channel,
+                      Time now) {
+  std::vector<Idle>& waiting = this->idle[engine];
+  Duration keep = channel->keep_alive().value_or(kDefaultKeep + kKeepMargin) - kKeepMargin;
+  bool worth_keeping =
+      channel->reusable() && keep.count() > 0 && waiting.size() < kMostIdlePerEngine;
+  if (!worth_keeping) {
+    channel->Close();
+    return;
+  }
+  waiting.push_back({channel, now + keep});
+}
+
+void EnginePool::Tick(Time now) {
+  for (auto it = this->idle.begin(); it != this->idle.end();) {
+    std::vector<Idle>& waiting = it->second;
+    auto is_over = [now](const Idle& entry) {
+      return !entry.channel->reusable() || entry.until <= now;
+    };
+    waiting.erase(std::remove_if(waiting.begin(), waiting.end(), is_over), waiting.end());
+    it = waiting.empty() ? this->idle.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,483 @@
+// exchange.h tells the course of a request.
+
+#include "gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "platform/headers.h"
+
+namespace gullward {
+namespace {
+
+// An answer of up to this size is held until it is whole, so that an engine that
+// breaks off can be replaced without the caller noticing.
+constexpr size_t kHeldAnswerBytes = 256 << 10;
+// A caller with more unread bytes than this is not read for any further.
+constexpr size_t kMostUnreadBytes = 256 << 10;
+// The shortest silence that makes us try another engine.  Callers give a stream
+// up after two seconds, so there must be time for the other one.
+constexpr Duration kLeastPatience = milliseconds(900);
+// A first event may take this much longer than expected, and so may a pause.
+constexpr double kPatienceFactor = 3;
+// After this a caller that was refused may come back: an engine's pass and the
+// news of it take about as long.
+constexpr double kComeBackSeconds = 0.3;
+
+std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
+
+}  // namespace
+
+Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
+                   std::shared_ptr<CallerChannel> caller_channel, CallerRequest caller_request)
+    : state(gateway_state),
+      id(exchange_id),
+      caller(std::move(caller_channel)),
+      request(std::move(caller_request)),
+      facts(ReadFacts(request.head)),
+      config(gateway_state->config) {}
+
+LogLine Exchange::Line(std::string_view event) const {
+  LogLine line(event);
+  line.Text("request", this->facts.attempt_id);
+  if (this->route != nullptr) line.Text("route", this->route->name);
+  line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
+  return line;
+}
+
+void Exchange::Start(Time now) {
+  this->state->counters.requests += 1;
+  if (!this->Admit(now)) return;
+  KeepForwardedHeaders(&this->request.head.headers);
+  this->service = this->PickService();
+  if (this->service == nullptr) {
+    this->Refuse(ResultCode::kNoEndpoint);
+    return;
+  }
+  this->state->fleet.RetriesOf(this->service->name).AddRequest(now);
+  this->StartAttempt(now);
+}
+
+bool Exchange::Admit(Time now) {
+  if (!this->config) {
+    this->Refuse(ResultCode::kNotReady);
+    return false;
+  }
+  std::string host(FindHeader(this->request.head.headers, "Host").value_or(""));
+  this->route = this->config->FindRoute(host, Path(this->request.head.target));
+  if (this->route == nullptr) {
+    this->Refuse(ResultCode::kUnknownRoute);
+    return false;
+  }
+  if (!this->AdmitAccount(now)) return false;
+  if (!this->facts.valid) {
+    this->Refuse(ResultCode::kInvalidHeader);
+    return false;
+  }
+  Duration patience = this->facts.patience.value_or(this->route->timeout);
+  this->caller_waits_until = this->request.arrived + patience;
+  this->answer_by = this->request.arrived + std::min(patience, this->route->timeout);
+  return true;
+}
+
+bool Exchange::AdmitAccount(Time now) {
+  this->needs_key = !this->config->config().accounts.empty() && !this->route->is_public;
+  if (!this->needs_key) return true;
+  if (!this->KeysAreFresh(now)) {
+    this->Refuse(ResultCode::kKeysNotVouched);
+    return false;
+  }
+  std::optional<std::string_view> key = FindHeader(this->request.head.headers, platform::kApiKey);
+  if (!key) {
+    this->Refuse(ResultCode::kMissingKey);
+    return false;
+  }
+  const ClientAccount* holder = this->config->FindAccount(*key);
+  if (holder == nullptr) {
+    this->Refuse(ResultCode::kWrongKey);
+    return false;
+  }
+  this->account = holder->name;
+  return true;
+}
+
+bool Exchange::KeysAreFresh(Time now) const {
+  return !this->needs_key || this->state->keys.IsFresh(now);
+}
+
+const Service* Exchange::PickService() {
+  double total = 0;
+  for (const ServiceShare& share : this->route->services) total += std::max(share.weight, 0.0);
+  std::uniform_real_distribution<double> draw(0, total);
+  double left = draw(this->state->random);
+  for (const ServiceShare& share : this->route->services) {
+    if (share.weight <= 0) continue;
+    left -= share.weight;
+    if (left <= 0) return this->config->FindService(share.service);
+  }
+  return nullptr;
+}
+
+void Exchange::StartAttempt(Time now) {
+  if (!this->KeysAreFresh(now)) {
+    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
+                 AttemptResult::kNotRun);
+    return;
+  }
+  Demand demand;
+  demand.prompt_tokens = this->facts.prompt_tokens;
+  demand.answer_tokens = this->facts.answer_tokens;
+  demand.objective_ms = ToSeconds(this->route->objective) * 1000;
+  demand.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
+  demand.streaming = this->route->streaming;
+  std::optional<FleetChoice> choice =
+      this->state->fleet.Choose(*this->service, demand, this->tried, now);
+  if (!choice) {
+    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
+                 AttemptResult::kNotRun);
+    return;
+  }
+  this->SendAttempt(*choice, now);
+}
+
+void Exchange::SendAttempt(const FleetChoice& choice, Time now) {
+  this->attempts += 1;
+  this->state->counters.attempts += 1;
+  this->tried.insert(choice.engine.id);
+  this->BookLoad(choice, now);
+
+  EngineOrders orders;
+  orders.time_left = this->answer_by - now;
+  orders.engine_id = choice.engine.id;
+  orders.account = this->account;
+  for (const EngineRecord& reader : choice.readers) orders.readers.push_back(reader.address);
+  orders.last_event_id = this->last_event_id;
+
+  // What must not run twice must not meet a kept connection that is just being
+  // closed: nobody could tell whether it ran.
+  bool fresh = this->route->repeat == Repeat::kNever;
+  this->attempt.emplace();
+  this->attempt->engine = choice.engine;
+  this->attempt->started = now;
+  this->attempt->last_progress = now;
+  this->attempt->expected_first_ms = choice.placement.first_event_ms;
+  this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
+  if (this->attempts > 1 || this->state->log->Sample()) {
+    this->state->log->Write(this->Line("attempt")
+                                .Text("engine", choice.engine.id)
+                                .Number("attempt", this->attempts)
+                                .Number("candidates", static_cast<double>(choice.candidates))
+                                .Number("readers", static_cast<double>(choice.readers.size() + 1))
+                                .Number("prompt_tokens", this->facts.prompt_tokens)
+                                .Number("engine_requests", choice.load.requests)
+                                .Number("engine_reading_ms", choice.load.reading_ms)
+                                .Number("expected_first_ms", choice.placement.first_event_ms)
+                                .Number("config", static_cast<double>(
+                                                      this->config->config().version)));
+  }
+
+  std::weak_ptr<Exchange> weak = this->weak_from_this();
+  std::string attempt_id = this->facts.attempt_id;
+  RequestChannel::Hooks hooks;
+  hooks.accepts = [attempt_id](const ResponseHead& head) {
+    std::optional<std::string_view> echoed = FindHeader(head.headers, platform::kAttemptId);
+    return !echoed || *echoed == attempt_id;
+  };
+  hooks.head = [weak](const ResponseHead& head) {
+    if (auto self = weak.lock()) self->OnHead(head);
+  };
+  hooks.body = [weak](std::string_view bytes) {
+    if (auto self = weak.lock()) self->OnBody(bytes);
+  };
+  hooks.done = [weak](ChannelResult result) {
+    if (auto self = weak.lock()) self->OnDone(result);
+  };
+  this->attempt->channel->Send(EngineRequestText(this->request, orders), std::move(hooks),
+                               this->request.head.method == "HEAD");
+}
+
+void Exchange::BookLoad(const FleetChoice& choice, Time now) {
+  std::vector<WorkPart> parts;
+  WorkPart main;
+  main.engine = choice.engine.id;
+  main.prompt_tokens = this->facts.prompt_tokens;
+  main.reading_ms = choice.placement.part_reading_ms;
+  main.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
+  parts.push_back(main);
+  for (const EngineRecord& reader : choice.readers) {
+    WorkPart part;
+    part.engine = reader.id;
+    part.reading_ms = choice.placement.part_reading_ms;
+    part.is_main = false;
+    parts.push_back(part);
+  }
+  this->state->fleet.loads().Begin(this->id, std::move(parts), now);
+}
+
+void Exchange::OnHead(const ResponseHead& head) {
+  if (!this->attempt) return;
+  this->attempt->last_progress = Now();
+  this->attempt->head = head;
+  this->attempt->head_seen = true;
+  AnswerFacts answer;
+  answer.status = head.status;
+  answer.sealed = FindHeader(head.headers, platform::kSeal).has_value();
+  answer.says_not_run = FindHeader(head.headers, platform::kNotRun).has_value();
+  answer.encoded = FindHeader(head.headers, "Content-Encoding").has_value();
+  this->attempt->verdict = Classify(answer);
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  if (!this->attempt) return;
+  this->attempt->last_progress = Now();
+  bool passing = this->attempt->verdict == AttemptResult::kSuccess;
+  if (passing && this->route->streaming) {
+    this->PassEvents(bytes);
+  } else {
+    this->PassBody(bytes);
+  }
+  if (this->attempt && this->caller->pending() > kMostUnreadBytes) {
+    this->attempt->channel->SetReading(false);
+  }
+}
+
+void Exchange::PassEvents(std::string_view bytes) {
+  WholeEvents whole = this->attempt->events.Feed(bytes);
+  if (whole.count == 0) return;
+  if (!this->attempt->any_event) {
+    this->attempt->any_event = true;
+    this->state->fleet.loads().FirstEvent(this->id);
+  }
+  this->state->counters.events_passed += static_cast<uint64_t>(whole.count);
+  if (!this->answer_begun) this->BeginAnswer(std::nullopt);
+  if (whole.last_id) this->last_event_id = whole.last_id;
+  this->caller->WritePart(whole.bytes);
+}
+
+void Exchange::PassBody(std::string_view bytes) {
+  if (this->answer_begun) {
+    this->caller->WritePart(bytes);
+    return;
+  }
+  this->attempt->body.append(bytes);
+  bool too_large_to_hold = this->attempt->body.size() > kHeldAnswerBytes;
+  if (!too_large_to_hold || this->attempt->verdict != AttemptResult::kSuccess) return;
+  this->BeginAnswer(this->attempt->head.content_length);
+  this->caller->WritePart(std::exchange(this->attempt->body, {}));
+}
+
+void Exchange::BeginAnswer(std::optional<uint64_t> length) {
+  AnswerHead head;
+  head.status = this->attempt->head.status;
+  head.reason = this->attempt->head.reason;
+  head.headers = this->attempt->head.headers;
+  KeepAnsweredHeaders(&head.headers);
+  this->answer_begun = true;
+  this->caller->BeginAnswer(head, length);
+}
+
+AttemptResult Exchange::ResultOf(ChannelResult result) const {
+  if (result == ChannelResult::kNotSent) return AttemptResult::kNotRun;
+  if (result != ChannelResult::kWholeAnswer) return AttemptResult::kUnknown;
+  bool torn = this->attempt->verdict == AttemptResult::kSuccess && this->route->streaming &&
+              (this->attempt->events.has_rest() || !this->answer_begun);
+  return torn ? AttemptResult::kUnknown : this->attempt->verdict;
+}
+
+void Exchange::OnDone(ChannelResult channel_result) {
+  if (!this->attempt) return;
+  AttemptResult result = this->ResultOf(channel_result);
+  this->NoteHealth(result, channel_result);
+  if (channel_result == ChannelResult::kWholeAnswer) {
+    this->state->pool.Give(this->attempt->engine.id, this->attempt->channel, Now());
+  }
+  this->AfterAttempt(result);
+}
+
+void Exchange::NoteHealth(AttemptResult result, ChannelResult channel_result) {
+  EngineHealth& health = this->state->fleet.HealthOf(this->attempt->engine.id);
+  bool worked = result == AttemptResult::kSuccess || result == AttemptResult::kRejected;
+  if (worked) {
+    health.AddSuccess();
+  } else if (result == AttemptResult::kWrongEngine) {
+    this->state->log->Write(this->Line("engine_replaced").Text("engine", this->attempt->engine.id));
+    this->state->fleet.directory().Forget(this->attempt->engine.id);
+  } else if (channel_result == ChannelResult::kNotSent) {
+    health.AddUnreachable(Now());
+  } else if (result != AttemptResult::kEngineFailure) {
+    health.AddFailure(Now());
+  }
+}
+
+RequestState Exchange::StateForDecision(Time now) const {
+  RequestState decision;
+  decision.repeat = this->route->repeat;
+  decision.attempts = this->attempts;
+  decision.attempts_run = this->attempts_run;
+  decision.max_attempts = this->route->max_attempts;
+  decision.answer_begun = this->answer_begun;
+  decision.may_have_run = this->may_have_run;
+  decision.time_left = now < this->answer_by;
+  return decision;
+}
+
+void Exchange::AfterAttempt(AttemptResult result) {
+  Time now = Now();
+  this->state->fleet.loads().End(this->id);
+  bool not_run = result == AttemptResult::kNotRun || result == AttemptResult::kWrongEngine;
+  if (!not_run) {
+    this->attempts_run += 1;
+    this->may_have_run = true;
+  }
+  RequestState decision = this->StateForDecision(now);
+  NextStep step = DecideNext(result, decision);
+  if (step == NextStep::kRetry) {
+    if (this->state->fleet.RetriesOf(this->service->name).TakeRetry(now)) {
+      this->state->counters.retries += 1;
+      this->state->log->Write(this->Line("retry")
+                                  .Text("engine", this->attempt->engine.id)
+                                  .Number("result", static_cast<double>(result))
+                                  .Number("status", this->attempt->head.status));
+      this->attempt.reset();
+      this->StartAttempt(now);
+      return;
+    }
+    this->state->counters.retries_denied += 1;
+    step = WithoutRetry(result, decision);
+  }
+  this->Follow(step, result);
+}
+
+void Exchange::Follow(NextStep step, AttemptResult result) {
+  switch (step) {
+    case NextStep::kDeliver:
+      this->DeliverWhole();
+      return;
+    case NextStep::kRefuse:
+      this->Refuse(this->attempts == 0 ? ResultCode::kNoEndpoint : ResultCode::kEnginesRefused);
+      return;
+    case NextStep::kRetry:
+    case NextStep::kFail:
+      this->Refuse(ResultCode::kEndpointLost);
+      return;
+    case NextStep::kBreakOff:
+      this->state->counters.answers_broken += 1;
+      this->state->log->Write(
+          this->Line("answer_broken_off").Number("result", static_cast<double>(result)));
+      this->caller->BreakOff();
+      this->Finish();
+      return;
+  }
+}
+
+void Exchange::DeliverWhole() {
+  this->state->counters.answers_whole += 1;
+  if (this->state->log->Sample()) {
+    this->state->log->Write(this->Line("answered")
+                                .Text("engine", this->attempt->engine.id)
+                                .Number("status", this->attempt->head.status)
+                                .Number("attempts", this->attempts));
+  }
+  std::shared_ptr<CallerChannel> channel = this->caller;
+  if (this->answer_begun) {
+    this->Finish();
+    channel->EndAnswer();
+    return;
+  }
+  AnswerHead head;
+  head.status = this->attempt->head.status;
+  head.reason = this->attempt->head.reason;
+  head.headers = std::move(this->attempt->head.headers);
+  KeepAnsweredHeaders(&head.headers);
+  std::string body = std::move(this->attempt->body);
+  this->Finish();
+  channel->Answer(head, body);
+}
+
+// Answers with a failure of our own.
+void Exchange::Refuse(ResultCode code) {
+  const ResultCodeInfo& info = Info(code);
+  this->state->counters.failures[code] += 1;
+  this->state->log->Write(this->Line(info.name)
+                              .Number("code", static_cast<double>(code))
+                              .Number("status", info.http_status)
+                              .Number("attempts", this->attempts));
+  AnswerHead head;
+  head.status = info.http_status;
+  head.reason = info.name;
+  if (!this->facts.attempt_id.empty()) {
+    head.headers.emplace_back(platform::kAttemptId, this->facts.attempt_id);
+  }
+  head.headers.emplace_back("Content-Type", "application/json");
+  bool come_back = info.http_status == 503 || info.http_status == 429;
+  if (come_back) {
+    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(kComeBackSeconds));
+  }
+  std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
+                                  info.name, "\",\"message\":\"", info.description, "\"}");
+  std::shared_ptr<CallerChannel> channel = this->caller;
+  this->Finish();
+  channel->Answer(head, body);
+}
+
+Duration Exchange::PatienceWithEngine() const {
+  double ms = this->attempt->any_event ? ToSeconds(this->route->longest_pause) * 1000
+                                       : this->attempt->expected_first_ms;
+  if (!this->service->runs_models) ms = ToSeconds(this->route->objective) * 1000;
+  return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
+}
+
+void Exchange::Tick(Time now) {
+  if (this->is_finished || !this->attempt) return;
+  if (now >= this->answer_by) {
+    this->GiveUp(now);
+    return;
+  }
+  if (now - this->attempt->last_progress < this->PatienceWithEngine()) return;
+  RequestState decision = this->StateForDecision(now);
+  decision.attempts_run += 1;
+  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return;
+  if (this->state->fleet.RetriesOf(this->service->name).Left(now) < 1) return;
+  this->state->log->Write(this->Line("engine_silent")
+                              .Text("engine", this->attempt->engine.id)
+                              .Number("silent_ms", ToSeconds(now - this->attempt->last_progress) *
+                                                       1000));
+  this->state->fleet.HealthOf(this->attempt->engine.id).AddFailure(now);
+  this->attempt->channel->Close();
+  this->AfterAttempt(AttemptResult::kUnknown);
+}
+
+void Exchange::GiveUp(Time) {
+  this->CancelAttempt();
+  if (this->answer_begun) {
+    this->Follow(NextStep::kBreakOff, AttemptResult::kUnknown);
+  } else {
+    this->Refuse(ResultCode::kDeadlineExceeded);
+  }
+}
+
+void Exchange::CancelAttempt() {
+  if (this->attempt) this->attempt->channel->Close();
+  this->state->fleet.loads().End(this->id);
+}
+
+void Exchange::CallerGone() {
+  if (this->is_finished) return;
+  this->state->counters.callers_gone += 1;
+  this->state->log->Write(this->Line("caller_gone").Number("attempts", this->attempts));
+  this->CancelAttempt();
+  this->Finish();
+}
+
+void Exchange::CallerDrained() {
+  if (this->attempt) this->attempt->channel->SetReading(true);
+}
+
+void Exchange::Finish() {
+  this->is_finished = true;
+  this->attempt.reset();
+  this->state->fleet.loads().End(this->id);
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,115 @@
+// One request, from the caller's bytes to the end of its answer.
+//
+// An exchange admits the request (route, account, time), has it run by one
+// engine after another until one answers or nothing more may be tried, and
+// passes the answer on.  What follows an attempt is decided by
+// serving/attempt_result.h; where it runs, by serving/fleet.h.
+//
+//   auto exchange = std::make_shared<Exchange>(state, id, caller, request);
+//   exchange->Start(now);
+//   exchange->Tick(now);           // every few milliseconds, until finished()
+
+#ifndef GULLWARD_GATEWAY_EXCHANGE_H_
+#define GULLWARD_GATEWAY_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gateway/caller_channel.h"
+#include "gateway/engine_request.h"
+#include "gateway/gateway_state.h"
+#include "serving/attempt_result.h"
+#include "serving/event_splitter.h"
+
+namespace gullward {
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(GatewayState* gateway_state, uint64_t exchange_id,
+           std::shared_ptr<CallerChannel> caller_channel, CallerRequest caller_request);
+
+  void Start(Time now);
+
+  // Looks at the clock: the request's time, and an engine's silence.
+  void Tick(Time now);
+
+  // The caller has left: whatever runs for it is cancelled.
+  void CallerGone();
+
+  // The caller has read what was written.
+  void CallerDrained();
+
+  bool finished() const { return this->is_finished; }
+
+ private:
+  // Of the attempt under way.
+  struct Attempt {
+    EngineRecord engine;
+    std::shared_ptr<RequestChannel> channel;
+    Time started;
+    Time last_progress;
+    ResponseHead head;
+    bool head_seen = false;
+    AttemptResult verdict = AttemptResult::kUnknown;
+    std::string body;
+    EventSplitter events;
+    bool any_event = false;
+    double expected_first_ms = 0;
+  };
+
+  bool Admit(Time now);
+  bool AdmitAccount(Time now);
+  const Service* PickService();
+  void StartAttempt(Time now);
+  void SendAttempt(const FleetChoice& choice, Time now);
+  void BookLoad(const FleetChoice& choice, Time now);
+  void OnHead(const ResponseHead& head);
+  void OnBody(std::string_view bytes);
+  void PassEvents(std::string_view bytes);
+  void PassBody(std::string_view bytes);
+  void OnDone(ChannelResult result);
+  AttemptResult ResultOf(ChannelResult result) const;
+  void NoteHealth(AttemptResult result, ChannelResult channel_result);
+  void AfterAttempt(AttemptResult result);
+  void Follow(NextStep step, AttemptResult result);
+  void BeginAnswer(std::optional<uint64_t> length);
+  void DeliverWhole();
+  void Refuse(ResultCode code);
+  void GiveUp(Time now);
+  void CancelAttempt();
+  void Finish();
+  Duration PatienceWithEngine() const;
+  bool KeysAreFresh(Time now) const;
+  RequestState StateForDecision(Time now) const;
+  LogLine Line(std::string_view event) const;
+
+  GatewayState* state;
+  uint64_t id;
+  std::shared_ptr<CallerChannel> caller;
+  CallerRequest request;
+  RequestFacts facts;
+  std::shared_ptr<const ConfigIndex> config;
+  const Route* route = nullptr;
+  const Service* service = nullptr;
+  std::string account;
+  bool needs_key = false;
+  // When the answer must be final.
+  Time answer_by{};
+  Time caller_waits_until{};
+
+  std::optional<Attempt> attempt;
+  std::set<std::string> tried;
+  int attempts = 0;
+  int attempts_run = 0;
+  bool may_have_run = false;
+  std::optional<std::string> last_event_id;
+  std::optional<AnswerHead> first_head;
+  bool answer_begun = false;
+  bool is_finished = false;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gateway_server.cc
@@ -0,0 +1,360 @@
+// gateway_server.h tells what it ties together.
+
+#include "gateway/gateway_server.h"
+
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/absl_view.h"
+#include "platform/documents.h"
+#include "process/metrics.h"
+
+namespace gullward {
+namespace {
+
+// How often timers of requests are looked at.  Deadlines are met within it.
+constexpr Duration kTick = milliseconds(25);
+// Connections and idle channels are looked at every so many ticks.
+constexpr uint64_t kSlowTicks = 20;
+// One read of the configuration proves its state for the time that it waits, so
+// it must be well under the time for which keys may be vouched for.
+constexpr int kReadsPerKeyTrust = 3;
+// Engines' changes come at once; the wait only bounds how late a store that has
+// gone silent is noticed.
+constexpr Duration kEngineListWait = seconds(5);
+// A balancer takes a process out after two missed questions, one a second; until
+// then it sends new callers, and they are served.
+constexpr Duration kBalancerNotices = milliseconds(2600);
+// Kept back from the stop's grace for the last writes.
+constexpr Duration kStopMargin = milliseconds(400);
+// How long after the store's return a lapsed entry may be due to its outage.
+constexpr Duration kLapseWindow = seconds(2);
+// Operators' requests have no body worth keeping.
+constexpr uint64_t kOperatorBodyBytes = 64 << 10;
+constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
+
+AnswerHead TextAnswer(int status, std::string_view reason, std::string_view type) {
+  AnswerHead head;
+  head.status = status;
+  head.reason = std::string(reason);
+  head.headers.emplace_back("Content-Type", std::string(type));
+  return head;
+}
+
+}  // namespace
+
+GatewayServer::GatewayServer(EventLoop* event_loop, const GatewaySettings& settings,
+                             uint64_t random_seed)
+    : loop(event_loop),
+      log(STDOUT_FILENO),
+      state(event_loop, settings, &this->log, random_seed),
+      config_follower(event_loop, settings.store,
+                      {std::string(platform::kConfigTopic), settings.key_trust / kReadsPerKeyTrust},
+                      this->StoreHooks("config")),
+      engine_follower(event_loop, settings.store,
+                      {std::string(platform::kEnginesTopic), kEngineListWait},
+                      this->StoreHooks("engines")) {}
+
+TopicFollower::Hooks GatewayServer::StoreHooks(const std::string& topic) {
+  bool is_config = topic == "config";
+  TopicFollower::Hooks hooks;
+  hooks.lost = [this, topic](const std::string& reason) {
+    this->log.Write(LogLine("store_lost").Text("topic", topic).Text("reason", reason));
+  };
+  hooks.regained = [this, topic] {
+    this->log.Write(LogLine("store_regained").Text("topic", topic));
+  };
+  if (is_config) {
+    hooks.replace = [this](std::vector<platform::KeyedRecord> records) {
+      this->OnConfigRecords(records);
+    };
+    hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
+    hooks.up_to_date = [this](Time sent) { this->state.keys.Confirm(sent); };
+  } else {
+    hooks.replace = [this](std::vector<platform::KeyedRecord> records) {
+      this->OnEngineRecords(records);
+    };
+    hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
+  }
+  return hooks;
+}
+
+absl::Status GatewayServer::Start() {
+  const GatewaySettings& settings = this->state.settings;
+  absl::Status status = this->callers_listener.Listen(this->loop, settings.callers,
+                                                      [this](int fd) { this->OnCaller(fd); });
+  if (!status.ok()) return status;
+  auto operators_hook = [this](int fd) { this->OnOperator(fd); };
+  status = this->ready_listener.Listen(this->loop, settings.ready, operators_hook);
+  if (!status.ok()) return status;
+  status = this->metrics_listener.Listen(this->loop, settings.metrics, operators_hook);
+  if (!status.ok()) return status;
+  this->config_follower.Start();
+  this->engine_follower.Start();
+  this->loop->RunEvery(kTick, [this] { this->Tick(); });
+  this->log.Write(LogLine("started")
+                      .Text("box", settings.box)
+                      .Text("data_centre", settings.data_centre)
+                      .Text("callers", settings.callers.ToString()));
+  return absl::OkStatus();
+}
+
+void GatewayServer::OnCaller(int fd) {
+  uint64_t id = this->next_id++;
+  CallerLimits limits;
+  if (this->state.config) limits = this->state.config->config().limits;
+  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
+  channel->SetHooks(
+      {.request = [this, id](CallerRequest request) { this->OnRequest(id, std::move(request)); },
+       .malformed = [this, id](ResultCode code) { this->OnMalformed(id, code); },
+       .gone = [this, id] { this->OnGone(id); },
+       .drained =
+           [this, id] {
+             auto found = this->callers.find(id);
+             bool busy = found != this->callers.end() && found->second.exchange;
+             if (busy) found->second.exchange->CallerDrained();
+           }});
+  if (this->stopping) channel->CloseAfterAnswer();
+  this->callers[id] = Caller{channel, nullptr};
+}
+
+void GatewayServer::OnRequest(uint64_t caller_id, CallerRequest request) {
+  auto found = this->callers.find(caller_id);
+  if (found == this->callers.end()) return;
+  auto exchange = std::make_shared<Exchange>(&this->state, caller_id, found->second.channel,
+                                             std::move(request));
+  found->second.exchange = exchange;
+  exchange->Start(Now());
+}
+
+void GatewayServer::OnMalformed(uint64_t caller_id, ResultCode code) {
+  auto found = this->callers.find(caller_id);
+  if (found == this->callers.end()) return;
+  const ResultCodeInfo& info = Info(code);
+  this->state.counters.failures[code] += 1;
+  this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
+  std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
+                                  info.name, "\",\"message\":\"", info.description, "\"}");
+  found->second.channel->Answer(TextAnswer(info.http_status, info.name, "application/json"), body);
+}
+
+void GatewayServer::OnGone(uint64_t caller_id) {
+  auto found = this->callers.find(caller_id);
+  if (found == this->callers.end()) return;
+  std::shared_ptr<Exchange> exchange = found->second.exchange;
+  this->callers.erase(found);
+  if (exchange) exchange->CallerGone();
+}
+
+void GatewayServer::OnOperator(int fd) {
+  CallerLimits limits;
+  limits.body_bytes = kOperatorBodyBytes;
+  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
+  std::weak_ptr<CallerChannel> weak = channel;
+  channel->SetHooks({.request =
+                         [this, weak](const CallerRequest& request) {
+                           if (auto self = weak.lock()) this->AnswerOperator(self, request);
+                         },
+                     .malformed =
+                         [weak](ResultCode code) {
+                           auto self = weak.lock();
+                           if (self) self->Answer(TextAnswer(400, Info(code).name, kTextPlain), "");
+                         },
+                     .gone = {},
+                     .drained = {}});
+  this->operators.push_back(channel);
+}
+
+void GatewayServer::AnswerOperator(const std::shared_ptr<CallerChannel>& channel,
+                                   const CallerRequest& request) {
+  const std::string& path = request.head.target;
+  if (path == "/metrics") {
+    channel->Answer(TextAnswer(200, "OK", kTextPlain), this->MetricsPage());
+  } else if (path == "/state") {
+    channel->Answer(TextAnswer(200, "OK", "application/json"), this->StateDump());
+  } else if (path == "/v1/readyz" || path == "/readyz") {
+    bool ready = this->IsReady();
+    channel->Answer(TextAnswer(ready ? 200 : 503, ready ? "OK" : "Not Ready", kTextPlain), "");
+  } else {
+    channel->Answer(TextAnswer(404, "Not Found", kTextPlain), "no such page\n");
+  }
+}
+
+void GatewayServer::OnConfigRecords(const std::vector<platform::KeyedRecord>& records) {
+  for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
+}
+
+void GatewayServer::OnConfigRecord(const platform::KeyedRecord& record) {
+  if (record.key != platform::kConfigKey || record.value.empty()) return;
+  absl::StatusOr<ServingConfig> config = platform::DecodeConfig(record.value);
+  if (!config.ok()) {
+    this->log.Write(LogLine("config_invalid").Text("reason", StdView(config.status().message())));
+    return;
+  }
+  uint64_t current = this->state.config ? this->state.config->config().version : 0;
+  // Never back: an older version may still come by from a slow read.
+  if (this->state.config && config->version <= current) return;
+  this->log.Write(LogLine("config")
+                      .Number("version", static_cast<double>(config->version))
+                      .Number("routes", static_cast<double>(config->routes.size()))
+                      .Number("accounts", static_cast<double>(config->accounts.size())));
+  this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
+}
+
+// Whether the list of engines has been out of reach until a moment ago.
+bool GatewayServer::EngineListWasAway() const {
+  return this->engine_follower.is_lost() ||
+         Now() - this->engine_follower.regained_at() < kLapseWindow;
+}
+
+void GatewayServer::OnEngineRecords(const std::vector<platform::KeyedRecord>& records) {
+  std::vector<EngineRecord> engines;
+  for (const platform::KeyedRecord& record : records) {
+    if (record.value.empty()) continue;
+    absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
+    if (engine.ok()) {
+      engines.push_back(*std::move(engine));
+    } else {
+      this->log.Write(LogLine("engine_record_invalid")
+                          .Text("engine", record.key)
+                          .Text("reason", StdView(engine.status().message())));
+    }
+  }
+  this->state.fleet.directory().Replace(engines, Now(), this->EngineListWasAway());
+  this->engines_known = true;
+  this->log.Write(LogLine("engines").Number("listed", static_cast<double>(engines.size())));
+}
+
+void GatewayServer::OnEngineRecord(const platform::KeyedRecord& record) {
+  if (record.value.empty()) {
+    this->log.Write(LogLine("engine_gone").Text("engine", record.key));
+    this->state.fleet.directory().Remove(record.key, Now(), this->EngineListWasAway());
+    return;
+  }
+  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
+  if (!engine.ok()) {
+    this->log.Write(LogLine("engine_record_invalid")
+                        .Text("engine", record.key)
+                        .Text("reason", StdView(engine.status().message())));
+    return;
+  }
+  const EngineRecord* known = this->state.fleet.directory().Find(record.key);
+  bool changed = known == nullptr || !(*known == *engine);
+  if (changed) {
+    this->log.Write(LogLine(engine->draining ? "engine_draining" : "engine_listed")
+                        .Text("engine", record.key)
+                        .Text("address", engine->address.ToString()));
+  }
+  this->state.fleet.directory().Update(*engine);
+}
+
+void GatewayServer::Tick() {
+  Time now = Now();
+  this->ticks += 1;
+  std::vector<std::shared_ptr<Exchange>> running;
+  for (auto& [id, caller] : this->callers) {
+    if (caller.exchange && caller.exchange->finished()) caller.exchange.reset();
+    if (caller.exchange) running.push_back(caller.exchange);
+  }
+  for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
+  bool fresh = this->state.keys.IsFresh(now);
+  if (fresh != this->keys_were_fresh) {
+    this->keys_were_fresh = fresh;
+    double age_ms = ToSeconds(now - this->state.keys.confirmed_at()) * 1000;
+    this->log.Write(LogLine(fresh ? "keys_fresh" : "keys_stale").Number("age_ms", age_ms));
+  }
+  if (this->stopping) this->StopWhenIdle(now);
+  if (this->ticks % kSlowTicks == 0) {
+    for (auto it = this->callers.begin(); it != this->callers.end();) {
+      it->second.channel->Tick(now);
+      it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
+    }
+    for (auto it = this->operators.begin(); it != this->operators.end();) {
+      (*it)->Tick(now);
+      it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
+    }
+    this->state.pool.Tick(now);
+    this->state.fleet.ForgetUnlisted();
+  }
+  this->log.Flush();
+}
+
+bool GatewayServer::IsReady() const {
+  return !this->stopping && this->state.config && this->engines_known &&
+         this->state.keys.IsFresh(Now());
+}
+
+void GatewayServer::DrainAndStop() {
+  if (this->stopping) return;
+  this->stopping = true;
+  this->stop_began = Now();
+  this->log.Write(LogLine("stopping").Number("callers", static_cast<double>(this->callers.size())));
+  for (auto& [id, caller] : this->callers) caller.channel->CloseAfterAnswer();
+}
+
+void GatewayServer::StopWhenIdle(Time now) {
+  bool busy = false;
+  for (const auto& [id, caller] : this->callers) {
+    bool in_use = caller.exchange && !caller.exchange->finished();
+    busy = busy || in_use;
+  }
+  Duration elapsed = now - this->stop_began;
+  bool out_of_time = elapsed >= this->state.settings.stop_grace - kStopMargin;
+  bool done = !busy && elapsed >= kBalancerNotices;
+  if (!done && !out_of_time) return;
+  this->log.Write(LogLine("stopped").Number("busy", busy ? 1 : 0));
+  this->log.Flush();
+  this->loop->Stop();
+}
+
+void GatewayServer::Reload(const GatewaySettings& changed) {
+  // Addresses cannot move under open connections; the rest is taken over.
+  this->state.settings.stop_grace = changed.stop_grace;
+  this->log.Write(LogLine("reloaded"));
+}
+
+std::string GatewayServer::MetricsPage() const {
+  const GatewayCounters& counters = this->state.counters;
+  MetricsText text;
+  auto count = [&text](const std::string& name, const std::string& help, uint64_t value) {
+    text.Counter(name, help, {}, static_cast<double>(value));
+  };
+  count("gullward_requests_total", "Requests read from callers", counters.requests);
+  count("gullward_attempts_total", "Requests sent to engines", counters.attempts);
+  count("gullward_retries_total", "Second and later attempts", counters.retries);
+  count("gullward_retries_denied_total", "Retries that the budget denied", counters.retries_denied);
+  count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
+  count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
+  count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
+  count("gullward_events_total", "Stream events passed on", counters.events_passed);
+  count("gullward_engine_connections_total", "Connections opened", this->state.pool.opened());
+  count("gullward_log_lines_dropped_total", "Log lines dropped", this->log.dropped());
+  count("gullward_store_calls_total", "Calls to the platform's store",
+        this->config_follower.calls() + this->engine_follower.calls());
+  for (const auto& [code, failures] : counters.failures) {
+    text.Counter("gullward_failures_total", "Failures answered by gullward",
+                 {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
+                 static_cast<double>(failures));
+  }
+  double version =
+      this->state.config ? static_cast<double>(this->state.config->config().version) : 0;
+  text.Gauge("gullward_config_version", "Configuration in force", {}, version);
+  text.Gauge("gullward_config_age_seconds", "Since the configuration was proved current", {},
+             ToSeconds(Now() - this->state.keys.confirmed_at()));
+  return text.Serialize();
+}
+
+std::string GatewayServer::StateDump() const {
+  nlohmann::json dump;
+  dump["box"] = this->state.settings.box;
+  dump["ready"] = this->IsReady();
+  dump["stopping"] = this->stopping;
+  dump["callers"] = this->callers.size();
+  dump["config_version"] = this->state.config ? this->state.config->config().version : 0;
+  return dump.dump(2) + "\n";
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/gateway_server.h
@@ -0,0 +1,86 @@
+// The gateway process: callers' connections, the store's topics, the operators'
+// pages and the stop, all on one event loop.
+//
+//   GatewayServer server(&loop, settings, seed);
+//   absl::Status status = server.Start();
+//   loop.Run();
+//
+// One thread does everything: an event that is passed on costs one read and one
+// write, and the core's state needs no lock.
+
+#ifndef GULLWARD_GATEWAY_GATEWAY_SERVER_H_
+#define GULLWARD_GATEWAY_GATEWAY_SERVER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway_state.h"
+#include "gateway/topic_follower.h"
+#include "transport/tcp_listener.h"
+
+namespace gullward {
+
+class GatewayServer {
+ public:
+  GatewayServer(EventLoop* event_loop, const GatewaySettings& gateway_settings,
+                uint64_t random_seed);
+
+  absl::Status Start();
+
+  // Finishes what is under way and then stops the loop.
+  void DrainAndStop();
+
+  // The settings file has changed.
+  void Reload(const GatewaySettings& changed);
+
+ private:
+  struct Caller {
+    std::shared_ptr<CallerChannel> channel;
+    std::shared_ptr<Exchange> exchange;
+  };
+
+  void OnCaller(int fd);
+  void OnRequest(uint64_t caller_id, CallerRequest request);
+  void OnMalformed(uint64_t caller_id, ResultCode code);
+  void OnGone(uint64_t caller_id);
+  void OnOperator(int fd);
+  void AnswerOperator(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
+
+  void OnConfigRecords(const std::vector<platform::KeyedRecord>& records);
+  void OnConfigRecord(const platform::KeyedRecord& record);
+  void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
+  void OnEngineRecord(const platform::KeyedRecord& record);
+  bool EngineListWasAway() const;
+  TopicFollower::Hooks StoreHooks(const std::string& topic);
+
+  void Tick();
+  bool IsReady() const;
+  void StopWhenIdle(Time now);
+  std::string MetricsPage() const;
+  std::string StateDump() const;
+
+  EventLoop* loop;
+  EventLog log;
+  GatewayState state;
+  TopicFollower config_follower;
+  TopicFollower engine_follower;
+  TcpListener callers_listener;
+  TcpListener ready_listener;
+  TcpListener metrics_listener;
+  std::map<uint64_t, Caller> callers;
+  std::vector<std::shared_ptr<CallerChannel>> operators;
+  uint64_t next_id = 1;
+  uint64_t ticks = 0;
+  bool engines_known = false;
+  bool keys_were_fresh = false;
+  bool stopping = false;
+  Time stop_began{};
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_GATEWAY_SERVER_H_
--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,61 @@
+// What all exchanges of a gateway process share.
+
+#ifndef GULLWARD_GATEWAY_GATEWAY_STATE_H_
+#define GULLWARD_GATEWAY_GATEWAY_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "base/result_code.h"
+#include "gateway/engine_pool.h"
+#include "gateway/settings.h"
+#include "process/event_log.h"
+#include "serving/config_index.h"
+#include "serving/fleet.h"
+#include "serving/freshness.h"
+
+namespace gullward {
+
+// Plain counters; the server copies them into the metrics page.
+struct GatewayCounters {
+  uint64_t requests = 0;
+  uint64_t attempts = 0;
+  uint64_t retries = 0;
+  uint64_t retries_denied = 0;
+  uint64_t answers_whole = 0;
+  uint64_t answers_broken = 0;
+  uint64_t callers_gone = 0;
+  uint64_t events_passed = 0;
+  std::map<ResultCode, uint64_t> failures;
+
+  bool operator==(const GatewayCounters&) const = default;
+};
+
+struct GatewayState {
+  GatewayState(EventLoop* event_loop, const GatewaySettings& gateway_settings, EventLog* event_log,
+               uint64_t random_seed)
+      : loop(event_loop),
+        settings(gateway_settings),
+        log(event_log),
+        keys(gateway_settings.key_trust),
+        fleet(gateway_settings.retry, gateway_settings.data_centre),
+        pool(event_loop),
+        random(random_seed) {}
+
+  EventLoop* loop;
+  GatewaySettings settings;
+  EventLog* log;
+  // Null until a configuration has been read.
+  std::shared_ptr<const ConfigIndex> config;
+  KeyFreshness keys;
+  Fleet fleet;
+  EnginePool pool;
+  std::mt19937_64 random;
+  GatewayCounters counters;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,34 @@
+// deploy/gateway.toml shows a file with every key.
+
+#include "gateway/settings.h"
+
+#include "process/process.h"
+
+namespace gullward {
+namespace {
+
+constexpr double kDaySeconds = 86400;
+
+}  // namespace
+
+GatewaySettings ReadGatewaySettings(const toml::table& table, const std::string& file,
+                                    std::vector<ConfigError>* errors) {
+  TomlReader reader(table, file, "", errors);
+  GatewaySettings settings;
+  settings.box = reader.String("box", std::nullopt);
+  settings.data_centre = reader.String("data_centre", std::nullopt);
+  settings.callers = ReadAddress(reader, "callers", std::nullopt);
+  settings.ready = ReadAddress(reader, "ready", std::nullopt);
+  settings.metrics = ReadAddress(reader, "metrics", "127.0.0.1:0");
+  settings.peers = ReadAddress(reader, "peers", std::nullopt);
+  settings.store = ReadAddress(reader, "store", std::nullopt);
+  settings.key_trust = FromSeconds(reader.Number("key_trust_ms", 5000, 200, 1e7) / 1000);
+  settings.retry.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
+  settings.retry.slack = reader.Number("retry_slack", 100, 0, 1e9);
+  settings.retry.window = FromSeconds(reader.Number("retry_window_seconds", 10, 0.1, kDaySeconds));
+  settings.stop_grace = FromSeconds(reader.Number("stop_grace_seconds", 8, 0, kDaySeconds));
+  reader.Finish();
+  return settings;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/settings.h
@@ -0,0 +1,42 @@
+// The gateway's settings file, read and checked.  docs/OPERATIONS.md lists the keys.
+
+#ifndef GULLWARD_GATEWAY_SETTINGS_H_
+#define GULLWARD_GATEWAY_SETTINGS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "serving/retry_window.h"
+#include "settings/toml_reader.h"
+#include "transport/socket_address.h"
+
+namespace gullward {
+
+struct GatewaySettings {
+  std::string box;
+  std::string data_centre;
+  // Where callers connect, where the balancer asks whether we are ready, where
+  // metrics and the state dump are read, and where peers send datagrams.
+  SocketAddress callers;
+  SocketAddress ready;
+  SocketAddress metrics;
+  SocketAddress peers;
+  // The platform's store.
+  SocketAddress store;
+  // How long an API key may be vouched for after the configuration was read.
+  Duration key_trust = seconds(5);
+  RetryBounds retry;
+  // From the stop signal to the kill.
+  Duration stop_grace = seconds(8);
+
+  bool operator==(const GatewaySettings&) const = default;
+};
+
+GatewaySettings ReadGatewaySettings(const toml::table& table, const std::string& file,
+                                    std::vector<ConfigError>* errors);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/gateway/topic_follower.h
@@ -0,0 +1,86 @@
+// Keeps up with one keyed topic of the platform's store.
+//
+// First the newest record of each key is read, page by page; then single reads
+// wait at the store for what comes next.  When a read fails, it is sent again
+// after a pause that grows; when the store has dropped the records that come
+// next, the pages are read anew.
+//
+//   TopicFollower follower(&loop, store, {.topic = ..., .wait = seconds(2)}, hooks);
+//   follower.Start();
+
+#ifndef GULLWARD_GATEWAY_TOPIC_FOLLOWER_H_
+#define GULLWARD_GATEWAY_TOPIC_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/request_channel.h"
+#include "platform/store_calls.h"
+#include "transport/event_loop.h"
+
+namespace gullward {
+
+class TopicFollower {
+ public:
+  struct Options {
+    std::string topic;
+    // How long one read waits at the store.  Each read proves that we are up to
+    // date as of its sending, and each costs a call.
+    Duration wait = seconds(2);
+  };
+  struct Hooks {
+    // All records, after the pages have been read.
+    std::function<void(std::vector<platform::KeyedRecord>)> replace;
+    // One record more.
+    std::function<void(const platform::KeyedRecord&)> change;
+    // Everything up to a read that was sent at `sent` has been told.
+    std::function<void(Time sent)> up_to_date;
+    // The store did not answer; then that it does again.
+    std::function<void(const std::string& reason)> lost;
+    std::function<void()> regained;
+  };
+
+  TopicFollower(EventLoop* loop, SocketAddress store, Options options, Hooks hooks);
+
+  void Start() { this->ReadPage(); }
+
+  // Whether the last call failed and none has succeeded since.
+  bool is_lost() const { return this->failures_in_row > 0; }
+
+  // When a call first succeeded after failures; in the past where none failed.
+  Time regained_at() const { return this->regained; }
+
+  uint64_t calls() const { return this->call_count; }
+
+ private:
+  void ReadPage();
+  void ReadTail();
+  void Call(const platform::HttpCallText& call, std::function<void(int, const std::string&)> done,
+            Duration patience);
+  void OnPage(int status, const std::string& body);
+  void OnTail(int status, const std::string& body);
+  void Succeed();
+  void Fail(const std::string& reason);
+
+  EventLoop* loop;
+  SocketAddress store;
+  Options options;
+  Hooks hooks;
+  std::shared_ptr<RequestChannel> channel;
+  std::vector<platform::KeyedRecord> pages;
+  Time pages_sent{};
+  bool loaded = false;
+  uint64_t next_offset = 0;
+  Time call_sent{};
+  uint64_t call_count = 0;
+  int failures_in_row = 0;
+  Time regained{};
+  int answer_status = 0;
+  std::string answer_body;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_TOPIC_FOLLOWER_H_
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -29,6 +29,7 @@
 
 #include "absl/status/status.h"
 #include "base/result_code.h"
+#include "http/header_list.h"
 #include "transport/socket_address.h"
 
 struct MHD_Connection;
@@ -36,8 +37,6 @@
 
 namespace gullward {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
 struct HttpResponse {
   int status = 200;
   std::string content_type;
--- /dev/null
+++ b/src/http/message_parser.cc
@@ -0,0 +1,208 @@
+// message_parser.h tells how these are used.  Beast's basic_parser wants a whole
+// head in one piece, so unread bytes are kept until they suffice.
+
+#include "http/message_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+namespace gullward {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using ErrorCode = beast::error_code;
+
+// Beast's number for HTTP/1.1.
+constexpr int kVersion11 = 11;
+
+std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
+
+// Beast's parser with the two kinds of head behind one face.
+template <bool kIsRequest, typename Head>
+class BeastParser final : public http::basic_parser<kIsRequest> {
+ public:
+  using HeadHook = std::function<void(Head)>;
+  using BodyHook = std::function<void(std::string_view)>;
+
+  BeastParser(const HeadHook* head_hook, const BodyHook* body_hook)
+      : on_head(head_hook), on_body(body_hook) {
+    this->eager(true);
+  }
+
+ private:
+  void on_request_impl(http::verb, beast::string_view method, beast::string_view target,
+                       int version, ErrorCode&) override {
+    if constexpr (kIsRequest) {
+      this->head.method = ToString(method);
+      this->head.target = ToString(target);
+      this->head.chunks_allowed = version >= kVersion11;
+    }
+  }
+
+  void on_response_impl(int code, beast::string_view reason, int, ErrorCode&) override {
+    if constexpr (!kIsRequest) {
+      this->head.status = code;
+      this->head.reason = ToString(reason);
+    }
+  }
+
+  void on_field_impl(http::field, beast::string_view name, beast::string_view value,
+                     ErrorCode&) override {
+    // Trailers come after the head; nobody here needs them.
+    if (this->head_done) return;
+    this->head.headers.emplace_back(ToString(name), ToString(value));
+  }
+
+  void on_header_impl(ErrorCode& error) override {
+    this->head_done = true;
+    bool names_coding = FindHeader(this->head.headers, "Transfer-Encoding").has_value();
+    if (names_coding && !this->chunked()) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    this->head.keep_alive = this->keep_alive();
+    if constexpr (!kIsRequest) {
+      if (this->content_length()) this->head.content_length = *this->content_length();
+      this->head.ends_with_connection = this->need_eof();
+    }
+    (*this->on_head)(std::move(this->head));
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override {}
+
+  std::size_t on_body_impl(beast::string_view body, ErrorCode&) override {
+    (*this->on_body)(std::string_view(body.data(), body.size()));
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t, beast::string_view, ErrorCode&) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, ErrorCode&) override {
+    (*this->on_body)(std::string_view(body.data(), body.size()));
+    return body.size();
+  }
+
+  void on_finish_impl(ErrorCode&) override {}
+
+  const HeadHook* on_head;
+  const BodyHook* on_body;
+  Head head;
+  bool head_done = false;
+};
+
+ParseState StateOf(const ErrorCode& error) {
+  if (error == http::error::header_limit) return ParseState::kHeadTooLarge;
+  if (error == http::error::body_limit) return ParseState::kBodyTooLarge;
+  return ParseState::kMalformed;
+}
+
+// The bytes that wait to be read, and the loop that has Beast read them.
+template <typename Parser>
+ParseState ReadOn(Parser* parser, std::string* unread) {
+  size_t used = 0;
+  ParseState state = ParseState::kNeedMore;
+  while (!parser->is_done() && used < unread->size()) {
+    ErrorCode error;
+    size_t taken =
+        parser->put(boost::asio::buffer(unread->data() + used, unread->size() - used), error);
+    used += taken;
+    if (error == http::error::need_more) break;
+    if (error) {
+      state = StateOf(error);
+      break;
+    }
+    if (taken == 0) break;
+  }
+  unread->erase(0, used);
+  if (state == ParseState::kNeedMore && parser->is_done()) state = ParseState::kComplete;
+  return state;
+}
+
+}  // namespace
+
+class RequestParser::Impl {
+ public:
+  using Parser = BeastParser<true, RequestHead>;
+
+  Impl(Hooks request_hooks, ParseLimits parse_limits)
+      : hooks(std::move(request_hooks)), limits(parse_limits) {
+    this->Next();
+  }
+
+  void Next() {
+    this->parser.emplace(&this->hooks.head, &this->hooks.body);
+    this->parser->header_limit(this->limits.head_bytes);
+    if (this->limits.body_bytes) {
+      this->parser->body_limit(*this->limits.body_bytes);
+    } else {
+      this->parser->body_limit(boost::none);
+    }
+  }
+
+  Hooks hooks;
+  ParseLimits limits;
+  std::optional<Parser> parser;
+  std::string unread;
+};
+
+RequestParser::RequestParser(Hooks hooks, ParseLimits limits)
+    : impl(std::make_unique<Impl>(std::move(hooks), limits)) {}
+
+RequestParser::~RequestParser() = default;
+
+ParseState RequestParser::Feed(std::string_view bytes) {
+  this->impl->unread.append(bytes);
+  return ReadOn(&*this->impl->parser, &this->impl->unread);
+}
+
+void RequestParser::Next() { this->impl->Next(); }
+
+bool RequestParser::inside_message() const {
+  return this->impl->parser->got_some() ? !this->impl->parser->is_done()
+                                        : !this->impl->unread.empty();
+}
+
+bool RequestParser::has_surplus() const { return !this->impl->unread.empty(); }
+
+class ResponseParser::Impl {
+ public:
+  using Parser = BeastParser<false, ResponseHead>;
+
+  explicit Impl(Hooks response_hooks) : hooks(std::move(response_hooks)) { this->Next(false); }
+
+  void Next(bool no_body) {
+    this->parser.emplace(&this->hooks.head, &this->hooks.body);
+    this->parser->body_limit(boost::none);
+    this->parser->skip(no_body);
+  }
+
+  Hooks hooks;
+  std::optional<Parser> parser;
+  std::string unread;
+};
+
+ResponseParser::ResponseParser(Hooks hooks) : impl(std::make_unique<Impl>(std::move(hooks))) {}
+
+ResponseParser::~ResponseParser() = default;
+
+ParseState ResponseParser::Feed(std::string_view bytes) {
+  this->impl->unread.append(bytes);
+  return ReadOn(&*this->impl->parser, &this->impl->unread);
+}
+
+ParseState ResponseParser::FeedEnd() {
+  if (this->impl->parser->is_done()) return ParseState::kComplete;
+  ErrorCode error;
+  this->impl->parser->put_eof(error);
+  bool complete = !error && this->impl->parser->is_done();
+  return complete ? ParseState::kComplete : ParseState::kMalformed;
+}
+
+void ResponseParser::Next(bool no_body) { this->impl->Next(no_body); }
+
+bool ResponseParser::has_surplus() const { return !this->impl->unread.empty(); }
+
+}  // namespace gullward
--- /dev/null
+++ b/src/http/request_channel.cc
@@ -0,0 +1,141 @@
+// request_channel.h tells the order of the hooks.
+
+#include "http/request_channel.h"
+
+#include <utility>
+
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+#include "base/absl_view.h"
+
+namespace gullward {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+// The seconds of "Keep-Alive: timeout=N", where there are any.
+std::optional<Duration> KeepAliveOf(const ResponseHead& head) {
+  std::optional<std::string_view> value = FindHeader(head.headers, "Keep-Alive");
+  if (!value) return std::nullopt;
+  for (absl::string_view part : absl::StrSplit(AbslView(*value), ',')) {
+    part = absl::StripAsciiWhitespace(part);
+    if (!absl::ConsumePrefix(&part, "timeout=")) continue;
+    std::optional<uint64_t> count = ParseCount(StdView(part));
+    if (count) return FromSeconds(static_cast<double>(*count));
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::shared_ptr<RequestChannel> RequestChannel::Open(EventLoop* loop,
+                                                     const SocketAddress& address) {
+  std::shared_ptr<RequestChannel> channel(new RequestChannel(TcpStream::Connect(loop, address)));
+  RequestChannel* raw = channel.get();
+  channel->stream->SetHooks({.data = [raw](std::string_view bytes) { raw->OnData(bytes); },
+                             .closed = [raw](StreamEnd end) { raw->OnClosed(end); },
+                             .drained = {}});
+  return channel;
+}
+
+RequestChannel::RequestChannel(std::shared_ptr<TcpStream> tcp)
+    : stream(std::move(tcp)),
+      parser({.head = [this](ResponseHead head) { this->OnHead(std::move(head)); },
+              .body =
+                  [this](std::string_view bytes) {
+                    bool wanted = !this->closed && !this->skipping && this->hooks && this->hooks->body;
+                    if (wanted) this->hooks->body(bytes);
+                  }}) {}
+
+RequestChannel::~RequestChannel() { this->Close(); }
+
+void RequestChannel::Send(std::string_view request, Hooks request_hooks, bool is_head) {
+  this->hooks = std::move(request_hooks);
+  this->is_head_request = is_head;
+  this->got_bytes = false;
+  this->skipping = false;
+  this->fit_for_reuse = false;
+  this->parser.Next(is_head);
+  this->stream->Write(request);
+}
+
+void RequestChannel::OnData(std::string_view bytes) {
+  std::shared_ptr<RequestChannel> keep = this->shared_from_this();
+  if (!this->hooks) {
+    // Bytes that belong to no request: the channel is of no more use.
+    this->Close();
+    if (this->idle_end) this->idle_end();
+    return;
+  }
+  this->got_bytes = true;
+  this->ReadAnswers(this->parser.Feed(bytes));
+}
+
+void RequestChannel::ReadAnswers(ParseState state) {
+  while (state == ParseState::kComplete && this->skipping && !this->closed) {
+    this->skipping = false;
+    this->parser.Next(this->is_head_request);
+    state = this->parser.Feed("");
+  }
+  if (this->closed || state == ParseState::kNeedMore) return;
+  if (state == ParseState::kComplete) {
+    this->OnAnswerComplete();
+  } else {
+    this->Finish(ChannelResult::kBroken);
+  }
+}
+
+void RequestChannel::OnHead(ResponseHead head) {
+  if (this->closed || !this->hooks) return;
+  bool interim = head.status < kFirstFinalStatus;
+  bool ours = !this->hooks->accepts || this->hooks->accepts(head);
+  this->skipping = interim || !ours;
+  if (this->skipping) return;
+  this->keep_after_answer = head.keep_alive && !head.ends_with_connection;
+  this->kept_for = KeepAliveOf(head);
+  if (this->hooks->head) this->hooks->head(head);
+}
+
+void RequestChannel::OnAnswerComplete() {
+  bool all_sent = this->stream->pending() == 0;
+  this->fit_for_reuse = this->keep_after_answer && all_sent && !this->parser.has_surplus();
+  this->first_request = false;
+  this->Finish(ChannelResult::kWholeAnswer);
+}
+
+void RequestChannel::OnClosed(StreamEnd end) {
+  std::shared_ptr<RequestChannel> keep = this->shared_from_this();
+  if (!this->hooks) {
+    this->closed = true;
+    if (this->idle_end) this->idle_end();
+    return;
+  }
+  if (end == StreamEnd::kNotConnected) {
+    this->Finish(ChannelResult::kNotSent);
+    return;
+  }
+  bool ended_well = end == StreamEnd::kFinished && this->got_bytes && !this->skipping;
+  if (ended_well && this->parser.FeedEnd() == ParseState::kComplete) {
+    this->OnAnswerComplete();
+    return;
+  }
+  bool unanswered = !this->got_bytes && !this->first_request;
+  this->Finish(unanswered ? ChannelResult::kClosedUnanswered : ChannelResult::kBroken);
+}
+
+void RequestChannel::Finish(ChannelResult result) {
+  if (!this->hooks) return;
+  // Moved out, since `done` may send the next request or drop the channel.
+  Hooks last = std::move(*this->hooks);
+  this->hooks.reset();
+  if (result != ChannelResult::kWholeAnswer) this->Close();
+  if (last.done) last.done(result);
+}
+
+void RequestChannel::Close() {
+  if (this->closed) return;
+  this->closed = true;
+  this->stream->Close();
+}
+
+}  // namespace gullward
--- a/src/platform/box_list_client.cc
+++ b/src/log/box_list_client.cc
@@ -1,6 +1,6 @@
 // GET /boxes; docs/PLATFORM.md describes the answer.
 
-#include "platform/box_list_client.h"
+#include "log/box_list_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/platform/box_list_client.h
+++ b/src/log/box_list_client.h
@@ -1,8 +1,8 @@
 // Reads the platform's list of live and leaving boxes.  The list lags behind
 // what is true; nothing that must hold depends on it alone.
 
-#ifndef GULLWARD_PLATFORM_BOX_LIST_CLIENT_H_
-#define GULLWARD_PLATFORM_BOX_LIST_CLIENT_H_
+#ifndef GULLWARD_LOG_BOX_LIST_CLIENT_H_
+#define GULLWARD_LOG_BOX_LIST_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -39,4 +39,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_PLATFORM_BOX_LIST_CLIENT_H_
+#endif  // GULLWARD_LOG_BOX_LIST_CLIENT_H_
--- a/src/platform/config_follower.cc
+++ b/src/log/config_follower.cc
@@ -1,6 +1,6 @@
 // config_follower.h tells the method.
 
-#include "platform/config_follower.h"
+#include "log/config_follower.h"
 
 #include <glog/logging.h>
 
--- a/src/platform/config_follower.h
+++ b/src/log/config_follower.h
@@ -13,14 +13,14 @@
 // A snapshot is appended when the newest one has grown old.  Any process may do
 // it; each waits a random while first and looks again, so usually one does.
 
-#ifndef GULLWARD_PLATFORM_CONFIG_FOLLOWER_H_
-#define GULLWARD_PLATFORM_CONFIG_FOLLOWER_H_
+#ifndef GULLWARD_LOG_CONFIG_FOLLOWER_H_
+#define GULLWARD_LOG_CONFIG_FOLLOWER_H_
 
 #include <functional>
 #include <random>
 
 #include "config/config_feed.h"
-#include "platform/log_client.h"
+#include "log/log_client.h"
 #include "transport/event_loop.h"
 
 namespace gullward {
@@ -75,4 +75,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_PLATFORM_CONFIG_FOLLOWER_H_
+#endif  // GULLWARD_LOG_CONFIG_FOLLOWER_H_
--- a/src/platform/log_client.cc
+++ b/src/log/log_client.cc
@@ -1,6 +1,6 @@
 // The log's verbs over HTTP; docs/PLATFORM.md describes them.
 
-#include "platform/log_client.h"
+#include "log/log_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/platform/log_client.h
+++ b/src/log/log_client.h
@@ -11,8 +11,8 @@
 // An append whose answer is lost may have taken effect: kUnknown says so, and
 // only reading forward settles it.
 
-#ifndef GULLWARD_PLATFORM_LOG_CLIENT_H_
-#define GULLWARD_PLATFORM_LOG_CLIENT_H_
+#ifndef GULLWARD_LOG_LOG_CLIENT_H_
+#define GULLWARD_LOG_LOG_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -67,4 +67,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_PLATFORM_LOG_CLIENT_H_
+#endif  // GULLWARD_LOG_LOG_CLIENT_H_
--- a/src/process/process.cc
+++ b/src/process/process.cc
@@ -67,19 +67,35 @@
   return *address;
 }
 
+namespace {
+
+// Has the signals of a set come to the loop instead of ending the process.
+void WatchSignals(EventLoop* loop, const sigset_t& signals, std::function<void()> hook) {
+  PCHECK(pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0);
+  int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  PCHECK(fd >= 0);
+  loop->Watch(fd, EPOLLIN, [fd, hook = std::move(hook)](uint32_t) {
+    signalfd_siginfo info;
+    if (read(fd, &info, sizeof(info)) == sizeof(info)) hook();
+  });
+}
+
+}  // namespace
+
 void HandleStopSignals(EventLoop* loop, std::function<void()> stop) {
   signal(SIGPIPE, SIG_IGN);
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
-  PCHECK(pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0);
-  int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-  PCHECK(fd >= 0);
-  loop->Watch(fd, EPOLLIN, [fd, stop = std::move(stop)](uint32_t) {
-    signalfd_siginfo info;
-    if (read(fd, &info, sizeof(info)) == sizeof(info)) stop();
-  });
+  WatchSignals(loop, signals, std::move(stop));
+}
+
+void HandleReloadSignal(EventLoop* loop, std::function<void()> reload) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  WatchSignals(loop, signals, std::move(reload));
 }
 
 uint64_t RandomIncarnation() {
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -46,6 +46,10 @@
 // thread is started: they inherit the blocked signals.
 void HandleStopSignals(EventLoop* loop, std::function<void()> stop);
 
+// Runs `reload` on the loop when SIGHUP comes.  Like HandleStopSignals, before
+// any thread is started.
+void HandleReloadSignal(EventLoop* loop, std::function<void()> reload);
+
 // Runs a server until it stops: its constructor takes the loop, the settings and
 // an incarnation, and it has Start and DrainAndStop. Returns the exit status.
 template <typename Server, typename Settings>
--- /dev/null
+++ b/src/serving/config_index.cc
@@ -0,0 +1,61 @@
+// Prefixes begin and end with a slash, so the longest that fits is found by one
+// hash look-up for each slash of the path, from its end.
+
+#include "serving/config_index.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "base/absl_view.h"
+
+namespace gullward {
+namespace {
+
+std::string HostName(std::string_view host) {
+  return absl::AsciiStrToLower(AbslView(host.substr(0, host.find(':'))));
+}
+
+std::string PrefixKey(const std::string& host_name, std::string_view prefix) {
+  return host_name + std::string(prefix);
+}
+
+}  // namespace
+
+ConfigIndex::ConfigIndex(ServingConfig config) : published(std::move(config)) {
+  for (size_t i = 0; i < this->published.routes.size(); ++i) {
+    const Route& route = this->published.routes[i];
+    this->route_by_prefix[PrefixKey(HostName(route.host), route.path_prefix)] = i;
+  }
+  for (size_t i = 0; i < this->published.accounts.size(); ++i) {
+    for (const std::string& key : this->published.accounts[i].api_keys) {
+      this->account_by_key[key] = i;
+    }
+  }
+  for (size_t i = 0; i < this->published.services.size(); ++i) {
+    this->service_by_name[this->published.services[i].name] = i;
+  }
+}
+
+const Route* ConfigIndex::FindRoute(std::string_view host, std::string_view path) const {
+  std::string host_name = HostName(host);
+  size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    auto found = this->route_by_prefix.find(PrefixKey(host_name, path.substr(0, end + 1)));
+    if (found != this->route_by_prefix.end()) return &this->published.routes[found->second];
+    if (end == 0) break;
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const ClientAccount* ConfigIndex::FindAccount(std::string_view api_key) const {
+  auto found = this->account_by_key.find(std::string(api_key));
+  return found == this->account_by_key.end() ? nullptr : &this->published.accounts[found->second];
+}
+
+const Service* ConfigIndex::FindService(const std::string& name) const {
+  auto found = this->service_by_name.find(name);
+  return found == this->service_by_name.end() ? nullptr : &this->published.services[found->second];
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/serving/engine_load.cc
@@ -0,0 +1,101 @@
+// engine_load.h tells what is kept.
+
+#include "serving/engine_load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gullward {
+namespace {
+
+double Shorter(double left, double right) {
+  if (left == 0) return right;
+  if (right == 0) return left;
+  return std::min(left, right);
+}
+
+}  // namespace
+
+EngineLoad Sum(const EngineLoad& left, const EngineLoad& right) {
+  EngineLoad sum;
+  sum.requests = left.requests + right.requests;
+  sum.writers = left.writers + right.writers;
+  sum.context_tokens = left.context_tokens + right.context_tokens;
+  sum.reading_ms = left.reading_ms + right.reading_ms;
+  sum.shortest_pause_ms = Shorter(left.shortest_pause_ms, right.shortest_pause_ms);
+  return sum;
+}
+
+void LoadBook::Begin(uint64_t work, std::vector<WorkPart> parts, Time now) {
+  this->End(work);
+  for (size_t i = 0; i < parts.size(); ++i) this->by_engine[parts[i].engine][work] = i;
+  this->works[work] = Work{std::move(parts), now, true};
+}
+
+void LoadBook::FirstEvent(uint64_t work) {
+  auto found = this->works.find(work);
+  if (found != this->works.end()) found->second.reading = false;
+}
+
+void LoadBook::End(uint64_t work) {
+  auto found = this->works.find(work);
+  if (found == this->works.end()) return;
+  for (const WorkPart& part : found->second.parts) {
+    auto engine = this->by_engine.find(part.engine);
+    if (engine == this->by_engine.end()) continue;
+    engine->second.erase(work);
+    if (engine->second.empty()) this->by_engine.erase(engine);
+  }
+  this->works.erase(found);
+}
+
+void LoadBook::ApplyPeer(const std::string& peer, std::map<std::string, EngineLoad> loads,
+                         Time now) {
+  this->peers[peer] = Peer{std::move(loads), now};
+}
+
+EngineLoad LoadBook::LoadOf(const Work& work, const WorkPart& part, Time now) {
+  EngineLoad load;
+  if (work.reading) {
+    double elapsed_ms = ToSeconds(now - work.begun) * 1000;
+    load.reading_ms = std::max(part.reading_ms - elapsed_ms, 0.0);
+  }
+  if (!part.is_main) return load;
+  load.requests = 1;
+  load.writers = work.reading ? 0 : 1;
+  load.context_tokens = part.prompt_tokens;
+  load.shortest_pause_ms = part.pause_ms;
+  return load;
+}
+
+EngineLoad LoadBook::Of(const std::string& engine, Time now) const {
+  EngineLoad sum;
+  auto own = this->by_engine.find(engine);
+  if (own != this->by_engine.end()) {
+    for (const auto& [work, place] : own->second) {
+      const Work& entry = this->works.at(work);
+      sum = Sum(sum, LoadOf(entry, entry.parts[place], now));
+    }
+  }
+  for (const auto& [name, peer] : this->peers) {
+    if (now - peer.heard > kPeerSilence) continue;
+    auto found = peer.loads.find(engine);
+    if (found != peer.loads.end()) sum = Sum(sum, found->second);
+  }
+  return sum;
+}
+
+std::map<std::string, EngineLoad> LoadBook::Own(Time now) const {
+  std::map<std::string, EngineLoad> loads;
+  for (const auto& [engine, parts] : this->by_engine) {
+    EngineLoad sum;
+    for (const auto& [work, place] : parts) {
+      const Work& entry = this->works.at(work);
+      sum = Sum(sum, LoadOf(entry, entry.parts[place], now));
+    }
+    loads[engine] = sum;
+  }
+  return loads;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/serving/engine_load.h
@@ -0,0 +1,94 @@
+// What runs on each engine: this process's own work exactly, and the other
+// entry processes' work as they last told it.
+//
+//   LoadBook book;
+//   book.Begin(work_id, {engine_id, ...}, now);
+//   book.FirstEvent(work_id);                   // its prompt has been read
+//   book.End(work_id);
+//   EngineLoad load = book.Of(engine_id, now);
+
+#ifndef GULLWARD_SERVING_ENGINE_LOAD_H_
+#define GULLWARD_SERVING_ENGINE_LOAD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace gullward {
+
+// The sum of the work on one engine.
+struct EngineLoad {
+  // Requests that hold, or wait for, a slot.
+  int requests = 0;
+  // Of these, the ones whose prompt has been read: they write.
+  int writers = 0;
+  // Tokens of context over all requests.
+  double context_tokens = 0;
+  // Milliseconds of reading that are still to be done.
+  double reading_ms = 0;
+  // The shortest pause that any of the streams tolerates; 0: no stream.
+  double shortest_pause_ms = 0;
+
+  bool operator==(const EngineLoad&) const = default;
+};
+
+// Adds two loads of the same engine.
+EngineLoad Sum(const EngineLoad& left, const EngineLoad& right);
+
+// A request's part on one engine.
+struct WorkPart {
+  std::string engine;
+  double prompt_tokens = 0;
+  double reading_ms = 0;
+  // Whether the request itself runs here, rather than a helper's share.
+  bool is_main = true;
+  double pause_ms = 0;
+
+  bool operator==(const WorkPart&) const = default;
+};
+
+class LoadBook {
+ public:
+  // A process that has said nothing for so long has stopped or lost touch; its
+  // work is ending or unknown.
+  static constexpr Duration kPeerSilence = milliseconds(1500);
+
+  void Begin(uint64_t work, std::vector<WorkPart> parts, Time now);
+  void FirstEvent(uint64_t work);
+  void End(uint64_t work);
+
+  // Takes what another process has told of its own work, replacing what it told
+  // before.
+  void ApplyPeer(const std::string& peer, std::map<std::string, EngineLoad> loads, Time now);
+
+  // All known work on an engine.
+  EngineLoad Of(const std::string& engine, Time now) const;
+
+  // This process's own work, by engine.
+  std::map<std::string, EngineLoad> Own(Time now) const;
+
+ private:
+  struct Work {
+    std::vector<WorkPart> parts;
+    Time begun;
+    bool reading = true;
+  };
+  struct Peer {
+    std::map<std::string, EngineLoad> loads;
+    Time heard;
+  };
+
+  static EngineLoad LoadOf(const Work& work, const WorkPart& part, Time now);
+
+  std::map<uint64_t, Work> works;
+  // The works that have a part on an engine.
+  std::map<std::string, std::map<uint64_t, size_t>> by_engine;
+  std::map<std::string, Peer> peers;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_ENGINE_LOAD_H_
--- /dev/null
+++ b/src/serving/event_splitter.cc
@@ -0,0 +1,58 @@
+// Events end with a blank line; lines end with \n or \r\n.
+
+#include "serving/event_splitter.h"
+
+#include "absl/strings/strip.h"
+#include "base/absl_view.h"
+
+namespace gullward {
+namespace {
+
+// The end of the first whole event in `bytes`, or 0.
+size_t EndOfEvent(std::string_view bytes) {
+  size_t line_end = bytes.find('\n');
+  while (line_end != std::string_view::npos) {
+    size_t next = line_end + 1;
+    if (next < bytes.size() && bytes[next] == '\r') ++next;
+    if (next < bytes.size() && bytes[next] == '\n') return next + 1;
+    line_end = bytes.find('\n', line_end + 1);
+  }
+  return 0;
+}
+
+// The value of the last "id:" line of an event.
+std::optional<std::string> IdOf(std::string_view event) {
+  std::optional<std::string> id;
+  while (!event.empty()) {
+    size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    absl::string_view value = AbslView(line);
+    if (absl::ConsumePrefix(&value, "id:")) {
+      absl::ConsumePrefix(&value, " ");
+      absl::ConsumeSuffix(&value, "\r");
+      id = std::string(value);
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return id;
+}
+
+}  // namespace
+
+WholeEvents EventSplitter::Feed(std::string_view bytes) {
+  this->rest.append(bytes);
+  WholeEvents events;
+  size_t done = 0;
+  while (size_t size = EndOfEvent(std::string_view(this->rest).substr(done))) {
+    std::optional<std::string> id = IdOf(std::string_view(this->rest).substr(done, size));
+    if (id) events.last_id = std::move(id);
+    done += size;
+    events.count += 1;
+  }
+  events.bytes = this->rest.substr(0, done);
+  this->rest.erase(0, done);
+  return events;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/serving/fleet.h
@@ -0,0 +1,68 @@
+// Everything an entry process knows of the engines, and the choice among them:
+// the list, its own experience, the load, and the budget of second attempts.
+//
+//   Fleet fleet(retry_bounds, "hall-1");
+//   std::optional<FleetChoice> choice = fleet.Choose(service, demand, tried, now);
+
+#ifndef GULLWARD_SERVING_FLEET_H_
+#define GULLWARD_SERVING_FLEET_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serving/engine_directory.h"
+#include "serving/engine_health.h"
+#include "serving/engine_load.h"
+#include "serving/placement.h"
+#include "serving/retry_window.h"
+#include "serving/serving_config.h"
+
+namespace gullward {
+
+struct FleetChoice {
+  // Runs the request.
+  EngineRecord engine;
+  // Help to read its prompt.
+  std::vector<EngineRecord> readers;
+  Placement placement;
+  // How many engines there were to choose from.
+  size_t candidates = 0;
+  // The load of the chosen engine, as it was known.
+  EngineLoad load;
+};
+
+class Fleet {
+ public:
+  Fleet(const RetryBounds& retry_bounds, std::string own_data_centre);
+
+  EngineDirectory& directory() { return this->engines; }
+  LoadBook& loads() { return this->load_book; }
+  EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
+  RetryWindow& RetriesOf(const std::string& service);
+
+  // Picks engines for a request; those in `tried` only where no other is left.
+  // Nothing where no engine of the service may get work.
+  std::optional<FleetChoice> Choose(const Service& service, const Demand& demand,
+                                    const std::set<std::string>& tried, Time now);
+
+  // Forgets what is known of engines that are no longer listed.
+  void ForgetUnlisted();
+
+ private:
+  std::vector<const EngineRecord*> Pickable(const std::string& service,
+                                            const std::set<std::string>& tried, Time now);
+
+  RetryBounds retry_bounds;
+  std::string data_centre;
+  EngineDirectory engines;
+  LoadBook load_book;
+  std::map<std::string, EngineHealth> health;
+  std::map<std::string, RetryWindow> retries;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_FLEET_H_
--- /dev/null
+++ b/src/serving/placement.h
@@ -0,0 +1,90 @@
+// Chooses the engine, or the engines, that a request costs least on.
+//
+// Short and vast prompts share the engines.  An engine works in passes: it reads
+// the prompts that wait, then writes a few tokens for every running request.  So
+// a vast prompt that one engine reads makes every stream on that engine pause
+// for the whole of the reading.  Each candidate is therefore priced by what it
+// does to the request itself (the wait for its first event, against its
+// objective) and to the streams that already run there (a pause that gets longer
+// than they tolerate).  A prompt may be read by several engines in equal parts;
+// every number of parts up to a bound is priced too, and the cheapest wins.
+//
+// Shorts are packed: a decode step costs nearly the same for one stream as for
+// many, so among equals the engine that comes first in an order that all
+// processes share is taken.  Engines at the end of that order stay free of
+// streams, and vast prompts are read there.  Nobody sets the border: it moves
+// with the load.
+//
+//   Placement placement = Choose(candidates, speed, demand);
+//   if (placement.engines.empty()) ...      // none would do
+//
+// Choose decides by its arguments only.
+
+#ifndef GULLWARD_SERVING_PLACEMENT_H_
+#define GULLWARD_SERVING_PLACEMENT_H_
+
+#include <string>
+#include <vector>
+
+#include "serving/engine_load.h"
+#include "serving/serving_config.h"
+
+namespace gullward {
+
+// What a request asks of an engine.
+struct Demand {
+  double prompt_tokens = 0;
+  double answer_tokens = 0;
+  double objective_ms = 300;
+  double pause_ms = 0;
+  bool streaming = false;
+
+  bool operator==(const Demand&) const = default;
+};
+
+struct Candidate {
+  std::string engine;
+  EngineLoad load;
+  int slots = 1;
+  bool same_data_centre = false;
+  // 0 to 1: how often it has failed of late.
+  double failure_rate = 0;
+  // Its place in the order that all processes share, 0 to 1.
+  double rank = 0;
+
+  bool operator==(const Candidate&) const = default;
+};
+
+struct Placement {
+  // The first runs the request; the others help to read its prompt.  Indices
+  // into the candidates.
+  std::vector<size_t> engines;
+  // What each of them reads.
+  double part_tokens = 0;
+  double part_reading_ms = 0;
+  // When the first event is expected, from now.
+  double first_event_ms = 0;
+  double cost = 0;
+
+  bool operator==(const Placement&) const = default;
+};
+
+// Most engines that may read one prompt together.
+inline constexpr int kMostReaders = 8;
+
+// Milliseconds that one engine needs to read a whole prompt.
+double ReadingMs(const EngineSpeed& speed, double prompt_tokens);
+
+// Milliseconds that an engine spends on writing in one pass.
+double WritingPassMs(const EngineSpeed& speed, const EngineLoad& load);
+
+// For engines that run models.
+Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
+                 const Demand& demand);
+
+// For plain services: the least loaded for its slots.
+Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_PLACEMENT_H_
--- /dev/null
+++ b/src/serving/retry_window.cc
@@ -0,0 +1,36 @@
+// retry_window.h tells the arithmetic.
+
+#include "serving/retry_window.h"
+
+#include <algorithm>
+
+namespace gullward {
+
+RetryWindow::Bucket& RetryWindow::At(Time now) {
+  int64_t width = std::max<int64_t>(this->bounds.window.count() / (kBuckets - 1), 1);
+  int64_t number = now.time_since_epoch().count() / width;
+  Bucket& bucket = this->buckets[static_cast<size_t>(number) % kBuckets];
+  if (bucket.number != number) bucket = Bucket{number, 0, 0};
+  return bucket;
+}
+
+double RetryWindow::Left(Time now) {
+  int64_t newest = this->At(now).number;
+  double requests = 0;
+  double retries = 0;
+  for (const Bucket& bucket : this->buckets) {
+    if (newest - bucket.number >= static_cast<int64_t>(kBuckets)) continue;
+    // Requests are counted over one bucket less than retries.
+    if (newest - bucket.number < static_cast<int64_t>(kBuckets) - 1) requests += bucket.requests;
+    retries += bucket.retries;
+  }
+  return this->bounds.ratio * requests + this->bounds.slack / kSlackSharers - retries;
+}
+
+bool RetryWindow::TakeRetry(Time now) {
+  if (this->Left(now) < 1) return false;
+  this->At(now).retries += 1;
+  return true;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/serving/retry_window.h
@@ -0,0 +1,66 @@
+// How many second attempts this process may make for one service.
+//
+// All entry processes share one bound: in any window, second attempts are at
+// most a ratio of the requests plus a fixed slack.  Without a word between them
+// they keep to it by arithmetic: each process spends the ratio of its own
+// requests and an equal part of the slack.
+//
+//   RetryWindow window(bounds);
+//   window.AddRequest(now);
+//   if (!window.TakeRetry(now)) ...      // give up instead
+//
+// The window is kept in buckets of a tenth of it; counting one bucket more than
+// the window holds keeps the answer on the safe side.
+
+#ifndef GULLWARD_SERVING_RETRY_WINDOW_H_
+#define GULLWARD_SERVING_RETRY_WINDOW_H_
+
+#include <array>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace gullward {
+
+// Processes that the slack is divided among: more than any of today's
+// installations has entry boxes in use at once (five and three spare ones).
+inline constexpr double kSlackSharers = 10;
+
+struct RetryBounds {
+  Duration window = seconds(10);
+  double ratio = 0.2;
+  // For all processes together.
+  double slack = 100;
+
+  bool operator==(const RetryBounds&) const = default;
+};
+
+class RetryWindow {
+ public:
+  explicit RetryWindow(const RetryBounds& retry_bounds) : bounds(retry_bounds) {}
+
+  void AddRequest(Time now) { this->At(now).requests += 1; }
+
+  // Takes one retry if the window has one left.
+  bool TakeRetry(Time now);
+
+  // Retries left in the window.
+  double Left(Time now);
+
+ private:
+  static constexpr size_t kBuckets = 11;
+  struct Bucket {
+    int64_t number = -1;
+    double requests = 0;
+    double retries = 0;
+  };
+
+  Bucket& At(Time now);
+
+  RetryBounds bounds;
+  std::array<Bucket, kBuckets> buckets{};
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_RETRY_WINDOW_H_
