--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -246,8 +246,7 @@
   WholeEvents whole = this->attempt->events.Feed(bytes);
   if (whole.count == 0) return;
   if (!this->attempt->any_event) {
-    this->attempt->any_event = true;
-    this->state->fleet.loads().FirstEvent(this->id);
+    this->NoteFirstEvent();
   }
   this->state->counters.events_passed += static_cast<uint64_t>(whole.count);
   if (!this->answer_begun) this->BeginAnswer(std::nullopt);
@@ -255,6 +254,19 @@
   this->caller->WritePart(whole.bytes);
 }
 
+void Exchange::NoteFirstEvent() {
+  this->attempt->any_event = true;
+  this->state->fleet.loads().FirstEvent(this->id);
+  double seen_ms = ToSeconds(Now() - this->attempt->started) * 1000;
+  bool late = seen_ms > ToSeconds(this->route->objective) * 1000;
+  if (!late && !this->state->log->Sample()) return;
+  this->state->log->Write(this->Line(late ? "first_event_late" : "first_event")
+                              .Text("engine", this->attempt->engine.id)
+                              .Number("prompt_tokens", this->facts.prompt_tokens)
+                              .Number("expected_ms", this->attempt->expected_first_ms)
+                              .Number("seen_ms", seen_ms));
+}
+
 void Exchange::PassBody(std::string_view bytes) {
   if (this->answer_begun) {
     this->caller->WritePart(bytes);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,6 +68,7 @@
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void PassEvents(std::string_view bytes);
+  void NoteFirstEvent();
   void PassBody(std::string_view bytes);
   void OnDone(ChannelResult result);
   AttemptResult ResultOf(ChannelResult result) const;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -56,7 +56,8 @@
                       this->StoreHooks("config")),
       engine_follower(event_loop, settings.store,
                       {std::string(platform::kEnginesTopic), kEngineListWait},
-                      this->StoreHooks("engines")) {}
+                      this->StoreHooks("engines")),
+      load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log) {}
 
 TopicFollower::Hooks GatewayServer::StoreHooks(const std::string& topic) {
   bool is_config = topic == "config";
@@ -92,6 +93,8 @@
   if (!status.ok()) return status;
   status = this->metrics_listener.Listen(this->loop, settings.metrics, operators_hook);
   if (!status.ok()) return status;
+  status = this->load_exchange.Start();
+  if (!status.ok()) return status;
   this->config_follower.Start();
   this->engine_follower.Start();
   this->loop->RunEvery(kTick, [this] { this->Tick(); });
@@ -260,6 +263,7 @@
     if (caller.exchange) running.push_back(caller.exchange);
   }
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
+  this->load_exchange.Tell(now);
   bool fresh = this->state.keys.IsFresh(now);
   if (fresh != this->keys_were_fresh) {
     this->keys_were_fresh = fresh;
@@ -333,7 +337,8 @@
   count("gullward_engine_connections_total", "Connections opened", this->state.pool.opened());
   count("gullward_log_lines_dropped_total", "Log lines dropped", this->log.dropped());
   count("gullward_store_calls_total", "Calls to the platform's store",
-        this->config_follower.calls() + this->engine_follower.calls());
+        this->config_follower.calls() + this->engine_follower.calls() +
+            this->load_exchange.store_calls());
   for (const auto& [code, failures] : counters.failures) {
     text.Counter("gullward_failures_total", "Failures answered by gullward",
                  {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -19,6 +19,7 @@
 #include "absl/status/status.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
+#include "gateway/load_exchange.h"
 #include "gateway/topic_follower.h"
 #include "transport/tcp_listener.h"
 
@@ -68,6 +69,7 @@
   GatewayState state;
   TopicFollower config_follower;
   TopicFollower engine_follower;
+  LoadExchange load_exchange;
   TcpListener callers_listener;
   TcpListener ready_listener;
   TcpListener metrics_listener;
--- /dev/null
+++ b/src/gateway/load_exchange.cc
@@ -0,0 +1,123 @@
+// load_exchange.h tells the method.
+
+#include "gateway/load_exchange.h"
+
+#include <utility>
+
+namespace gullward {
+namespace {
+
+constexpr int kOk = 200;
+// Peers come and go rarely; the longest wait that the store allows costs least.
+constexpr Duration kPeersWait = seconds(30);
+constexpr Duration kRegisterPatience = seconds(1);
+constexpr Duration kRegisterPause = milliseconds(500);
+
+// Whether a peer would decide otherwise if it knew.
+bool WorthTelling(const EngineLoad& told, const EngineLoad& now) {
+  return told.requests != now.requests || told.writers != now.writers ||
+         (told.reading_ms == 0) != (now.reading_ms == 0);
+}
+
+}  // namespace
+
+LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
+                           uint64_t own_incarnation, LoadBook* load_book, EventLog* event_log)
+    : loop(event_loop),
+      box(settings.box),
+      own_address(settings.peers),
+      incarnation(own_incarnation),
+      loads(load_book),
+      log(event_log),
+      registrar(event_loop, settings.store),
+      follower(event_loop, settings.store, {std::string(platform::kPeersTopic), kPeersWait},
+               {.replace =
+                    [this](std::vector<platform::KeyedRecord> records) {
+                      for (const auto& record : records) this->OnPeerRecord(record);
+                    },
+                .change = [this](const platform::KeyedRecord& record) {
+                  this->OnPeerRecord(record);
+                },
+                .up_to_date = {},
+                .lost = {},
+                .regained = {}}) {}
+
+absl::Status LoadExchange::Start() {
+  absl::Status status = this->socket.Bind(
+      this->loop, this->own_address,
+      [this](std::string_view datagram) { this->OnDatagram(datagram); });
+  if (!status.ok()) return status;
+  this->Register();
+  return absl::OkStatus();
+}
+
+// The topic comes into being by the first record, so it is followed after ours.
+void LoadExchange::Register() {
+  platform::KeyedRecord record{this->box, this->own_address.ToString()};
+  this->registrar.Call(platform::AppendKeyed(platform::kPeersTopic, record), kRegisterPatience,
+                       [this](const StoreAnswer& answer) {
+                         if (answer.status == kOk) {
+                           this->follower.Start();
+                           return;
+                         }
+                         this->log->Write(LogLine("register_failed")
+                                              .Number("status", answer.status)
+                                              .Text("reason", answer.reason));
+                         this->loop->RunAfter(kRegisterPause, [this] { this->Register(); });
+                       });
+}
+
+void LoadExchange::OnPeerRecord(const platform::KeyedRecord& record) {
+  if (record.key == this->box) return;
+  absl::StatusOr<SocketAddress> address = SocketAddress::Parse(record.value);
+  if (!address.ok()) {
+    this->peer_addresses.erase(record.key);
+    return;
+  }
+  bool known = this->peer_addresses.count(record.key) != 0;
+  if (!known && this->peer_addresses.size() >= kMostPeers) return;
+  this->peer_addresses[record.key] = *address;
+  this->log->Write(LogLine("peer").Text("box", record.key).Text("address", record.value));
+}
+
+void LoadExchange::OnDatagram(std::string_view datagram) {
+  std::optional<LoadDigest> digest = DecodeDigest(datagram);
+  if (!digest || digest->box == this->box) return;
+  this->loads->ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads, Now());
+}
+
+void LoadExchange::Tell(Time now) {
+  if (this->peer_addresses.empty()) return;
+  bool refresh = now - this->refreshed >= kRefresh;
+  if (refresh) this->refreshed = now;
+  std::map<std::string, EngineLoad> own = this->loads->Own(now);
+  // What was told and is no more is told once as zero.
+  for (const auto& [engine, load] : this->told) own.try_emplace(engine);
+  std::map<std::string, EngineLoad> changed;
+  for (const auto& [engine, load] : own) {
+    auto before = this->told.find(engine);
+    bool is_new = before == this->told.end() || WorthTelling(before->second, load);
+    if (!is_new && !refresh) continue;
+    changed[engine] = load;
+    if (load.requests == 0 && load.reading_ms == 0) {
+      this->told.erase(engine);
+    } else {
+      this->told[engine] = load;
+    }
+  }
+  while (!changed.empty()) {
+    std::map<std::string, EngineLoad> part;
+    while (!changed.empty() && part.size() < kEntriesPerDatagram) {
+      part.insert(changed.extract(changed.begin()));
+    }
+    this->Send(std::move(part));
+  }
+}
+
+void LoadExchange::Send(std::map<std::string, EngineLoad> part) {
+  std::string datagram =
+      EncodeDigest({this->box, this->incarnation, ++this->sequence, std::move(part)});
+  for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/store_client.cc
@@ -0,0 +1,48 @@
+// Each call has a number, so that an overdue one is told from the next.
+
+#include "gateway/store_client.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace gullward {
+
+void StoreClient::Call(const platform::HttpCallText& call, Duration patience, Done done) {
+  bool usable = this->channel && this->channel->reusable();
+  if (!usable) this->channel = RequestChannel::Open(this->loop, this->address);
+  this->incoming = {};
+  this->waiting = std::move(done);
+  uint64_t number = ++this->call_count;
+
+  std::string request = absl::StrCat(call.method, " ", call.target,
+                                     " HTTP/1.1\r\nHost: ", this->address.ToString(), "\r\n");
+  if (call.method != "GET") AppendHeader(&request, "Content-Length", absl::StrCat(call.body.size()));
+  request += "\r\n";
+  request += call.body;
+
+  RequestChannel::Hooks hooks;
+  hooks.head = [this](const ResponseHead& head) { this->incoming.status = head.status; };
+  hooks.body = [this](std::string_view bytes) { this->incoming.body.append(bytes); };
+  hooks.done = [this, number](ChannelResult result) {
+    if (result == ChannelResult::kWholeAnswer) {
+      this->Finish(number, std::move(this->incoming));
+    } else {
+      this->Finish(number, {0, "", "connection lost"});
+    }
+  };
+  this->channel->Send(request, std::move(hooks), /*is_head=*/false);
+  this->loop->RunAfter(patience, [this, number] { this->Finish(number, {0, "", "overdue"}); });
+}
+
+void StoreClient::Finish(uint64_t number, StoreAnswer answer) {
+  if (number != this->call_count || !this->waiting) return;
+  if (answer.status == 0) {
+    this->channel->Close();
+    this->channel.reset();
+  }
+  Done done = std::exchange(this->waiting, nullptr);
+  done(answer);
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/store_client.h
@@ -0,0 +1,56 @@
+// One call after another to the platform's store.
+//
+//   StoreClient client(&loop, address);
+//   client.Call(call, seconds(1), [](const StoreAnswer& answer) { ... });
+//
+// Every call gets exactly one answer, from the store or from the clock; what
+// comes for a call after that is not heard any more.
+
+#ifndef GULLWARD_GATEWAY_STORE_CLIENT_H_
+#define GULLWARD_GATEWAY_STORE_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/request_channel.h"
+#include "platform/store_calls.h"
+#include "transport/event_loop.h"
+
+namespace gullward {
+
+struct StoreAnswer {
+  // HTTP status; 0 where none came, and `reason` then says why.
+  int status = 0;
+  std::string body;
+  std::string reason;
+
+  bool operator==(const StoreAnswer&) const = default;
+};
+
+class StoreClient {
+ public:
+  using Done = std::function<void(const StoreAnswer&)>;
+
+  StoreClient(EventLoop* event_loop, SocketAddress store_address)
+      : loop(event_loop), address(std::move(store_address)) {}
+
+  // Only one call at a time.
+  void Call(const platform::HttpCallText& call, Duration patience, Done done);
+
+  uint64_t calls() const { return this->call_count; }
+
+ private:
+  void Finish(uint64_t number, StoreAnswer answer);
+
+  EventLoop* loop;
+  SocketAddress address;
+  std::shared_ptr<RequestChannel> channel;
+  uint64_t call_count = 0;
+  StoreAnswer incoming;
+  Done waiting;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_STORE_CLIENT_H_
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -1,5 +1,4 @@
-// One call at a time; each call has a number, so that an overdue one is told
-// from the one that replaced it.
+// Two states: reading pages, and following the tail.
 
 #include "gateway/topic_follower.h"
 
@@ -23,60 +22,33 @@
   return std::min<Duration>(kFirstPause * (1 << doublings), kLongestPause);
 }
 
+std::string ReasonOf(const StoreAnswer& answer) {
+  return answer.status == 0 ? answer.reason : absl::StrCat("status ", answer.status);
+}
+
 }  // namespace
 
 TopicFollower::TopicFollower(EventLoop* event_loop, SocketAddress store_address,
                              Options follower_options, Hooks follower_hooks)
     : loop(event_loop),
-      store(std::move(store_address)),
+      client(event_loop, std::move(store_address)),
       options(std::move(follower_options)),
       hooks(std::move(follower_hooks)) {}
 
-void TopicFollower::Call(const platform::HttpCallText& call,
-                         std::function<void(int, const std::string&)> done, Duration patience) {
-  bool usable = this->channel && this->channel->reusable();
-  if (!usable) this->channel = RequestChannel::Open(this->loop, this->store);
-  this->answer_status = 0;
-  this->answer_body.clear();
-  this->call_sent = Now();
-  uint64_t number = ++this->call_count;
-  std::string request = absl::StrCat(call.method, " ", call.target, " HTTP/1.1\r\nHost: ",
-                                     this->store.ToString(), "\r\n\r\n");
-  RequestChannel::Hooks channel_hooks;
-  channel_hooks.head = [this](const ResponseHead& head) { this->answer_status = head.status; };
-  channel_hooks.body = [this](std::string_view bytes) { this->answer_body.append(bytes); };
-  channel_hooks.done = [this, number, done = std::move(done)](ChannelResult result) {
-    if (number != this->call_count) return;
-    bool whole = result == ChannelResult::kWholeAnswer;
-    if (whole) {
-      done(this->answer_status, this->answer_body);
-    } else {
-      this->Fail("no answer");
-    }
-  };
-  this->channel->Send(request, std::move(channel_hooks), /*is_head=*/false);
-  this->loop->RunAfter(patience, [this, number] {
-    if (number == this->call_count && this->channel && !this->channel->reusable()) {
-      this->Fail("overdue");
-    }
-  });
-}
-
 void TopicFollower::ReadPage() {
   std::string after = this->pages.empty() ? "" : this->pages.back().key;
-  this->Call(
-      platform::NewestOfEachKey(this->options.topic, after),
-      [this](int status, const std::string& body) { this->OnPage(status, body); },
-      kAnswerPatience);
+  this->call_sent = Now();
   if (after.empty()) this->pages_sent = this->call_sent;
+  this->client.Call(platform::NewestOfEachKey(this->options.topic, after), kAnswerPatience,
+                    [this](const StoreAnswer& answer) { this->OnPage(answer); });
 }
 
-void TopicFollower::OnPage(int status, const std::string& body) {
-  if (status != kOk) {
-    this->Fail(absl::StrCat("status ", status));
+void TopicFollower::OnPage(const StoreAnswer& answer) {
+  if (answer.status != kOk) {
+    this->Fail(ReasonOf(answer));
     return;
   }
-  absl::StatusOr<platform::KeyedPage> page = platform::DecodeNewest(body);
+  absl::StatusOr<platform::KeyedPage> page = platform::DecodeNewest(answer.body);
   if (!page.ok()) {
     this->Fail(std::string(page.status().message()));
     return;
@@ -97,24 +69,25 @@
 }
 
 void TopicFollower::ReadTail() {
-  this->Call(
+  this->call_sent = Now();
+  this->client.Call(
       platform::ReadFrom(this->options.topic, this->next_offset, this->options.wait),
-      [this](int status, const std::string& body) { this->OnTail(status, body); },
-      this->options.wait + kAnswerPatience);
+      this->options.wait + kAnswerPatience,
+      [this](const StoreAnswer& answer) { this->OnTail(answer); });
 }
 
-void TopicFollower::OnTail(int status, const std::string& body) {
-  if (status == platform::kRecordsGone) {
+void TopicFollower::OnTail(const StoreAnswer& answer) {
+  if (answer.status == platform::kRecordsGone) {
     this->Succeed();
     this->loaded = false;
     this->ReadPage();
     return;
   }
-  if (status != kOk) {
-    this->Fail(absl::StrCat("status ", status));
+  if (answer.status != kOk) {
+    this->Fail(ReasonOf(answer));
     return;
   }
-  absl::StatusOr<platform::KeyedTail> tail = platform::DecodeTail(body);
+  absl::StatusOr<platform::KeyedTail> tail = platform::DecodeTail(answer.body);
   if (!tail.ok()) {
     this->Fail(std::string(tail.status().message()));
     return;
@@ -135,10 +108,6 @@
 }
 
 void TopicFollower::Fail(const std::string& reason) {
-  // The number moves on, so that nothing of the failed call is heard any more.
-  this->call_count += 1;
-  this->channel->Close();
-  this->channel.reset();
   this->failures_in_row += 1;
   if (this->failures_in_row == 1 && this->hooks.lost) this->hooks.lost(reason);
   if (!this->loaded) this->pages.clear();
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "http/request_channel.h"
+#include "gateway/store_client.h"
 #include "platform/store_calls.h"
 #include "transport/event_loop.h"
 
@@ -52,33 +52,27 @@
   // When a call first succeeded after failures; in the past where none failed.
   Time regained_at() const { return this->regained; }
 
-  uint64_t calls() const { return this->call_count; }
+  uint64_t calls() const { return this->client.calls(); }
 
  private:
   void ReadPage();
   void ReadTail();
-  void Call(const platform::HttpCallText& call, std::function<void(int, const std::string&)> done,
-            Duration patience);
-  void OnPage(int status, const std::string& body);
-  void OnTail(int status, const std::string& body);
+  void OnPage(const StoreAnswer& answer);
+  void OnTail(const StoreAnswer& answer);
   void Succeed();
   void Fail(const std::string& reason);
 
   EventLoop* loop;
-  SocketAddress store;
+  StoreClient client;
   Options options;
   Hooks hooks;
-  std::shared_ptr<RequestChannel> channel;
   std::vector<platform::KeyedRecord> pages;
   Time pages_sent{};
   bool loaded = false;
   uint64_t next_offset = 0;
   Time call_sent{};
-  uint64_t call_count = 0;
   int failures_in_row = 0;
   Time regained{};
-  int answer_status = 0;
-  std::string answer_body;
 };
 
 }  // namespace gullward
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 #include <utility>
 
 namespace gullward {
@@ -17,6 +18,8 @@
 
 // Beast's number for HTTP/1.1.
 constexpr int kVersion11 = 11;
+// Not boost::none: Beast of Boost 1.74 takes that for a limit below every length.
+constexpr uint64_t kNoLimit = std::numeric_limits<uint64_t>::max();
 
 std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -135,11 +138,7 @@
   void Next() {
     this->parser.emplace(&this->hooks.head, &this->hooks.body);
     this->parser->header_limit(this->limits.head_bytes);
-    if (this->limits.body_bytes) {
-      this->parser->body_limit(*this->limits.body_bytes);
-    } else {
-      this->parser->body_limit(boost::none);
-    }
+    this->parser->body_limit(this->limits.body_bytes.value_or(kNoLimit));
   }
 
   Hooks hooks;
@@ -175,7 +174,7 @@
 
   void Next(bool no_body) {
     this->parser.emplace(&this->hooks.head, &this->hooks.body);
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(kNoLimit);
     this->parser->skip(no_body);
   }
 
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -49,9 +49,14 @@
   this->works.erase(found);
 }
 
-void LoadBook::ApplyPeer(const std::string& peer, std::map<std::string, EngineLoad> loads,
-                         Time now) {
-  this->peers[peer] = Peer{std::move(loads), now};
+void LoadBook::ApplyPeer(const std::string& name, uint64_t incarnation, uint64_t sequence,
+                         const std::map<std::string, EngineLoad>& loads, Time now) {
+  Peer& peer = this->peers[name];
+  if (peer.incarnation != incarnation) peer = Peer{incarnation, {}};
+  for (const auto& [engine, load] : loads) {
+    Told& told = peer.engines[engine];
+    if (told.sequence < sequence) told = Told{load, sequence, now};
+  }
 }
 
 EngineLoad LoadBook::LoadOf(const Work& work, const WorkPart& part, Time now) {
@@ -78,9 +83,13 @@
     }
   }
   for (const auto& [name, peer] : this->peers) {
-    if (now - peer.heard > kPeerSilence) continue;
-    auto found = peer.loads.find(engine);
-    if (found != peer.loads.end()) sum = Sum(sum, found->second);
+    auto found = peer.engines.find(engine);
+    if (found == peer.engines.end()) continue;
+    Duration age = now - found->second.heard;
+    if (age > kPeerSilence) continue;
+    EngineLoad load = found->second.load;
+    load.reading_ms = std::max(load.reading_ms - ToSeconds(age) * 1000, 0.0);
+    sum = Sum(sum, load);
   }
   return sum;
 }
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -60,9 +60,11 @@
   void FirstEvent(uint64_t work);
   void End(uint64_t work);
 
-  // Takes what another process has told of its own work, replacing what it told
-  // before.
-  void ApplyPeer(const std::string& peer, std::map<std::string, EngineLoad> loads, Time now);
+  // Takes what another process has told of its own work, engine by engine.  What
+  // came earlier in the same life of the peer but arrives later is dropped; a new
+  // life of the peer forgets the old one's work.
+  void ApplyPeer(const std::string& peer, uint64_t incarnation, uint64_t sequence,
+                 const std::map<std::string, EngineLoad>& loads, Time now);
 
   // All known work on an engine.
   EngineLoad Of(const std::string& engine, Time now) const;
@@ -76,10 +78,15 @@
     Time begun;
     bool reading = true;
   };
-  struct Peer {
-    std::map<std::string, EngineLoad> loads;
+  struct Told {
+    EngineLoad load;
+    uint64_t sequence = 0;
     Time heard;
   };
+  struct Peer {
+    uint64_t incarnation = 0;
+    std::map<std::string, Told> engines;
+  };
 
   static EngineLoad LoadOf(const Work& work, const WorkPart& part, Time now);
 
--- /dev/null
+++ b/src/wire/load_digest.cc
@@ -0,0 +1,49 @@
+// load_digest.h; the schema is gullward.fbs.
+
+#include "wire/load_digest.h"
+
+#include <vector>
+
+#include "wire/gullward_generated.h"
+
+namespace gullward {
+
+std::string EncodeDigest(const LoadDigest& digest) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<fb::EngineLoadEntry>> entries;
+  for (const auto& [engine, load] : digest.loads) {
+    entries.push_back(fb::CreateEngineLoadEntry(
+        builder, builder.CreateString(engine), load.requests, load.writers,
+        static_cast<float>(load.context_tokens), static_cast<float>(load.reading_ms),
+        static_cast<float>(load.shortest_pause_ms)));
+  }
+  builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box),
+                                      digest.incarnation, digest.sequence,
+                                      builder.CreateVector(entries)));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<LoadDigest> DecodeDigest(std::string_view datagram) {
+  const auto* bytes = reinterpret_cast<const uint8_t*>(datagram.data());
+  flatbuffers::Verifier verifier(bytes, datagram.size());
+  if (!verifier.VerifyBuffer<fb::LoadDigest>(nullptr)) return std::nullopt;
+  const auto* packed = flatbuffers::GetRoot<fb::LoadDigest>(bytes);
+  if (packed->box() == nullptr || packed->engines() == nullptr) return std::nullopt;
+  LoadDigest digest;
+  digest.box = packed->box()->str();
+  digest.incarnation = packed->incarnation();
+  digest.sequence = packed->sequence();
+  for (const fb::EngineLoadEntry* entry : *packed->engines()) {
+    if (entry->engine() == nullptr) return std::nullopt;
+    EngineLoad load;
+    load.requests = entry->requests();
+    load.writers = entry->writers();
+    load.context_tokens = entry->context_tokens();
+    load.reading_ms = entry->reading_ms();
+    load.shortest_pause_ms = entry->shortest_pause_ms();
+    digest.loads[entry->engine()->str()] = load;
+  }
+  return digest;
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/wire/load_digest.h
@@ -0,0 +1,37 @@
+// The datagram by which gateways tell each other of their work on engines.
+//
+//   std::string datagram = EncodeDigest(digest);
+//   std::optional<LoadDigest> digest = DecodeDigest(datagram);
+
+#ifndef GULLWARD_WIRE_LOAD_DIGEST_H_
+#define GULLWARD_WIRE_LOAD_DIGEST_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "serving/engine_load.h"
+
+namespace gullward {
+
+struct LoadDigest {
+  // The sender, and which of its lives.
+  std::string box;
+  uint64_t incarnation = 0;
+  // Rises with each datagram of one life.
+  uint64_t sequence = 0;
+  std::map<std::string, EngineLoad> loads;
+
+  bool operator==(const LoadDigest&) const = default;
+};
+
+std::string EncodeDigest(const LoadDigest& digest);
+
+// Nothing if the bytes are no digest.
+std::optional<LoadDigest> DecodeDigest(std::string_view datagram);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_WIRE_LOAD_DIGEST_H_
