Price engines by what they still have to read; tell peers of long reads at once

Cause: lone prompts match the published figures (expected 1435 ms, seen 1452), but two sent within 25 ms met on one engine, and each part's rest was counted down at the same time as its neighbours'. Change: reading is kept gross with the progress of the oldest only; long reads are told at dispatch; a first event counts as late from half of its objective on. Prompts over one engine's memory are still refused.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -24,6 +24,8 @@
 // After this a caller that was refused may come back: an engine's pass and the
 // news of it take about as long.
 constexpr double kComeBackSeconds = 0.3;
+// Reading that would make a stream of shorts pause: peers learn of it at once.
+constexpr double kTellAtOnceMs = 50;
 
 std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
 
@@ -171,7 +173,7 @@
                                 .Number("readers", static_cast<double>(choice.readers.size() + 1))
                                 .Number("prompt_tokens", this->facts.prompt_tokens)
                                 .Number("engine_requests", choice.load.requests)
-                                .Number("engine_reading_ms", choice.load.reading_ms)
+                                .Number("engine_reading_ms", choice.load.ToReadMs())
                                 .Number("expected_first_ms", choice.placement.first_event_ms)
                                 .Number("config", static_cast<double>(
                                                       this->config->config().version)));
@@ -213,6 +215,8 @@
     parts.push_back(part);
   }
   this->state->fleet.loads().Begin(this->id, std::move(parts), now);
+  bool long_read = choice.placement.part_reading_ms > kTellAtOnceMs;
+  if (long_read && this->state->tell_peers) this->state->tell_peers();
 }
 
 void Exchange::OnHead(const ResponseHead& head) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -95,6 +95,7 @@
   if (!status.ok()) return status;
   status = this->load_exchange.Start();
   if (!status.ok()) return status;
+  this->state.tell_peers = [this] { this->load_exchange.Tell(Now()); };
   this->config_follower.Start();
   this->engine_follower.Start();
   this->loop->RunEvery(kTick, [this] { this->Tick(); });
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #define GULLWARD_GATEWAY_GATEWAY_STATE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -54,6 +55,8 @@
   EnginePool pool;
   std::mt19937_64 random;
   GatewayCounters counters;
+  // Asks for the peers to be told of new work at once rather than at the next tick.
+  std::function<void()> tell_peers;
 };
 
 }  // namespace gullward
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -22,6 +22,7 @@
   sum.writers = left.writers + right.writers;
   sum.context_tokens = left.context_tokens + right.context_tokens;
   sum.reading_ms = left.reading_ms + right.reading_ms;
+  sum.read_ms = std::max(left.read_ms, right.read_ms);
   sum.shortest_pause_ms = Shorter(left.shortest_pause_ms, right.shortest_pause_ms);
   return sum;
 }
@@ -63,7 +64,8 @@
   EngineLoad load;
   if (work.reading) {
     double elapsed_ms = ToSeconds(now - work.begun) * 1000;
-    load.reading_ms = std::max(part.reading_ms - elapsed_ms, 0.0);
+    load.reading_ms = part.reading_ms;
+    load.read_ms = std::min(elapsed_ms, part.reading_ms);
   }
   if (!part.is_main) return load;
   load.requests = 1;
@@ -88,7 +90,7 @@
     Duration age = now - found->second.heard;
     if (age > kPeerSilence) continue;
     EngineLoad load = found->second.load;
-    load.reading_ms = std::max(load.reading_ms - ToSeconds(age) * 1000, 0.0);
+    load.read_ms = std::min(load.read_ms + ToSeconds(age) * 1000, load.reading_ms);
     sum = Sum(sum, load);
   }
   return sum;
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -27,11 +27,17 @@
   int writers = 0;
   // Tokens of context over all requests.
   double context_tokens = 0;
-  // Milliseconds of reading that are still to be done.
+  // Milliseconds of reading over all prompts whose first event has not come.
   double reading_ms = 0;
+  // How much of it is done: an engine reads one prompt after another, so only
+  // the oldest has got anywhere.
+  double read_ms = 0;
   // The shortest pause that any of the streams tolerates; 0: no stream.
   double shortest_pause_ms = 0;
 
+  // Milliseconds of reading that are still to be done.
+  double ToReadMs() const { return reading_ms > read_ms ? reading_ms - read_ms : 0; }
+
   bool operator==(const EngineLoad&) const = default;
 };
 
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -18,6 +18,10 @@
 constexpr double kLateLoss = 0.75;
 // Predictions run this much short: a pass begins before the request arrives.
 constexpr double kPauseSafety = 0.85;
+// A first event has more to wait for than is known: work that others sent in the
+// same instant, and prompts that come right after.
+constexpr double kWaitSafety = 0.5;
+constexpr double kLatenessSlope = 0.5;
 // Small preferences, that decide among equals only: for an early first event,
 // for a place in the shared order, for the own data centre, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -30,14 +34,16 @@
 constexpr int kSpareSlots = 2;
 // Cost of each request beyond that, as a share of the request's worth.
 constexpr double kCrowdWeight = 0.2;
+// Share of an engine's memory that is given out: answers grow while they run.
+constexpr double kMemoryShare = 0.95;
 
 double WorthOf(double tokens) { return kWorthBase + kWorthPerToken * tokens; }
 
 // How late `ms` is against `aim`, from 0 (in time) to 1, with a slope around the
 // aim since both are estimates.
-double Lateness(double ms, double aim) {
+double Lateness(double ms, double aim, double safety) {
   if (aim <= 0) return 0;
-  return std::clamp((ms / aim - kPauseSafety) / 0.5, 0.0, 1.0);
+  return std::clamp((ms / aim - safety) / kLatenessSlope, 0.0, 1.0);
 }
 
 // What the streams of an engine lose if their pause becomes `pause_ms`.
@@ -45,12 +51,12 @@
   if (load.writers == 0 || load.shortest_pause_ms <= 0) return 0;
   double mean_context = load.context_tokens / std::max(load.requests, 1);
   double lost = kLateLoss * WorthOf(mean_context) * load.writers;
-  return lost * Lateness(pause_ms, load.shortest_pause_ms);
+  return lost * Lateness(pause_ms, load.shortest_pause_ms, kPauseSafety);
 }
 
 // The cost of adding `reading_ms` to one engine, for those already there.
 double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms) {
-  double pass_ms = WritingPassMs(speed, candidate.load) + candidate.load.reading_ms;
+  double pass_ms = WritingPassMs(speed, candidate.load) + candidate.load.ToReadMs();
   double before = HarmToStreams(candidate.load, pass_ms);
   return HarmToStreams(candidate.load, pass_ms + reading_ms) - before;
 }
@@ -61,7 +67,16 @@
   // that come before the event of its own.
   double wait_ms = candidate.load.writers > 0 ? pass_ms / 2 : 0;
   double steps_ms = std::max(pass_ms, speed.steps_per_pass * speed.step_ms);
-  return wait_ms + candidate.load.reading_ms + reading_ms + steps_ms;
+  return wait_ms + candidate.load.ToReadMs() + reading_ms + steps_ms;
+}
+
+// The cost of memory that the engine has not got: it would put the request, or
+// another one, back to its start.
+double MemoryCost(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
+                  double worth) {
+  if (speed.memory_tokens <= 0) return 0;
+  double wanted = candidate.load.context_tokens + demand.prompt_tokens + demand.answer_tokens;
+  return wanted > kMemoryShare * speed.memory_tokens ? worth : 0;
 }
 
 double CrowdCost(const Candidate& candidate, double worth) {
@@ -73,16 +88,17 @@
 double CostAsMain(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
                   double reading_ms, double first_event_ms) {
   double worth = WorthOf(demand.prompt_tokens);
-  double cost = kLateLoss * worth * Lateness(first_event_ms, demand.objective_ms);
+  double cost = kLateLoss * worth * Lateness(first_event_ms, demand.objective_ms, kWaitSafety);
   cost += kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
   cost += kFailureWeight * worth * candidate.failure_rate;
   cost += CrowdCost(candidate, worth);
+  cost += MemoryCost(speed, candidate, demand, worth);
   cost += candidate.same_data_centre ? 0 : kOtherDataCentreCost;
   // Vast prompts go to the far end of the order that shorts fill from the front.
   bool vast = ReadingMs(speed, demand.prompt_tokens) > demand.pause_ms / 2;
   cost += kRankWeight * (vast ? 1 - candidate.rank : candidate.rank);
-  double own_pause = WritingPassMs(speed, candidate.load) + candidate.load.reading_ms;
-  cost += kLateLoss * worth * Lateness(own_pause, demand.pause_ms);
+  double own_pause = WritingPassMs(speed, candidate.load) + candidate.load.ToReadMs();
+  cost += kLateLoss * worth * Lateness(own_pause, demand.pause_ms, kPauseSafety);
   return cost + CostToOthers(speed, candidate, reading_ms);
 }
 
@@ -119,7 +135,7 @@
   std::vector<double> cost(candidates.size());
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (i == best) continue;
-    double late = Lateness(first_event[i], demand.objective_ms);
+    double late = Lateness(first_event[i], demand.objective_ms, kWaitSafety);
     cost[i] = CostAsReader(speed, candidates[i], worth, placement.part_reading_ms) +
               kLateLoss * worth * late + kWaitWeight * first_event[i] / demand.objective_ms;
     order.push_back(i);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -70,7 +70,7 @@
 };
 
 // Most engines that may read one prompt together.
-inline constexpr int kMostReaders = 8;
+inline constexpr int kMostReaders = 16;
 
 // Milliseconds that one engine needs to read a whole prompt.
 double ReadingMs(const EngineSpeed& speed, double prompt_tokens);
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -15,7 +15,7 @@
     entries.push_back(fb::CreateEngineLoadEntry(
         builder, builder.CreateString(engine), load.requests, load.writers,
         static_cast<float>(load.context_tokens), static_cast<float>(load.reading_ms),
-        static_cast<float>(load.shortest_pause_ms)));
+        static_cast<float>(load.read_ms),        static_cast<float>(load.shortest_pause_ms)));
   }
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box),
                                       digest.incarnation, digest.sequence,
@@ -40,6 +40,7 @@
     load.writers = entry->writers();
     load.context_tokens = entry->context_tokens();
     load.reading_ms = entry->reading_ms();
+    load.read_ms = entry->read_ms();
     load.shortest_pause_ms = entry->shortest_pause_ms();
     digest.loads[entry->engine()->str()] = load;
   }
