--- a/src/gateway/engine_request.cc
+++ b/src/gateway/engine_request.cc
@@ -70,11 +70,7 @@
   if (!orders.account.empty()) AppendHeader(&text, platform::kAccount, orders.account);
   if (orders.last_event_id) AppendHeader(&text, platform::kLastEventId, *orders.last_event_id);
   if (!orders.readers.empty()) {
-    std::string readers =
-        absl::StrJoin(orders.readers, ",", [](std::string* out, const SocketAddress& address) {
-          absl::StrAppend(out, address.ToString());
-        });
-    AppendHeader(&text, platform::kReaders, readers);
+    AppendHeader(&text, platform::kReaders, absl::StrJoin(orders.readers, ","));
   }
   bool has_body = !request.body.empty() || request.head.method == "POST" ||
                   request.head.method == "PUT" || request.head.method == "PATCH";
--- a/src/gateway/engine_request.h
+++ b/src/gateway/engine_request.h
@@ -38,7 +38,8 @@
   std::string engine_id;
   // Empty where the route needs no account.
   std::string account;
-  std::vector<SocketAddress> readers;
+  // Engines that help to read the prompt, each with its ticket if it holds memory.
+  std::vector<std::string> readers;
   // Set where a stream is taken up after this event.
   std::optional<std::string> last_event_id;
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "platform/engine_calls.h"
 #include "platform/headers.h"
 
 namespace gullward {
@@ -26,6 +27,8 @@
 constexpr double kComeBackSeconds = 0.3;
 // Reading that would make a stream of shorts pause: peers learn of it at once.
 constexpr double kTellAtOnceMs = 50;
+// Sets of engines that are asked for memory before a request is refused.
+constexpr int kMostTicketRounds = 4;
 
 std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
 
@@ -140,7 +143,56 @@
                  AttemptResult::kNotRun);
     return;
   }
-  this->SendAttempt(*choice, now);
+  if (choice->placement.spreads_memory) {
+    this->AcquireTickets(*choice);
+  } else {
+    this->SendAttempt(*choice, now);
+  }
+}
+
+void Exchange::AcquireTickets(const FleetChoice& choice) {
+  this->ticket_rounds += 1;
+  std::vector<TicketWish> wishes;
+  for (const EngineRecord& reader : choice.readers) {
+    std::string ticket = absl::StrCat(this->state->settings.box, "-", this->id, "-",
+                                      this->ticket_rounds, "-", wishes.size());
+    wishes.push_back({reader, ticket, static_cast<uint64_t>(choice.placement.memory_tokens)});
+  }
+  // Booked from now on, so that peers do not plan with this memory.
+  this->BookLoad(choice, Now());
+  this->tickets = std::make_shared<TicketSet>(this->state, std::move(wishes));
+  std::weak_ptr<Exchange> weak = this->weak_from_this();
+  this->tickets->Acquire([weak, choice](bool all, const std::string& refused_by) {
+    if (auto self = weak.lock()) self->OnTickets(choice, all, refused_by);
+  });
+}
+
+void Exchange::OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by) {
+  if (this->is_finished) return;
+  Time now = Now();
+  if (all) {
+    this->SendAttempt(choice, now);
+    return;
+  }
+  this->state->log->Write(this->Line("ticket_refused")
+                              .Text("engine", refused_by)
+                              .Number("round", this->ticket_rounds)
+                              .Number("tokens", choice.placement.memory_tokens));
+  this->DropTickets();
+  this->state->fleet.loads().End(this->id);
+  this->tried.insert(refused_by);
+  if (this->ticket_rounds < kMostTicketRounds) {
+    this->StartAttempt(now);
+  } else {
+    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
+                 AttemptResult::kNotRun);
+  }
+}
+
+void Exchange::DropTickets() {
+  if (!this->tickets) return;
+  this->tickets->Release();
+  this->tickets.reset();
 }
 
 void Exchange::SendAttempt(const FleetChoice& choice, Time now) {
@@ -153,7 +205,10 @@
   orders.time_left = this->answer_by - now;
   orders.engine_id = choice.engine.id;
   orders.account = this->account;
-  for (const EngineRecord& reader : choice.readers) orders.readers.push_back(reader.address);
+  for (size_t i = 0; i < choice.readers.size(); ++i) {
+    std::string ticket = this->tickets ? this->tickets->tickets()[i].ticket : "";
+    orders.readers.push_back(platform::ReaderText(choice.readers[i].address, ticket));
+  }
   orders.last_event_id = this->last_event_id;
 
   // What must not run twice must not meet a kept connection that is just being
@@ -203,7 +258,7 @@
   std::vector<WorkPart> parts;
   WorkPart main;
   main.engine = choice.engine.id;
-  main.prompt_tokens = this->facts.prompt_tokens;
+  main.prompt_tokens = choice.placement.memory_tokens;
   main.reading_ms = choice.placement.part_reading_ms;
   main.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
   parts.push_back(main);
@@ -211,6 +266,8 @@
     WorkPart part;
     part.engine = reader.id;
     part.reading_ms = choice.placement.part_reading_ms;
+    part.prompt_tokens =
+        choice.placement.spreads_memory ? choice.placement.memory_tokens : 0;
     part.is_main = false;
     parts.push_back(part);
   }
@@ -341,6 +398,7 @@
 void Exchange::AfterAttempt(AttemptResult result) {
   Time now = Now();
   this->state->fleet.loads().End(this->id);
+  this->DropTickets();
   bool not_run = result == AttemptResult::kNotRun || result == AttemptResult::kWrongEngine;
   if (!not_run) {
     this->attempts_run += 1;
@@ -445,7 +503,9 @@
 }
 
 void Exchange::Tick(Time now) {
-  if (this->is_finished || !this->attempt) return;
+  if (this->is_finished) return;
+  if (this->tickets) this->tickets->Tick(now);
+  if (!this->attempt) return;
   if (now >= this->answer_by) {
     this->GiveUp(now);
     return;
@@ -475,6 +535,7 @@
 
 void Exchange::CancelAttempt() {
   if (this->attempt) this->attempt->channel->Close();
+  this->DropTickets();
   this->state->fleet.loads().End(this->id);
 }
 
@@ -493,6 +554,7 @@
 void Exchange::Finish() {
   this->is_finished = true;
   this->attempt.reset();
+  this->DropTickets();
   this->state->fleet.loads().End(this->id);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -20,6 +20,7 @@
 #include "gateway/caller_channel.h"
 #include "gateway/engine_request.h"
 #include "gateway/gateway_state.h"
+#include "gateway/ticket_set.h"
 #include "serving/attempt_result.h"
 #include "serving/event_splitter.h"
 
@@ -63,6 +64,9 @@
   bool AdmitAccount(Time now);
   const Service* PickService();
   void StartAttempt(Time now);
+  void AcquireTickets(const FleetChoice& choice);
+  void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
+  void DropTickets();
   void SendAttempt(const FleetChoice& choice, Time now);
   void BookLoad(const FleetChoice& choice, Time now);
   void OnHead(const ResponseHead& head);
@@ -101,6 +105,9 @@
   Time caller_waits_until{};
 
   std::optional<Attempt> attempt;
+  // Memory on the readers of the attempt, where it is spread.
+  std::shared_ptr<TicketSet> tickets;
+  int ticket_rounds = 0;
   std::set<std::string> tried;
   int attempts = 0;
   int attempts_run = 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -335,6 +335,7 @@
   count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_events_total", "Stream events passed on", counters.events_passed);
+  count("gullward_engine_orders_total", "Orders to engines", counters.orders);
   count("gullward_engine_connections_total", "Connections opened", this->state.pool.opened());
   count("gullward_log_lines_dropped_total", "Log lines dropped", this->log.dropped());
   count("gullward_store_calls_total", "Calls to the platform's store",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -29,6 +29,7 @@
   uint64_t answers_broken = 0;
   uint64_t callers_gone = 0;
   uint64_t events_passed = 0;
+  uint64_t orders = 0;
   std::map<ResultCode, uint64_t> failures;
 
   bool operator==(const GatewayCounters&) const = default;
--- /dev/null
+++ b/src/gateway/ticket_set.cc
@@ -0,0 +1,101 @@
+// ticket_set.h tells the method.
+
+#include "gateway/ticket_set.h"
+
+#include <utility>
+
+#include "platform/engine_calls.h"
+
+namespace gullward {
+namespace {
+
+// One order under way; its answer, its failure and its time-out race.
+struct PendingOrder {
+  std::shared_ptr<RequestChannel> channel;
+  int status = 0;
+  bool finished = false;
+};
+
+}  // namespace
+
+TicketSet::TicketSet(GatewayState* gateway_state, std::vector<TicketWish> ticket_wishes)
+    : state(gateway_state), wishes(std::move(ticket_wishes)) {}
+
+void TicketSet::Order(const TicketWish& wish, const std::string& text,
+                      std::function<void(bool)> done) {
+  auto order = std::make_shared<PendingOrder>();
+  order->channel = this->state->pool.Take(wish.engine, Now(), /*fresh=*/false);
+  this->state->counters.orders += 1;
+  auto finish = [order, done = std::move(done)](bool carried_out) {
+    if (std::exchange(order->finished, true)) return;
+    done(carried_out);
+  };
+  RequestChannel::Hooks hooks;
+  hooks.head = [order](const ResponseHead& head) { order->status = head.status; };
+  hooks.done = [self = this->shared_from_this(), order, finish,
+                engine = wish.engine.id](ChannelResult result) {
+    bool whole = result == ChannelResult::kWholeAnswer;
+    if (whole) self->state->pool.Give(engine, order->channel, Now());
+    finish(whole && order->status == platform::kOrderDone);
+  };
+  order->channel->Send(text, std::move(hooks), /*is_head=*/false);
+  this->state->loop->RunAfter(kOrderPatience, [order, finish] {
+    if (order->finished) return;
+    order->channel->Close();
+    finish(false);
+  });
+}
+
+void TicketSet::Acquire(Acquired acquired) {
+  this->on_acquired = std::move(acquired);
+  this->prolonged = Now();
+  for (const TicketWish& wish : this->wishes) {
+    std::string text =
+        platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
+    this->Order(wish, text, [self = this->shared_from_this(), engine = wish.engine.id](bool given) {
+      if (!given) {
+        self->Finish(false, engine);
+      } else if (++self->granted == self->wishes.size()) {
+        self->Finish(true, "");
+      }
+    });
+  }
+}
+
+void TicketSet::Finish(bool all, const std::string& refused_by) {
+  if (!this->on_acquired) return;
+  Acquired hook = std::exchange(this->on_acquired, nullptr);
+  hook(all, refused_by);
+}
+
+void TicketSet::Tick(Time now) {
+  if (this->released || now - this->prolonged < kProlongEvery) return;
+  this->prolonged = now;
+  for (const TicketWish& wish : this->wishes) {
+    std::string text =
+        platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
+    this->Order(wish, text, [](bool) {});
+  }
+}
+
+void TicketSet::Release() {
+  if (std::exchange(this->released, true)) return;
+  this->on_acquired = nullptr;
+  // Also those that were not given: the order may have been carried out unheard.
+  for (const TicketWish& wish : this->wishes) this->ReleaseOne(wish, kReleaseTries);
+}
+
+void TicketSet::ReleaseOne(const TicketWish& wish, int tries_left) {
+  if (tries_left == 0) {
+    this->state->log->Write(LogLine("ticket_left_to_lapse")
+                                .Text("ticket", wish.ticket)
+                                .Text("engine", wish.engine.id));
+    return;
+  }
+  this->Order(wish, platform::ReleaseMemoryText(wish.engine, wish.ticket),
+              [self = this->shared_from_this(), wish, tries_left](bool carried_out) {
+                if (!carried_out) self->ReleaseOne(wish, tries_left - 1);
+              });
+}
+
+}  // namespace gullward
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -39,7 +39,7 @@
   // Most bytes that wait for a reader that is slow or has stopped.
   static constexpr size_t kMostWaiting = 256 << 10;
   // One in so many lines on what went well is written.
-  static constexpr uint32_t kSampleEvery = 1;
+  static constexpr uint32_t kSampleEvery = 16;
 
   // Writes to the file descriptor, which is made non-blocking.
   explicit EventLog(int output_fd);
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -67,10 +67,10 @@
     load.reading_ms = part.reading_ms;
     load.read_ms = std::min(elapsed_ms, part.reading_ms);
   }
+  load.context_tokens = part.prompt_tokens;
   if (!part.is_main) return load;
   load.requests = 1;
   load.writers = work.reading ? 0 : 1;
-  load.context_tokens = part.prompt_tokens;
   load.shortest_pause_ms = part.pause_ms;
   return load;
 }
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -47,6 +47,7 @@
 // A request's part on one engine.
 struct WorkPart {
   std::string engine;
+  // Tokens of the prompt that lie in this engine's memory.
   double prompt_tokens = 0;
   double reading_ms = 0;
   // Whether the request itself runs here, rather than a helper's share.
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -64,6 +64,7 @@
                                          : ChooseLeastLoaded(candidates);
   choice.candidates = candidates.size();
   const std::vector<size_t>& chosen = choice.placement.engines;
+  if (chosen.empty()) return std::nullopt;
   choice.engine = *pickable[chosen.front()];
   choice.load = candidates[chosen.front()].load;
   for (size_t i = 1; i < chosen.size(); ++i) choice.readers.push_back(*pickable[chosen[i]]);
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -20,7 +20,7 @@
 constexpr double kPauseSafety = 0.85;
 // A first event has more to wait for than is known: work that others sent in the
 // same instant, and prompts that come right after.
-constexpr double kWaitSafety = 0.5;
+constexpr double kWaitSafety = 0.65;
 constexpr double kLatenessSlope = 0.5;
 // Small preferences, that decide among equals only: for an early first event,
 // for a place in the shared order, for the own data centre, for each reader.
@@ -36,6 +36,8 @@
 constexpr double kCrowdWeight = 0.2;
 // Share of an engine's memory that is given out: answers grow while they run.
 constexpr double kMemoryShare = 0.95;
+// A request that takes more of an engine than this is spread over its readers.
+constexpr double kWholeShare = 0.6;
 
 double WorthOf(double tokens) { return kWorthBase + kWorthPerToken * tokens; }
 
@@ -48,9 +50,9 @@
 
 // What the streams of an engine lose if their pause becomes `pause_ms`.
 double HarmToStreams(const EngineLoad& load, double pause_ms) {
-  if (load.writers == 0 || load.shortest_pause_ms <= 0) return 0;
+  if (load.requests == 0 || load.shortest_pause_ms <= 0) return 0;
   double mean_context = load.context_tokens / std::max(load.requests, 1);
-  double lost = kLateLoss * WorthOf(mean_context) * load.writers;
+  double lost = kLateLoss * WorthOf(mean_context) * load.requests;
   return lost * Lateness(pause_ms, load.shortest_pause_ms, kPauseSafety);
 }
 
@@ -72,11 +74,13 @@
 
 // The cost of memory that the engine has not got: it would put the request, or
 // another one, back to its start.
-double MemoryCost(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
+double MemoryCost(const EngineSpeed& speed, const Candidate& candidate, double tokens,
                   double worth) {
   if (speed.memory_tokens <= 0) return 0;
-  double wanted = candidate.load.context_tokens + demand.prompt_tokens + demand.answer_tokens;
-  return wanted > kMemoryShare * speed.memory_tokens ? worth : 0;
+  double most = kMemoryShare * speed.memory_tokens;
+  // More than even an empty engine has: not to be chosen at any price.
+  if (tokens > most) return std::numeric_limits<double>::infinity();
+  return candidate.load.context_tokens + tokens > most ? worth : 0;
 }
 
 double CrowdCost(const Candidate& candidate, double worth) {
@@ -86,27 +90,28 @@
 
 // The cost of running the request itself on a candidate.
 double CostAsMain(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
-                  double reading_ms, double first_event_ms) {
+                  const Placement& shares, double first_event_ms) {
   double worth = WorthOf(demand.prompt_tokens);
   double cost = kLateLoss * worth * Lateness(first_event_ms, demand.objective_ms, kWaitSafety);
   cost += kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
   cost += kFailureWeight * worth * candidate.failure_rate;
   cost += CrowdCost(candidate, worth);
-  cost += MemoryCost(speed, candidate, demand, worth);
+  cost += MemoryCost(speed, candidate, shares.memory_tokens, worth);
   cost += candidate.same_data_centre ? 0 : kOtherDataCentreCost;
   // Vast prompts go to the far end of the order that shorts fill from the front.
   bool vast = ReadingMs(speed, demand.prompt_tokens) > demand.pause_ms / 2;
   cost += kRankWeight * (vast ? 1 - candidate.rank : candidate.rank);
   double own_pause = WritingPassMs(speed, candidate.load) + candidate.load.ToReadMs();
   cost += kLateLoss * worth * Lateness(own_pause, demand.pause_ms, kPauseSafety);
-  return cost + CostToOthers(speed, candidate, reading_ms);
+  return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
 }
 
 double CostAsReader(const EngineSpeed& speed, const Candidate& candidate, double worth,
-                    double reading_ms) {
+                    const Placement& shares) {
   double cost = kReaderCost + kRankWeight * (1 - candidate.rank);
   cost += kFailureWeight * worth * candidate.failure_rate;
-  return cost + CostToOthers(speed, candidate, reading_ms);
+  if (shares.spreads_memory) cost += MemoryCost(speed, candidate, shares.memory_tokens, worth);
+  return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
 }
 
 // The best placement with exactly `readers` engines.
@@ -115,17 +120,21 @@
   Placement placement;
   placement.part_tokens = demand.prompt_tokens / readers;
   placement.part_reading_ms = ReadingMs(speed, demand.prompt_tokens) / readers;
+  double memory = demand.prompt_tokens + demand.answer_tokens;
+  placement.spreads_memory = readers > 1 && memory > kWholeShare * speed.memory_tokens;
+  placement.memory_tokens = placement.spreads_memory ? std::ceil(memory / readers) : memory;
   placement.cost = std::numeric_limits<double>::infinity();
   std::vector<double> first_event(candidates.size());
   size_t best = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
     first_event[i] = FirstEventMs(speed, candidates[i], placement.part_reading_ms);
     double cost =
-        CostAsMain(speed, candidates[i], demand, placement.part_reading_ms, first_event[i]);
+        CostAsMain(speed, candidates[i], demand, placement, first_event[i]);
     if (cost >= placement.cost) continue;
     placement.cost = cost;
     best = i;
   }
+  if (std::isinf(placement.cost)) return placement;
   placement.engines = {best};
   placement.first_event_ms = first_event[best];
   if (readers == 1) return placement;
@@ -136,7 +145,7 @@
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (i == best) continue;
     double late = Lateness(first_event[i], demand.objective_ms, kWaitSafety);
-    cost[i] = CostAsReader(speed, candidates[i], worth, placement.part_reading_ms) +
+    cost[i] = CostAsReader(speed, candidates[i], worth, placement) +
               kLateLoss * worth * late + kWaitWeight * first_event[i] / demand.objective_ms;
     order.push_back(i);
   }
@@ -178,7 +187,7 @@
   int useful = static_cast<int>(std::ceil(reading_ms / std::max(pass_ms, 1.0)));
   for (int readers = 1; readers <= std::clamp(useful, 1, most); ++readers) {
     Placement placement = ChooseWithReaders(candidates, speed, demand, readers);
-    if (placement.cost < best.cost) best = placement;
+    if (!placement.engines.empty() && placement.cost < best.cost) best = placement;
   }
   return best;
 }
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -59,6 +59,10 @@
   // The first runs the request; the others help to read its prompt.  Indices
   // into the candidates.
   std::vector<size_t> engines;
+  // Whether the readers also hold a share of the prompt in their memory.
+  bool spreads_memory = false;
+  // Tokens of memory that each engine holds; where not spread, the first alone.
+  double memory_tokens = 0;
   // What each of them reads.
   double part_tokens = 0;
   double part_reading_ms = 0;
