Take nothing new once the balancer has noticed a stop; probe silent engines

Ruled out: a longer grace (it is the platform's); shorter tickets alone (they were being prolonged). Change: 2.6 s after SIGTERM the listener and idle connections close; TCP keep-alive probes end a connection to a dead peer within two seconds.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -300,6 +300,12 @@
   for (auto& [id, caller] : this->callers) caller.channel->CloseAfterAnswer();
 }
 
+// What is taken now could not be finished in the time that is left.
+void GatewayServer::TakeNoMore() {
+  this->callers_listener.Close();
+  for (auto& [id, caller] : this->callers) caller.channel->CloseIfIdle();
+}
+
 void GatewayServer::StopWhenIdle(Time now) {
   bool busy = false;
   for (const auto& [id, caller] : this->callers) {
@@ -307,6 +313,7 @@
     busy = busy || in_use;
   }
   Duration elapsed = now - this->stop_began;
+  if (elapsed >= kBalancerNotices) this->TakeNoMore();
   bool out_of_time = elapsed >= this->state.settings.stop_grace - kStopMargin;
   bool done = !busy && elapsed >= kBalancerNotices;
   if (!done && !out_of_time) return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -60,6 +60,7 @@
 
   void Tick();
   bool IsReady() const;
+  void TakeNoMore();
   void StopWhenIdle(Time now);
   std::string MetricsPage() const;
   std::string StateDump() const;
--- a/src/transport/tcp_listener.cc
+++ b/src/transport/tcp_listener.cc
@@ -10,10 +10,13 @@
 
 namespace gullward {
 
-TcpListener::~TcpListener() {
+TcpListener::~TcpListener() { this->Close(); }
+
+void TcpListener::Close() {
   if (this->fd < 0) return;
   this->loop->Unwatch(this->fd);
   close(this->fd);
+  this->fd = -1;
 }
 
 absl::Status TcpListener::Listen(EventLoop* event_loop, const SocketAddress& address,
--- a/src/transport/tcp_listener.h
+++ b/src/transport/tcp_listener.h
@@ -22,6 +22,9 @@
   absl::Status Listen(EventLoop* event_loop, const SocketAddress& address,
                       std::function<void(int fd)> accepted);
 
+  // Takes no more connections; safe to call again.
+  void Close();
+
   uint16_t port() const;
 
  private:
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -17,6 +17,11 @@
 // A peer that acknowledges nothing for so long is taken for cut off.  Under the
 // two seconds after which callers give up a silent stream.
 constexpr int kUserTimeoutMillis = 1500;
+// Probes on a connection where nothing moves, in the kernel's whole seconds: a
+// peer without power shows within two of them.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbesUnanswered = 1;
 // How long a finished connection waits for the peer to close.
 constexpr Duration kFinishWait = seconds(2);
 constexpr size_t kReadBytes = 64 << 10;
@@ -26,6 +31,10 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
   int timeout = kUserTimeoutMillis;
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds, sizeof(kProbeAfterSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeEverySeconds, sizeof(kProbeEverySeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbesUnanswered, sizeof(kProbesUnanswered));
 }
 
 }  // namespace
