Share the retry slack among the processes there are; gather changes; say why answers are late

Ruled out: the ratio (it is over own requests). Change: the slack is divided by the known processes with a margin; after a change a follower waits 100 to 500 ms for more; a late answer always gets a line with its first event, longest pause and what was expected.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -306,9 +306,8 @@
 void Exchange::PassEvents(std::string_view bytes) {
   WholeEvents whole = this->attempt->events.Feed(bytes);
   if (whole.count == 0) return;
-  if (!this->attempt->any_event) {
-    this->NoteFirstEvent();
-  }
+  if (!this->attempt->any_event) this->NoteFirstEvent();
+  this->NotePause(Now());
   this->state->counters.events_passed += static_cast<uint64_t>(whole.count);
   if (!this->answer_begun) this->BeginAnswer(std::nullopt);
   if (whole.last_id) this->last_event_id = whole.last_id;
@@ -318,14 +317,38 @@
 void Exchange::NoteFirstEvent() {
   this->attempt->any_event = true;
   this->state->fleet.loads().FirstEvent(this->id);
-  double seen_ms = ToSeconds(Now() - this->attempt->started) * 1000;
-  bool late = seen_ms > ToSeconds(this->route->objective) * 1000;
-  if (!late && !this->state->log->Sample()) return;
-  this->state->log->Write(this->Line(late ? "first_event_late" : "first_event")
-                              .Text("engine", this->attempt->engine.id)
-                              .Number("prompt_tokens", this->facts.prompt_tokens)
-                              .Number("expected_ms", this->attempt->expected_first_ms)
-                              .Number("seen_ms", seen_ms));
+}
+
+void Exchange::NotePause(Time now) {
+  bool is_first = this->last_event_at == Time{};
+  if (is_first) {
+    this->first_event_after = now - this->request.arrived;
+  } else {
+    this->longest_pause_seen = std::max(this->longest_pause_seen, now - this->last_event_at);
+  }
+  this->last_event_at = now;
+}
+
+// A late answer always gets its line: someone may ask why.
+void Exchange::LogAnswered() {
+  Time now = Now();
+  bool streamed = this->route->streaming;
+  Duration first = streamed ? this->first_event_after : now - this->request.arrived;
+  bool late = first > this->route->objective;
+  bool paused = streamed && this->route->longest_pause.count() > 0 &&
+                this->longest_pause_seen > this->route->longest_pause;
+  if (!late && !paused && !this->state->log->Sample()) return;
+  this->state->log->Write(
+      this->Line(late || paused ? "answered_late" : "answered")
+          .Text("engine", this->attempt->engine.id)
+          .Number("status", this->attempt->head.status)
+          .Number("attempts", this->attempts)
+          .Number("prompt_tokens", this->facts.prompt_tokens)
+          .Number("expected_first_ms", this->attempt->expected_first_ms)
+          .Number("first_ms", ToSeconds(first) * 1000)
+          .Number("objective_ms", ToSeconds(this->route->objective) * 1000)
+          .Number("pause_ms", ToSeconds(this->longest_pause_seen) * 1000)
+          .Number("pause_aim_ms", ToSeconds(this->route->longest_pause) * 1000));
 }
 
 void Exchange::PassBody(std::string_view bytes) {
@@ -447,12 +470,7 @@
 
 void Exchange::DeliverWhole() {
   this->state->counters.answers_whole += 1;
-  if (this->state->log->Sample()) {
-    this->state->log->Write(this->Line("answered")
-                                .Text("engine", this->attempt->engine.id)
-                                .Number("status", this->attempt->head.status)
-                                .Number("attempts", this->attempts));
-  }
+  this->LogAnswered();
   std::shared_ptr<CallerChannel> channel = this->caller;
   if (this->answer_begun) {
     this->Finish();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,8 @@
   void OnBody(std::string_view bytes);
   void PassEvents(std::string_view bytes);
   void NoteFirstEvent();
+  void NotePause(Time now);
+  void LogAnswered();
   void PassBody(std::string_view bytes);
   void OnDone(ChannelResult result);
   AttemptResult ResultOf(ChannelResult result) const;
@@ -113,6 +115,11 @@
   int attempts_run = 0;
   bool may_have_run = false;
   std::optional<std::string> last_event_id;
+  // From the request's arrival to its first event, and the longest time between
+  // two of its events.
+  Duration first_event_after{};
+  Duration longest_pause_seen{};
+  Time last_event_at{};
   std::optional<AnswerHead> first_head;
   bool answer_begun = false;
   bool is_finished = false;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,7 +21,11 @@
 constexpr uint64_t kSlowTicks = 20;
 // One read of the configuration proves its state for the time that it waits, so
 // it must be well under the time for which keys may be vouched for.
-constexpr int kReadsPerKeyTrust = 3;
+constexpr int kReadsPerKeyTrust = 2;
+// Changes of the configuration must be in force within two seconds, and engines
+// that leave be left alone within two; these take a tenth of that.
+constexpr Duration kGatherConfigs = milliseconds(100);
+constexpr Duration kGatherEngines = milliseconds(200);
 // Engines' changes come at once; the wait only bounds how late a store that has
 // gone silent is noticed.
 constexpr Duration kEngineListWait = seconds(5);
@@ -52,10 +56,11 @@
       log(STDOUT_FILENO),
       state(event_loop, settings, &this->log, random_seed),
       config_follower(event_loop, settings.store,
-                      {std::string(platform::kConfigTopic), settings.key_trust / kReadsPerKeyTrust},
+                      {std::string(platform::kConfigTopic), settings.key_trust / kReadsPerKeyTrust,
+                       kGatherConfigs},
                       this->StoreHooks("config")),
       engine_follower(event_loop, settings.store,
-                      {std::string(platform::kEnginesTopic), kEngineListWait},
+                      {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
                       this->StoreHooks("engines")),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log) {}
 
@@ -281,6 +286,9 @@
       (*it)->Tick(now);
       it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
     }
+    if (this->load_exchange.peers() > 0) {
+      this->state.fleet.SetProcesses(this->load_exchange.peers() + 1);
+    }
     this->state.pool.Tick(now);
     this->state.fleet.ForgetUnlisted();
   }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -10,6 +10,8 @@
 constexpr int kOk = 200;
 // Peers come and go rarely; the longest wait that the store allows costs least.
 constexpr Duration kPeersWait = seconds(30);
+// Nothing depends on hearing of a peer at once.
+constexpr Duration kGatherPeers = milliseconds(500);
 constexpr Duration kRegisterPatience = seconds(1);
 constexpr Duration kRegisterPause = milliseconds(500);
 
@@ -30,7 +32,7 @@
       loads(load_book),
       log(event_log),
       registrar(event_loop, settings.store),
-      follower(event_loop, settings.store, {std::string(platform::kPeersTopic), kPeersWait},
+      follower(event_loop, settings.store, {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
                {.replace =
                     [this](std::vector<platform::KeyedRecord> records) {
                       for (const auto& record : records) this->OnPeerRecord(record);
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -97,7 +97,11 @@
   this->next_offset += tail->records.size();
   for (const platform::KeyedRecord& record : tail->records) this->hooks.change(record);
   if (this->hooks.up_to_date) this->hooks.up_to_date(sent);
-  this->ReadTail();
+  if (tail->records.empty() || this->options.gather.count() == 0) {
+    this->ReadTail();
+  } else {
+    this->loop->RunAfter(this->options.gather, [this] { this->ReadTail(); });
+  }
 }
 
 void TopicFollower::Succeed() {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -29,6 +29,9 @@
     // How long one read waits at the store.  Each read proves that we are up to
     // date as of its sending, and each costs a call.
     Duration wait = seconds(2);
+    // After a change, how long to wait for more of them before reading on: a
+    // burst of changes then costs a few reads rather than one each.
+    Duration gather = milliseconds(0);
   };
   struct Hooks {
     // All records, after the pages have been read.
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -20,7 +20,14 @@
     : retry_bounds(bounds), data_centre(std::move(own_data_centre)) {}
 
 RetryWindow& Fleet::RetriesOf(const std::string& service) {
-  return this->retries.try_emplace(service, this->retry_bounds).first->second;
+  auto [found, is_new] = this->retries.try_emplace(service, this->retry_bounds);
+  if (is_new && this->processes) found->second.SetProcesses(*this->processes);
+  return found->second;
+}
+
+void Fleet::SetProcesses(size_t count) {
+  this->processes = count;
+  for (auto& [service, window] : this->retries) window.SetProcesses(count);
 }
 
 std::vector<const EngineRecord*> Fleet::Pickable(const std::string& service,
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -43,6 +43,9 @@
   EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
   RetryWindow& RetriesOf(const std::string& service);
 
+  // Says how many processes share the budget of retries.
+  void SetProcesses(size_t count);
+
   // Picks engines for a request; those in `tried` only where no other is left.
   // Nothing where no engine of the service may get work.
   std::optional<FleetChoice> Choose(const Service& service, const Demand& demand,
@@ -56,6 +59,7 @@
                                             const std::set<std::string>& tried, Time now);
 
   RetryBounds retry_bounds;
+  std::optional<size_t> processes;
   std::string data_centre;
   EngineDirectory engines;
   LoadBook load_book;
--- a/src/serving/retry_window.cc
+++ b/src/serving/retry_window.cc
@@ -24,7 +24,7 @@
     if (newest - bucket.number < static_cast<int64_t>(kBuckets) - 1) requests += bucket.requests;
     retries += bucket.retries;
   }
-  return this->bounds.ratio * requests + this->bounds.slack / kSlackSharers - retries;
+  return this->bounds.ratio * requests + this->bounds.slack / this->sharers - retries;
 }
 
 bool RetryWindow::TakeRetry(Time now) {
--- a/src/serving/retry_window.h
+++ b/src/serving/retry_window.h
@@ -15,6 +15,7 @@
 #ifndef GULLWARD_SERVING_RETRY_WINDOW_H_
 #define GULLWARD_SERVING_RETRY_WINDOW_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -22,9 +23,10 @@
 
 namespace gullward {
 
-// Processes that the slack is divided among: more than any of today's
-// installations has entry boxes in use at once (five and three spare ones).
-inline constexpr double kSlackSharers = 10;
+// Processes that the slack is divided among until it is known how many there are.
+inline constexpr double kUnknownSharers = 40;
+// Others may start that are not known yet; then this many times the known ones.
+inline constexpr double kSharersMargin = 1.4;
 
 struct RetryBounds {
   Duration window = seconds(10);
@@ -41,6 +43,11 @@
 
   void AddRequest(Time now) { this->At(now).requests += 1; }
 
+  // Says how many processes there are, this one included.
+  void SetProcesses(size_t count) {
+    this->sharers = std::max(1.0, kSharersMargin * static_cast<double>(count));
+  }
+
   // Takes one retry if the window has one left.
   bool TakeRetry(Time now);
 
@@ -59,6 +66,7 @@
 
   RetryBounds bounds;
   std::array<Bucket, kBuckets> buckets{};
+  double sharers = kUnknownSharers;
 };
 
 }  // namespace gullward
