--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -147,6 +147,11 @@
                  AttemptResult::kNotRun);
     return;
   }
+  bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
+  if (first_time && IsHopeless(choice->placement, demand)) {
+    this->Refuse(ResultCode::kOverloaded);
+    return;
+  }
   if (choice->placement.spreads_memory) {
     this->AcquireTickets(*choice);
   } else {
@@ -399,7 +404,7 @@
   EngineHealth& health = this->state->fleet.HealthOf(this->attempt->engine.id);
   bool worked = result == AttemptResult::kSuccess || result == AttemptResult::kRejected;
   if (worked) {
-    health.AddSuccess();
+    health.AddSuccess(Now());
   } else if (result == AttemptResult::kWrongEngine) {
     this->state->log->Write(this->Line("engine_replaced").Text("engine", this->attempt->engine.id));
     this->state->fleet.directory().Forget(this->attempt->engine.id);
@@ -524,11 +529,13 @@
   return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
 }
 
-// Whether the engine has reading to do that explains its silence.
+// Whether the engine has reading to do, or more requests than slots, which
+// explains its silence.
 bool Exchange::SilenceIsExplained(Duration silent, Time now) const {
   EngineLoad load = this->state->fleet.loads().Of(this->attempt->engine.id, now);
   double silent_ms = ToSeconds(silent) * 1000;
-  return silent_ms < kReadingFactor * load.reading_ms;
+  bool full = load.requests > this->attempt->engine.slots;
+  return full || silent_ms < kReadingFactor * load.reading_ms;
 }
 
 void Exchange::Tick(Time now) {
--- a/src/serving/engine_health.h
+++ b/src/serving/engine_health.h
@@ -13,6 +13,7 @@
 #define GULLWARD_SERVING_ENGINE_HEALTH_H_
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/clock.h"
 
@@ -25,18 +26,23 @@
   static constexpr Duration kFirstPause = milliseconds(600);
   // Engines come back from crashes within seconds; waiting longer loses them.
   static constexpr Duration kLongestPause = seconds(5);
+  // In which the failure rate halves without any answer.
+  static constexpr Duration kHalfLife = seconds(2);
   // Weight of the newest answer in the failure rate.
   static constexpr double kNewestWeight = 0.1;
 
-  void AddSuccess() {
+  void AddSuccess(Time now) {
     this->failures_in_row = 0;
     this->out_until = Time{};
-    this->failure_rate *= 1 - kNewestWeight;
+    this->failure_rate = (1 - kNewestWeight) * this->FailureRate(now);
+    this->rated_at = now;
   }
 
   void AddFailure(Time now) {
     this->failures_in_row += 1;
-    this->failure_rate += kNewestWeight * (1 - this->failure_rate);
+    double rate = this->FailureRate(now);
+    this->failure_rate = rate + kNewestWeight * (1 - rate);
+    this->rated_at = now;
     if (this->failures_in_row < kFailuresToSetAside) return;
     int doublings = std::min(this->failures_in_row - kFailuresToSetAside, 4);
     this->out_until = now + std::min(kFirstPause * (1 << doublings), kLongestPause);
@@ -50,12 +56,17 @@
 
   bool IsOut(Time now) const { return now < this->out_until; }
 
-  // 0 (never) to 1 (always), of late.
-  double FailureRate() const { return this->failure_rate; }
+  // 0 (never) to 1 (always), of late.  It fades with time too: an engine that
+  // gets no work because of it could never show that it is well again.
+  double FailureRate(Time now) const {
+    double half_lives = ToSeconds(now - this->rated_at) / ToSeconds(kHalfLife);
+    return this->failure_rate * std::exp2(-half_lives);
+  }
 
  private:
   int failures_in_row = 0;
   double failure_rate = 0;
+  Time rated_at{};
   Time out_until{};
 };
 
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -62,7 +62,7 @@
     candidate.load = this->load_book.Of(engine.id, now);
     candidate.slots = engine.slots;
     candidate.same_data_centre = engine.data_centre == this->data_centre;
-    candidate.failure_rate = this->health[engine.id].FailureRate();
+    candidate.failure_rate = this->health[engine.id].FailureRate(now);
     candidate.rank = static_cast<double>(i) / last;
     candidates.push_back(std::move(candidate));
   }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -22,9 +22,12 @@
 // same instant, and prompts that come right after.
 constexpr double kWaitSafety = 0.65;
 constexpr double kLatenessSlope = 0.5;
+// Callers give up a stream that pauses for two seconds, and come back with the
+// whole of it.
+constexpr double kCallersLeaveMs = 1700;
 // Streams that arrive while the prompt is read pause too, and those that turn to
 // other engines meet the next vast prompt there.
-constexpr double kHarmWeight = 3;
+constexpr double kHarmWeight = 6;
 // Small preferences, that decide among equals only: for an early first event,
 // for a place in the shared order, for the own data centre, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -37,6 +40,9 @@
 constexpr int kSpareSlots = 2;
 // Cost of each request beyond that, as a share of the request's worth.
 constexpr double kCrowdWeight = 0.2;
+// A wait for a slot of this share of the objective counts as the cause of a late
+// answer.
+constexpr double kHopelessSlotShare = 0.8;
 // Share of an engine's memory that is given out: answers grow while they run.
 constexpr double kMemoryShare = 0.95;
 // A request that takes more of an engine than this is spread over its readers.
@@ -55,8 +61,9 @@
 double HarmToStreams(const EngineLoad& load, double pause_ms) {
   if (load.requests == 0 || load.shortest_pause_ms <= 0) return 0;
   double mean_context = load.context_tokens / std::max(load.requests, 1);
-  double lost = kHarmWeight * kLateLoss * WorthOf(mean_context) * load.requests;
-  return lost * Lateness(pause_ms, load.shortest_pause_ms, kPauseSafety);
+  double worth = kHarmWeight * WorthOf(mean_context) * load.requests;
+  if (pause_ms > kCallersLeaveMs) return worth;
+  return worth * kLateLoss * Lateness(pause_ms, load.shortest_pause_ms, kPauseSafety);
 }
 
 // The cost of adding `reading_ms` to one engine, for those already there.
@@ -66,13 +73,24 @@
   return HarmToStreams(candidate.load, pass_ms + reading_ms) - before;
 }
 
+// How long a newcomer waits for a slot: they come free one by one, as answers end.
+double SlotWaitMs(const EngineSpeed& speed, const Candidate& candidate) {
+  int over = candidate.load.requests + 1 - candidate.slots;
+  if (over <= 0) return 0;
+  double step = speed.step_ms + speed.step_ms_per_request * candidate.slots +
+                speed.step_ms_per_thousand_context * candidate.load.context_tokens / 1000;
+  double answer_ms = speed.usual_answer_tokens * step;
+  return over * answer_ms / candidate.slots;
+}
+
 double FirstEventMs(const EngineSpeed& speed, const Candidate& candidate, double reading_ms) {
   double pass_ms = WritingPassMs(speed, candidate.load);
   // Half of a running pass, what waits to be read, the reading, and the steps
   // that come before the event of its own.
   double wait_ms = candidate.load.writers > 0 ? pass_ms / 2 : 0;
   double steps_ms = std::max(pass_ms, speed.steps_per_pass * speed.step_ms);
-  return wait_ms + candidate.load.ToReadMs() + reading_ms + steps_ms;
+  return wait_ms + SlotWaitMs(speed, candidate) + candidate.load.ToReadMs() + reading_ms +
+         steps_ms;
 }
 
 // The cost of memory that the engine has not got: it would put the request, or
@@ -104,7 +122,8 @@
   // Vast prompts go to the far end of the order that shorts fill from the front.
   bool vast = ReadingMs(speed, demand.prompt_tokens) > demand.pause_ms / 2;
   cost += kRankWeight * (vast ? 1 - candidate.rank : candidate.rank);
-  double own_pause = WritingPassMs(speed, candidate.load) + candidate.load.ToReadMs();
+  // What is being read there now will have been read when this request writes.
+  double own_pause = WritingPassMs(speed, candidate.load);
   cost += kLateLoss * worth * Lateness(own_pause, demand.pause_ms, kPauseSafety);
   return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
 }
@@ -140,6 +159,7 @@
   if (std::isinf(placement.cost)) return placement;
   placement.engines = {best};
   placement.first_event_ms = first_event[best];
+  placement.slot_wait_ms = SlotWaitMs(speed, candidates[best]);
   if (readers == 1) return placement;
 
   double worth = WorthOf(demand.prompt_tokens);
@@ -195,6 +215,11 @@
   return best;
 }
 
+bool IsHopeless(const Placement& placement, const Demand& demand) {
+  bool slots_bind = placement.slot_wait_ms > kHopelessSlotShare * demand.objective_ms;
+  return slots_bind && placement.first_event_ms > demand.objective_ms;
+}
+
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates) {
   Placement best;
   best.cost = std::numeric_limits<double>::infinity();
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -66,6 +66,9 @@
   // What each of them reads.
   double part_tokens = 0;
   double part_reading_ms = 0;
+  // How long a slot has to be waited for; more than none only where every
+  // engine's are taken.
+  double slot_wait_ms = 0;
   // When the first event is expected, from now.
   double first_event_ms = 0;
   double cost = 0;
@@ -86,6 +89,11 @@
 Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
                  const Demand& demand);
 
+// Whether a request is better refused at once: every slot is taken, and the wait
+// for one alone makes its answer late.  Taken in, it would make all that come
+// after it late as well; refused, it is told when to come back.
+bool IsHopeless(const Placement& placement, const Demand& demand);
+
 // For plain services: the least loaded for its slots.
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates);
 
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -72,6 +72,8 @@
   int steps_per_pass = 1;
   // Most prompt tokens that one step reads.
   double prefill_tokens_per_step = 2048;
+  // Tokens that an answer usually has.
+  double usual_answer_tokens = 1000;
   // Added to a decode step whose context lies on several engines.
   double remote_step_ms = 0;
 
