--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -31,6 +31,9 @@
 constexpr double kComeBackSeconds = 0.3;
 // Reading that would make a stream of shorts pause: peers learn of it at once.
 constexpr double kTellAtOnceMs = 50;
+// A caller that waits for less than this share of the route's time has spent the
+// rest on earlier tries.
+constexpr double kFirstTryShare = 0.95;
 // Sets of engines that are asked for memory before a request is refused.
 constexpr int kMostTicketRounds = 4;
 
@@ -140,6 +143,8 @@
   demand.objective_ms = ToSeconds(this->route->objective) * 1000;
   demand.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
   demand.streaming = this->route->streaming;
+  Duration patience = this->caller_waits_until - this->request.arrived;
+  demand.came_back = patience < kFirstTryShare * this->route->timeout;
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -20,14 +20,14 @@
 constexpr double kPauseSafety = 0.85;
 // A first event has more to wait for than is known: work that others sent in the
 // same instant, and prompts that come right after.
-constexpr double kWaitSafety = 0.65;
+constexpr double kWaitSafety = 0.6;
 constexpr double kLatenessSlope = 0.5;
 // Callers give up a stream that pauses for two seconds, and come back with the
 // whole of it.
 constexpr double kCallersLeaveMs = 1700;
 // Streams that arrive while the prompt is read pause too, and those that turn to
 // other engines meet the next vast prompt there.
-constexpr double kHarmWeight = 6;
+constexpr double kHarmWeight = 4;
 // Small preferences, that decide among equals only: for an early first event,
 // for a place in the shared order, for the own data centre, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -40,6 +40,9 @@
 constexpr int kSpareSlots = 2;
 // Cost of each request beyond that, as a share of the request's worth.
 constexpr double kCrowdWeight = 0.2;
+// A placement that costs more than this share of the request's worth is put off:
+// what a late answer still earns is a quarter of it.
+constexpr double kDeferShare = 1.0;
 // A wait for a slot of this share of the objective counts as the cause of a late
 // answer.
 constexpr double kHopelessSlotShare = 0.8;
@@ -219,6 +222,9 @@
 }
 
 bool IsHopeless(const Placement& placement, const Demand& demand) {
+  if (!demand.came_back && placement.cost > kDeferShare * WorthOf(demand.prompt_tokens)) {
+    return true;
+  }
   bool slots_bind = placement.slot_wait_ms > kHopelessSlotShare * demand.objective_ms;
   return slots_bind && placement.first_event_ms > demand.objective_ms;
 }
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -38,6 +38,9 @@
   double objective_ms = 300;
   double pause_ms = 0;
   bool streaming = false;
+  // Whether the caller seems to have been refused before: it waits for a shorter
+  // time than the route allows.
+  bool came_back = false;
 
   bool operator==(const Demand&) const = default;
 };
