--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -29,6 +29,7 @@
 // After this a caller that was refused may come back: an engine's pass and the
 // news of it take about as long.
 constexpr double kComeBackSeconds = 0.3;
+constexpr double kComeBackShare = 0.3;
 // Reading that would make a stream of shorts pause: peers learn of it at once.
 constexpr double kTellAtOnceMs = 50;
 // A caller that waits for less than this share of the route's time has spent the
@@ -501,6 +502,13 @@
   channel->Answer(head, body);
 }
 
+// When a caller that was refused should come back: in time for its objective
+// still, but not before engines can have got anywhere.
+double Exchange::ComeBackSeconds() const {
+  if (this->route == nullptr) return kComeBackSeconds;
+  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->route->objective));
+}
+
 // Answers with a failure of our own.
 void Exchange::Refuse(ResultCode code) {
   const ResultCodeInfo& info = Info(code);
@@ -518,7 +526,7 @@
   head.headers.emplace_back("Content-Type", "application/json");
   bool come_back = info.http_status == 503 || info.http_status == 429;
   if (come_back) {
-    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(kComeBackSeconds));
+    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
   }
   std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
                                   info.name, "\",\"message\":\"", info.description, "\"}");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -84,6 +84,7 @@
   void BeginAnswer(std::optional<uint64_t> length);
   void DeliverWhole();
   void Refuse(ResultCode code);
+  double ComeBackSeconds() const;
   void GiveUp(Time now);
   void CancelAttempt();
   void Finish();
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -27,7 +27,7 @@
 constexpr double kCallersLeaveMs = 1700;
 // Streams that arrive while the prompt is read pause too, and those that turn to
 // other engines meet the next vast prompt there.
-constexpr double kHarmWeight = 4;
+constexpr double kHarmWeight = 2;
 // Small preferences, that decide among equals only: for an early first event,
 // for a place in the shared order, for the own data centre, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -42,7 +42,7 @@
 constexpr double kCrowdWeight = 0.2;
 // A placement that costs more than this share of the request's worth is put off:
 // what a late answer still earns is a quarter of it.
-constexpr double kDeferShare = 1.0;
+constexpr double kDeferShare = 0.8;
 // A wait for a slot of this share of the objective counts as the cause of a late
 // answer.
 constexpr double kHopelessSlotShare = 0.8;
