--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -43,6 +43,9 @@
 // A placement that costs more than this share of the request's worth is put off:
 // what a late answer still earns is a quarter of it.
 constexpr double kDeferShare = 0.8;
+// The same for a request that has been put off before: it is worth refusing only
+// if it would cost others more than it is worth.
+constexpr double kRefuseShare = 1.2;
 // A wait for a slot of this share of the objective counts as the cause of a late
 // answer.
 constexpr double kHopelessSlotShare = 0.8;
@@ -222,9 +225,8 @@
 }
 
 bool IsHopeless(const Placement& placement, const Demand& demand) {
-  if (!demand.came_back && placement.cost > kDeferShare * WorthOf(demand.prompt_tokens)) {
-    return true;
-  }
+  double share = demand.came_back ? kRefuseShare : kDeferShare;
+  if (placement.cost > share * WorthOf(demand.prompt_tokens)) return true;
   bool slots_bind = placement.slot_wait_ms > kHopelessSlotShare * demand.objective_ms;
   return slots_bind && placement.first_event_ms > demand.objective_ms;
 }
