Peers vouch for the configuration; refuse by what a request costs others, never on idle engines

Change: (1) lateness is paid once; a request is refused if the pauses it causes and the engine time it takes from busy engines exceed what it earns. (2) every half second a gateway tells each peer how current its configuration is, with an echo that places the word on the peer's clock; a newer version that a peer has makes a reader read again.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -154,7 +154,7 @@
     return;
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
-  if (first_time && IsHopeless(choice->placement, demand)) {
+  if (first_time && ShouldRefuse(choice->placement, demand)) {
     this->Refuse(ResultCode::kOverloaded);
     return;
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -31,6 +31,9 @@
 constexpr Duration kBalancerNotices = milliseconds(2600);
 // Kept back from the stop's grace for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
+// A newer version that a peer has is with us within a fraction of a second, or
+// something is wrong with our own read.
+constexpr Duration kReadShouldHaveCome = milliseconds(400);
 // How long after the store's return a lapsed entry may be due to its outage.
 constexpr Duration kLapseWindow = seconds(2);
 // Operators' requests have no body worth keeping.
@@ -65,7 +68,8 @@
       engine_follower(event_loop, settings.store,
                       {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
                       this->StoreHooks("engines")),
-      load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log) {}
+      load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log,
+                    this->ConfigNotes()) {}
 
 TopicFollower::Hooks GatewayServer::StoreHooks(const std::string& topic) {
   bool is_config = topic == "config";
@@ -91,6 +95,30 @@
   return hooks;
 }
 
+LoadExchange::ConfigHooks GatewayServer::ConfigNotes() {
+  LoadExchange::ConfigHooks hooks;
+  hooks.version = [this] { return this->state.config ? this->state.config->config().version : 0; };
+  hooks.proved = [this] { return this->state.keys.confirmed_at(); };
+  hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
+  hooks.behind = [this](uint64_t version) { this->OnNewerVersion(version); };
+  return hooks;
+}
+
+// A peer has a version that our own read should have brought by now: the read may
+// hang on a connection that is dead.
+void GatewayServer::OnNewerVersion(uint64_t version) {
+  Time now = Now();
+  if (version != this->version_behind) {
+    this->version_behind = version;
+    this->behind_since = now;
+    return;
+  }
+  if (now - this->behind_since < kReadShouldHaveCome) return;
+  this->behind_since = now;
+  this->log.Write(LogLine("config_behind").Number("peer_version", static_cast<double>(version)));
+  this->config_follower.ReadAgain();
+}
+
 absl::Status GatewayServer::Start() {
   const GatewaySettings& settings = this->state.settings;
   absl::Status status = this->callers_listener.Listen(this->loop, settings.callers,
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -67,6 +67,8 @@
   void OnEngineRecord(const platform::KeyedRecord& record);
   bool EngineListWasAway() const;
   TopicFollower::Hooks StoreHooks(const std::string& topic);
+  LoadExchange::ConfigHooks ConfigNotes();
+  void OnNewerVersion(uint64_t version);
 
   void Tick();
   void TakeNoMore();
@@ -90,6 +92,9 @@
   bool engines_known = false;
   bool keys_were_fresh = false;
   bool stopping = false;
+  // The newer version that a peer told of, and since when.
+  uint64_t version_behind = 0;
+  Time behind_since{};
   Time stop_began{};
 };
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -24,7 +24,8 @@
 }  // namespace
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
-                           uint64_t own_incarnation, LoadBook* load_book, EventLog* event_log)
+                           uint64_t own_incarnation, LoadBook* load_book, EventLog* event_log,
+                           ConfigHooks config_hooks)
     : loop(event_loop),
       box(settings.box),
       own_address(settings.peers),
@@ -42,7 +43,9 @@
                 },
                 .up_to_date = {},
                 .lost = {},
-                .regained = {}}) {}
+                .regained = {}}),
+      config(std::move(config_hooks)),
+      freshness(own_incarnation) {}
 
 absl::Status LoadExchange::Start() {
   absl::Status status = this->socket.Bind(
@@ -86,13 +89,38 @@
 void LoadExchange::OnDatagram(std::string_view datagram) {
   std::optional<LoadDigest> digest = DecodeDigest(datagram);
   if (!digest || digest->box == this->box) return;
+  if (digest->freshness) this->HearNote(*digest);
   this->loads->ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads, Now());
 }
 
+void LoadExchange::HearNote(const LoadDigest& digest) {
+  uint64_t own_version = this->config.version();
+  std::optional<Time> proved = this->freshness.Hear(digest.box, digest.incarnation,
+                                                    *digest.freshness, own_version, Now());
+  if (proved) this->config.confirm(*proved);
+  if (digest.freshness->config_version > own_version) {
+    this->config.behind(digest.freshness->config_version);
+  }
+}
+
+void LoadExchange::SendNotes(Time now) {
+  uint64_t version = this->config.version();
+  if (version == 0) return;
+  this->freshness.BeginRound(now);
+  for (const auto& [peer, address] : this->peer_addresses) {
+    LoadDigest digest{this->box, this->incarnation, ++this->sequence, {}, {}};
+    digest.freshness = this->freshness.NoteFor(peer, version, this->config.proved(), now);
+    this->socket.Send(address, EncodeDigest(digest));
+  }
+}
+
 void LoadExchange::Tell(Time now) {
   if (this->peer_addresses.empty()) return;
   bool refresh = now - this->refreshed >= kRefresh;
-  if (refresh) this->refreshed = now;
+  if (refresh) {
+    this->refreshed = now;
+    this->SendNotes(now);
+  }
   std::map<std::string, EngineLoad> own = this->loads->Own(now);
   // What was told and is no more is told once as zero.
   for (const auto& [engine, load] : this->told) own.try_emplace(engine);
@@ -119,7 +147,7 @@
 
 void LoadExchange::Send(std::map<std::string, EngineLoad> part) {
   std::string datagram =
-      EncodeDigest({this->box, this->incarnation, ++this->sequence, std::move(part)});
+      EncodeDigest({this->box, this->incarnation, ++this->sequence, std::move(part), {}});
   for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -3,6 +3,9 @@
 // Each gateway writes the address of its datagram socket into a topic of the
 // store when it starts, and follows that topic.  Then, a few times a second, it
 // sends the others what has changed of its own work, and now and then all of it.
+// Every half second each also gets a note on how current the sender's
+// configuration is (serving/peer_freshness.h), so that a gateway that is cut off
+// from the store can go on accepting keys.
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
 //
@@ -35,8 +38,19 @@
   // More peers than this are not told; see docs/CAPACITY.md.
   static constexpr size_t kMostPeers = 32;
 
+  // What a note says and proves; the owner keeps the configuration.
+  struct ConfigHooks {
+    std::function<uint64_t()> version;
+    // When our own version was last proved current.
+    std::function<Time()> proved;
+    // A peer has proved our version current at that time.
+    std::function<void(Time)> confirm;
+    // A peer has a newer version than we.
+    std::function<void(uint64_t version)> behind;
+  };
+
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
-               LoadBook* load_book, EventLog* event_log);
+               LoadBook* load_book, EventLog* event_log, ConfigHooks config_hooks);
 
   absl::Status Start();
 
@@ -51,6 +65,8 @@
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
   void Send(std::map<std::string, EngineLoad> loads);
+  void SendNotes(Time now);
+  void HearNote(const LoadDigest& digest);
 
   EventLoop* loop;
   std::string box;
@@ -62,6 +78,8 @@
   StoreClient registrar;
   TopicFollower follower;
   std::map<std::string, SocketAddress> peer_addresses;
+  ConfigHooks config;
+  PeerFreshness freshness;
   std::map<std::string, EngineLoad> told;
   Time refreshed{};
   uint64_t sequence = 0;
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -38,6 +38,9 @@
   // Only one call at a time.
   void Call(const platform::HttpCallText& call, Duration patience, Done done);
 
+  // Ends the call under way as if its time had run out.
+  void GiveUp() { this->Finish(this->call_count, {0, "", "given up"}); }
+
   uint64_t calls() const { return this->call_count; }
 
  private:
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -49,6 +49,9 @@
 
   void Start() { this->ReadPage(); }
 
+  // Gives up the read that waits, and reads on a new connection.
+  void ReadAgain() { this->client.GiveUp(); }
+
   // Whether the last call failed and none has succeeded since.
   bool is_lost() const { return this->failures_in_row > 0; }
 
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <optional>
 
 namespace gullward {
 namespace {
@@ -40,12 +41,14 @@
 constexpr int kSpareSlots = 2;
 // Cost of each request beyond that, as a share of the request's worth.
 constexpr double kCrowdWeight = 0.2;
-// A placement that costs more than this share of the request's worth is put off:
-// what a late answer still earns is a quarter of it.
-constexpr double kDeferShare = 0.8;
-// The same for a request that has been put off before: it is worth refusing only
-// if it would cost others more than it is worth.
-constexpr double kRefuseShare = 1.2;
+// What a second of an engine earns when all are busy: shorts earn about nine,
+// prompts of 210,000 tokens six and a half (both sheets' worths over the engine
+// time that the published figures give).
+constexpr double kWorthPerEngineSecond = 8;
+// An engine with so much to read counts as busy.
+constexpr double kBusyReadingMs = 1000;
+// A request that was refused before may cost others so many times what it earns.
+constexpr double kComeBackShare = 1.2;
 // A wait for a slot of this share of the objective counts as the cause of a late
 // answer.
 constexpr double kHopelessSlotShare = 0.8;
@@ -118,13 +121,18 @@
   return over > 0 ? kCrowdWeight * worth * over : 0;
 }
 
-// The cost of running the request itself on a candidate.
+// What it costs the request itself to wait so long for its first event.
+double CostOfWaiting(const Demand& demand, double first_event_ms) {
+  double late = Lateness(first_event_ms, demand.objective_ms, kWaitSafety);
+  double small = kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
+  return kLateLoss * WorthOf(demand.prompt_tokens) * late + small;
+}
+
+// The cost of running the request itself on a candidate, but for its waiting.
 double CostAsMain(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
-                  const Placement& shares, double first_event_ms) {
+                  const Placement& shares) {
   double worth = WorthOf(demand.prompt_tokens);
-  double cost = kLateLoss * worth * Lateness(first_event_ms, demand.objective_ms, kWaitSafety);
-  cost += kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
-  cost += kFailureWeight * worth * candidate.failure_rate;
+  double cost = kFailureWeight * worth * candidate.failure_rate;
   cost += CrowdCost(candidate, worth);
   cost += MemoryCost(speed, candidate, shares.memory_tokens, worth);
   cost += candidate.same_data_centre ? 0 : kOtherDataCentreCost;
@@ -145,53 +153,98 @@
   return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
 }
 
+// What a placement costs besides the lateness of the request itself.
+struct ReaderCosts {
+  std::vector<double> first_event_ms;
+  std::vector<double> as_reader;
+};
+
+ReaderCosts PriceReaders(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
+                         const Demand& demand, const Placement& shares) {
+  double worth = WorthOf(demand.prompt_tokens);
+  ReaderCosts costs;
+  for (const Candidate& candidate : candidates) {
+    costs.first_event_ms.push_back(FirstEventMs(speed, candidate, shares.part_reading_ms));
+    costs.as_reader.push_back(CostAsReader(speed, candidate, worth, shares));
+  }
+  return costs;
+}
+
+// The engine that the request itself costs least on, or none.
+std::optional<size_t> ChooseMain(const std::vector<Candidate>& candidates,
+                                 const EngineSpeed& speed, const Demand& demand,
+                                 const ReaderCosts& costs, Placement* placement) {
+  std::optional<size_t> best;
+  placement->cost = std::numeric_limits<double>::infinity();
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    double first_event_ms = costs.first_event_ms[i];
+    double cost = CostAsMain(speed, candidates[i], demand, *placement) +
+                  CostOfWaiting(demand, first_event_ms);
+    if (cost >= placement->cost) continue;
+    placement->cost = cost;
+    best = i;
+  }
+  return best;
+}
+
 // The best placement with exactly `readers` engines.
 Placement ChooseWithReaders(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
                             const Demand& demand, int readers) {
   Placement placement;
-  placement.part_tokens = demand.prompt_tokens / readers;
   placement.part_reading_ms = ReadingMs(speed, demand.prompt_tokens) / readers;
   double memory = demand.prompt_tokens + demand.answer_tokens;
   placement.spreads_memory = readers > 1 && memory > kWholeShare * speed.memory_tokens;
   placement.memory_tokens = placement.spreads_memory ? std::ceil(memory / readers) : memory;
-  placement.cost = std::numeric_limits<double>::infinity();
-  std::vector<double> first_event(candidates.size());
-  size_t best = 0;
-  for (size_t i = 0; i < candidates.size(); ++i) {
-    first_event[i] = FirstEventMs(speed, candidates[i], placement.part_reading_ms);
-    double cost =
-        CostAsMain(speed, candidates[i], demand, placement, first_event[i]);
-    if (cost >= placement.cost) continue;
-    placement.cost = cost;
-    best = i;
-  }
-  if (std::isinf(placement.cost)) return placement;
-  placement.engines = {best};
-  placement.first_event_ms = first_event[best];
-  placement.slot_wait_ms = SlotWaitMs(speed, candidates[best]);
-  if (readers == 1) return placement;
 
-  double worth = WorthOf(demand.prompt_tokens);
-  std::vector<size_t> order;
-  std::vector<double> cost(candidates.size());
+  ReaderCosts costs = PriceReaders(candidates, speed, demand, placement);
+  std::optional<size_t> main = ChooseMain(candidates, speed, demand, costs, &placement);
+  if (!main) return placement;
+  placement.engines = {*main};
+  placement.first_event_ms = costs.first_event_ms[*main];
+  placement.slot_wait_ms = SlotWaitMs(speed, candidates[*main]);
+  placement.harm = CostToOthers(speed, candidates[*main], placement.part_reading_ms);
+
+  std::vector<size_t> others;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    if (i == best) continue;
-    double late = Lateness(first_event[i], demand.objective_ms, kWaitSafety);
-    cost[i] = CostAsReader(speed, candidates[i], worth, placement) +
-              kLateLoss * worth * late + kWaitWeight * first_event[i] / demand.objective_ms;
-    order.push_back(i);
+    if (i != *main) others.push_back(i);
   }
-  size_t helpers = static_cast<size_t>(readers - 1);
-  std::partial_sort(order.begin(), order.begin() + static_cast<long>(helpers), order.end(),
-                    [&](size_t left, size_t right) { return cost[left] < cost[right]; });
-  for (size_t i = 0; i < helpers; ++i) {
-    placement.engines.push_back(order[i]);
-    placement.cost += cost[order[i]];
-    placement.first_event_ms = std::max(placement.first_event_ms, first_event[order[i]]);
+  auto price = [&](size_t i) {
+    return costs.as_reader[i] + CostOfWaiting(demand, costs.first_event_ms[i]);
+  };
+  auto helpers = static_cast<long>(readers - 1);
+  std::partial_sort(others.begin(), others.begin() + helpers, others.end(),
+                    [&](size_t left, size_t right) { return price(left) < price(right); });
+  // The slowest reader alone decides when the first event comes, so lateness is
+  // paid once.
+  placement.cost -= CostOfWaiting(demand, placement.first_event_ms);
+  for (long i = 0; i < helpers; ++i) {
+    size_t helper = others[static_cast<size_t>(i)];
+    placement.engines.push_back(helper);
+    placement.cost += costs.as_reader[helper];
+    placement.harm += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
+    placement.first_event_ms = std::max(placement.first_event_ms, costs.first_event_ms[helper]);
   }
+  placement.cost += CostOfWaiting(demand, placement.first_event_ms);
   return placement;
 }
 
+// How busy engines are, 0 to 1, on the mean.
+double Busy(const std::vector<Candidate>& candidates) {
+  double sum = 0;
+  for (const Candidate& candidate : candidates) {
+    double slots = static_cast<double>(candidate.load.requests) / std::max(candidate.slots, 1);
+    double reading = candidate.load.ToReadMs() / kBusyReadingMs;
+    sum += std::min(std::max(slots, reading), 1.0);
+  }
+  return sum / static_cast<double>(std::max<size_t>(candidates.size(), 1));
+}
+
+// Engine time that a request takes, in seconds.
+double EngineSeconds(const EngineSpeed& speed, const Demand& demand) {
+  double writing_ms = speed.usual_answer_tokens * speed.step_ms / std::max(speed.slots, 1);
+  return (ReadingMs(speed, demand.prompt_tokens) + writing_ms) / 1000;
+}
+
 }  // namespace
 
 double ReadingMs(const EngineSpeed& speed, double prompt_tokens) {
@@ -221,12 +274,18 @@
     Placement placement = ChooseWithReaders(candidates, speed, demand, readers);
     if (!placement.engines.empty() && placement.cost < best.cost) best = placement;
   }
+  best.busy = Busy(candidates);
+  best.engine_seconds = EngineSeconds(speed, demand);
   return best;
 }
 
-bool IsHopeless(const Placement& placement, const Demand& demand) {
-  double share = demand.came_back ? kRefuseShare : kDeferShare;
-  if (placement.cost > share * WorthOf(demand.prompt_tokens)) return true;
+bool ShouldRefuse(const Placement& placement, const Demand& demand) {
+  double late = Lateness(placement.first_event_ms, demand.objective_ms, kWaitSafety);
+  double earned = WorthOf(demand.prompt_tokens) * (1 - kLateLoss * late);
+  double taken = kWorthPerEngineSecond * placement.engine_seconds;
+  double price = placement.harm + placement.busy * placement.busy * taken;
+  double share = demand.came_back ? kComeBackShare : 1;
+  if (price > share * earned) return true;
   bool slots_bind = placement.slot_wait_ms > kHopelessSlotShare * demand.objective_ms;
   return slots_bind && placement.first_event_ms > demand.objective_ms;
 }
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -67,7 +67,6 @@
   // Tokens of memory that each engine holds; where not spread, the first alone.
   double memory_tokens = 0;
   // What each of them reads.
-  double part_tokens = 0;
   double part_reading_ms = 0;
   // How long a slot has to be waited for; more than none only where every
   // engine's are taken.
@@ -75,6 +74,11 @@
   // When the first event is expected, from now.
   double first_event_ms = 0;
   double cost = 0;
+  // The part of the cost that streams on the engines bear.
+  double harm = 0;
+  // How busy all candidates are, 0 to 1, and the engine time that it takes.
+  double busy = 0;
+  double engine_seconds = 0;
 
   bool operator==(const Placement&) const = default;
 };
@@ -92,10 +96,11 @@
 Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
                  const Demand& demand);
 
-// Whether a request is better refused at once: every slot is taken, and the wait
-// for one alone makes its answer late.  Taken in, it would make all that come
-// after it late as well; refused, it is told when to come back.
-bool IsHopeless(const Placement& placement, const Demand& demand);
+// Whether a request is better refused at once and told when to come back: what it
+// would cost others (pauses of their streams, and engine time that busy engines
+// have not got) is more than it would earn, or every slot is taken and the wait for
+// one alone makes its answer late.  Never on engines that are idle.
+bool ShouldRefuse(const Placement& placement, const Demand& demand);
 
 // For plain services: the least loaded for its slots.
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates);
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -113,18 +113,21 @@
 BOOST_AUTO_TEST_CASE(ShortsAreRefusedOnlyWhereEverySlotIsTaken) {
   std::vector<Candidate> engines = Engines(3);
   for (Candidate& engine : engines) AddStreams(&engine, 15);
-  BOOST_TEST(!IsHopeless(Choose(engines, Speed(), Short()), Short()));
+  BOOST_TEST(!ShouldRefuse(Choose(engines, Speed(), Short()), Short()));
   for (Candidate& engine : engines) AddStreams(&engine, 10);
-  BOOST_TEST(IsHopeless(Choose(engines, Speed(), Short()), Short()));
+  BOOST_TEST(ShouldRefuse(Choose(engines, Speed(), Short()), Short()));
 }
 
 BOOST_AUTO_TEST_CASE(AVastPromptIsPutOffWhereItCostsOthersMoreThanItEarns) {
   std::vector<Candidate> busy = Engines(3);
   for (Candidate& engine : busy) AddStreams(&engine, 12);
   Demand first = Vast(560'000);
-  BOOST_TEST(IsHopeless(Choose(busy, Speed(), first), first));
-  std::vector<Candidate> idle = Engines(12);
-  BOOST_TEST(!IsHopeless(Choose(idle, Speed(), first), first));
+  BOOST_TEST(ShouldRefuse(Choose(busy, Speed(), first), first));
+  // Engines that have nothing else to do never refuse, also where it is late.
+  for (int count : {2, 4, 12}) {
+    std::vector<Candidate> idle = Engines(count);
+    BOOST_TEST(!ShouldRefuse(Choose(idle, Speed(), first), first));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(PlainServicesGoByTheLeastLoadForTheirSlots) {
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -11,6 +11,7 @@
 #include "serving/event_splitter.h"
 #include "serving/fleet.h"
 #include "serving/freshness.h"
+#include "serving/peer_freshness.h"
 #include "serving/retry_window.h"
 
 namespace gullward {
@@ -302,5 +303,47 @@
   BOOST_TEST(book.Of("e", kStart).writers == 1);
 }
 
+// Notes with every kind of delay: what is proved is never later than the truth.
+BOOST_AUTO_TEST_CASE(APeersWordIsNeverTakenForYoungerThanItIs) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    PeerFreshness us(1);
+    PeerFreshness peer(2);
+    Time now = kStart;
+    for (int step = 0; step < 40; ++step) {
+      now += milliseconds(random() % 500);
+      us.BeginRound(now);
+      FreshnessNote ours = us.NoteFor("peer", 7, now, now);
+      now += milliseconds(random() % 3000);  // On its way, or in a frozen process.
+      if (random() % 4 != 0) peer.Hear("us", 1, ours, 7, now);
+      now += milliseconds(random() % 700);
+      peer.BeginRound(now);
+      Time truth = now - milliseconds(random() % 2000);
+      FreshnessNote theirs = peer.NoteFor("us", 7, truth, now);
+      now += milliseconds(random() % 3000);
+      std::optional<Time> proved = us.Hear("peer", 2, theirs, 7, now);
+      if (proved) BOOST_REQUIRE((*proved <= truth));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(APeerProvesNothingOfAnotherVersionOrAnotherLife) {
+  PeerFreshness us(1);
+  us.BeginRound(kStart);
+  FreshnessNote note{1, 7, milliseconds(100), 1, milliseconds(20), 1};
+  BOOST_TEST(us.Hear("p", 2, note, 7, kStart).has_value());
+  BOOST_TEST((*us.Hear("p", 2, note, 7, kStart) == kStart - milliseconds(80)));
+  // We are newer than the peer was: what it read then, we hold.
+  BOOST_TEST(us.Hear("p", 2, note, 8, kStart).has_value());
+  BOOST_TEST(!us.Hear("p", 2, note, 6, kStart).has_value());
+  BOOST_TEST(us.newest_version_told() == 7u);
+  note.echoed_incarnation = 9;
+  BOOST_TEST(!us.Hear("p", 2, note, 7, kStart).has_value());
+  note = {2, 7, milliseconds(100), 0, milliseconds(20), 1};
+  BOOST_TEST(!us.Hear("p", 2, note, 7, kStart).has_value());
+  note.echoed_round = 99;
+  BOOST_TEST(!us.Hear("p", 2, note, 7, kStart).has_value());
+}
+
 }  // namespace
 }  // namespace gullward
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -22,9 +22,16 @@
         static_cast<float>(load.context_tokens), static_cast<float>(load.reading_ms),
         static_cast<float>(load.read_ms), builder.CreateVectorOfStructs(streams)));
   }
+  flatbuffers::Offset<fb::FreshnessNote> freshness;
+  if (digest.freshness) {
+    const FreshnessNote& note = *digest.freshness;
+    freshness = fb::CreateFreshnessNote(
+        builder, note.round, note.config_version, static_cast<uint64_t>(note.proved_ago.count()),
+        note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation);
+  }
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box),
                                       digest.incarnation, digest.sequence,
-                                      builder.CreateVector(entries)));
+                                      builder.CreateVector(entries), freshness));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -38,6 +45,16 @@
   digest.box = packed->box()->str();
   digest.incarnation = packed->incarnation();
   digest.sequence = packed->sequence();
+  if (const fb::FreshnessNote* note = packed->freshness()) {
+    FreshnessNote told;
+    told.round = note->round();
+    told.config_version = note->config_version();
+    told.proved_ago = Duration(note->proved_ago_us());
+    told.echoed_round = note->echoed_round();
+    told.echo_held = Duration(note->echo_held_us());
+    told.echoed_incarnation = note->echoed_incarnation();
+    digest.freshness = told;
+  }
   for (const fb::EngineLoadEntry* entry : *packed->engines()) {
     if (entry->engine() == nullptr) return std::nullopt;
     EngineLoad load;
--- a/src/wire/load_digest.h
+++ b/src/wire/load_digest.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "serving/engine_load.h"
+#include "serving/peer_freshness.h"
 
 namespace gullward {
 
@@ -23,6 +24,8 @@
   // Rises with each datagram of one life.
   uint64_t sequence = 0;
   std::map<std::string, EngineLoad> loads;
+  // Only in a datagram to one peer.
+  std::optional<FreshnessNote> freshness;
 
   bool operator==(const LoadDigest&) const = default;
 };
