--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -34,8 +34,6 @@
 // A newer version that a peer has is with us within a fraction of a second, or
 // something is wrong with our own read.
 constexpr Duration kReadShouldHaveCome = milliseconds(400);
-// How long after the store's return a lapsed entry may be due to its outage.
-constexpr Duration kLapseWindow = seconds(2);
 // Operators' requests have no body worth keeping.
 constexpr uint64_t kOperatorBodyBytes = 64 << 10;
 constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
@@ -244,10 +242,8 @@
   this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
 }
 
-// Whether the list of engines has been out of reach until a moment ago.
-bool GatewayServer::EngineListWasAway() const {
-  return this->engine_follower.is_lost() ||
-         Now() - this->engine_follower.regained_at() < kLapseWindow;
+Time GatewayServer::KeepLapsedUntil() const {
+  return EngineDirectory::KeepUntil(this->engine_follower.regained_at());
 }
 
 void GatewayServer::OnEngineRecords(const std::vector<platform::KeyedRecord>& records) {
@@ -263,7 +259,7 @@
                           .Text("reason", StdView(engine.status().message())));
     }
   }
-  this->state.fleet.directory().Replace(engines, Now(), this->EngineListWasAway());
+  this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
   this->engines_known = true;
   this->log.Write(LogLine("engines").Number("listed", static_cast<double>(engines.size())));
 }
@@ -271,7 +267,7 @@
 void GatewayServer::OnEngineRecord(const platform::KeyedRecord& record) {
   if (record.value.empty()) {
     this->log.Write(LogLine("engine_gone").Text("engine", record.key));
-    this->state.fleet.directory().Remove(record.key, Now(), this->EngineListWasAway());
+    this->state.fleet.directory().Remove(record.key, Now(), this->KeepLapsedUntil());
     return;
   }
   absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -65,7 +65,7 @@
   void OnConfigRecord(const platform::KeyedRecord& record);
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
   void OnEngineRecord(const platform::KeyedRecord& record);
-  bool EngineListWasAway() const;
+  Time KeepLapsedUntil() const;
   TopicFollower::Hooks StoreHooks(const std::string& topic);
   LoadExchange::ConfigHooks ConfigNotes();
   void OnNewerVersion(uint64_t version);
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -8,19 +8,19 @@
   this->engines[record.id] = Listed{record, std::nullopt};
 }
 
-void EngineDirectory::Remove(const std::string& id, Time now, bool list_was_away) {
+void EngineDirectory::Remove(const std::string& id, Time now, Time keep_until) {
   auto found = this->engines.find(id);
   if (found == this->engines.end()) return;
-  bool keep = list_was_away && !found->second.record.draining;
+  bool keep = keep_until > now && !found->second.record.draining;
   if (!keep) {
     this->engines.erase(found);
     return;
   }
-  if (!found->second.gone_at) found->second.gone_at = now + kLapseGrace;
+  if (!found->second.gone_at) found->second.gone_at = keep_until;
 }
 
 void EngineDirectory::Replace(const std::vector<EngineRecord>& records, Time now,
-                              bool list_was_away) {
+                              Time keep_until) {
   std::set<std::string> listed;
   for (const EngineRecord& record : records) {
     listed.insert(record.id);
@@ -30,7 +30,7 @@
   for (const auto& [id, engine] : this->engines) {
     if (listed.count(id) == 0) missing.push_back(id);
   }
-  for (const std::string& id : missing) this->Remove(id, now, list_was_away);
+  for (const std::string& id : missing) this->Remove(id, now, keep_until);
 }
 
 std::vector<const EngineRecord*> EngineDirectory::Usable(const std::string& service, Time now) {
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -8,7 +8,7 @@
 //
 //   EngineDirectory directory;
 //   directory.Update(record);
-//   directory.Remove(id, now, /*list_was_away=*/false);
+//   directory.Remove(id, now, KeepUntil(list_regained_at));
 //   for (const EngineRecord* engine : directory.Usable("pool", now)) ...
 
 #ifndef GULLWARD_SERVING_ENGINE_DIRECTORY_H_
@@ -40,15 +40,21 @@
 
 class EngineDirectory {
  public:
-  // How long an engine that lapsed while the list was away is kept after the
-  // list's return.  The platform promises that the living are back by then.
-  static constexpr Duration kLapseGrace = milliseconds(1900);
+  // How long after the list's return an engine that lapsed meanwhile is kept.  The
+  // platform says that the living are back in about two seconds; an engine that
+  // really left must be left alone two seconds after the list said so, and both
+  // the list's return and its word reach us late by a few tenths.
+  static constexpr Duration kLapseGrace = milliseconds(1400);
+
+  // Until when removals that are read after the list's return are not believed.
+  static Time KeepUntil(Time list_regained_at) { return list_regained_at + kLapseGrace; }
 
   void Update(const EngineRecord& record);
-  void Remove(const std::string& id, Time now, bool list_was_away);
+  // Removes an engine, at `keep_until` if that is later than now.
+  void Remove(const std::string& id, Time now, Time keep_until);
 
   // Takes a whole list: what is not on it is removed.
-  void Replace(const std::vector<EngineRecord>& records, Time now, bool list_was_away);
+  void Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until);
 
   // An engine that is not what its address once was: gone at once.
   void Forget(const std::string& id) { this->engines.erase(id); }
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -226,22 +226,34 @@
   directory.Update(Engine("c"));
   BOOST_TEST(directory.Usable("pool", kStart).size() == 2u);
   BOOST_TEST(directory.Usable("other", kStart).empty());
-  directory.Remove("a", kStart, /*list_was_away=*/false);
+  const Time long_ago = kStart - seconds(60);
+  directory.Remove("a", kStart, EngineDirectory::KeepUntil(long_ago));
   BOOST_TEST(directory.Usable("pool", kStart).size() == 1u);
   // c's entry lapsed while the list was away: it is kept, but not for ever.
-  directory.Remove("c", kStart, /*list_was_away=*/true);
+  directory.Remove("c", kStart, EngineDirectory::KeepUntil(kStart));
   BOOST_TEST(directory.Usable("pool", kStart).size() == 1u);
   BOOST_TEST(directory.Usable("pool", kStart + EngineDirectory::kLapseGrace).empty());
   // What said that it leaves is not kept.
-  directory.Remove("b", kStart, /*list_was_away=*/true);
+  directory.Remove("b", kStart, EngineDirectory::KeepUntil(kStart));
   BOOST_TEST(directory.size() == 0u);
   // One that is back in time stays.
-  directory.Replace({Engine("d"), Engine("e")}, kStart, false);
-  directory.Replace({Engine("d")}, kStart, true);
+  directory.Replace({Engine("d"), Engine("e")}, kStart, long_ago);
+  directory.Replace({Engine("d")}, kStart, EngineDirectory::KeepUntil(kStart));
   directory.Update(Engine("e"));
   BOOST_TEST(directory.Usable("pool", kStart + seconds(10)).size() == 2u);
 }
 
+// Seen on the bench (DRAIN, berkapu-hq hunt-126e-3): the list came back, a second
+// later an engine really left, and it was kept for 1.9 s more.
+BOOST_AUTO_TEST_CASE(ALapsedEngineIsKeptFromTheListsReturnNotFromItsRemoval) {
+  EngineDirectory directory;
+  directory.Update(Engine("a"));
+  Time removed = kStart + milliseconds(1040);
+  directory.Remove("a", removed, EngineDirectory::KeepUntil(kStart));
+  BOOST_TEST(directory.Usable("pool", removed).size() == 1u);
+  BOOST_TEST(directory.Usable("pool", removed + milliseconds(500)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(AFailingEngineIsSetAsideAndItsRecordFades) {
   EngineHealth health;
   health.AddFailure(kStart);
