--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -348,7 +348,15 @@
 void Exchange::LogAnswered() {
   Time now = Now();
   bool streamed = this->route->streaming;
+  GatewayCounters& counters = this->state->counters;
   Duration first = streamed ? this->first_event_after : now - this->request.arrived;
+  if (streamed) {
+    const char* length = LengthName(this->facts.prompt_tokens);
+    counters.first_event[length].Add(first);
+    counters.longest_pause[length].Add(this->longest_pause_seen);
+  } else {
+    counters.plain_answer.Add(first);
+  }
   bool late = first > this->route->objective;
   bool paused = streamed && this->route->longest_pause.count() > 0 &&
                 this->longest_pause_seen > this->route->longest_pause;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_server.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <nlohmann/json.hpp>
@@ -36,6 +37,7 @@
 constexpr Duration kReadShouldHaveCome = milliseconds(400);
 // Operators' requests have no body worth keeping.
 constexpr uint64_t kOperatorBodyBytes = 64 << 10;
+constexpr double kBytesPerKilobyte = 1024;
 constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
 
 // How long one read of the configuration may wait at the store.  A read proves
@@ -388,6 +390,27 @@
                  {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
                  static_cast<double>(failures));
   }
+  for (const auto& [length, histogram] : counters.first_event) {
+    text.Histogram("gullward_first_event_seconds", "From a request's arrival to its first event",
+                   {{"prompt", length}}, histogram);
+  }
+  for (const auto& [length, histogram] : counters.longest_pause) {
+    text.Histogram("gullward_longest_pause_seconds", "Longest pause within a stream",
+                   {{"prompt", length}}, histogram);
+  }
+  text.Histogram("gullward_plain_answer_seconds", "From arrival to an answer that is no stream", {},
+                 counters.plain_answer);
+  text.Gauge("gullward_engines", "Engines on the list", {},
+             static_cast<double>(this->state.fleet.directory().size()));
+  text.Gauge("gullward_peers", "Other gateways known", {},
+             static_cast<double>(this->load_exchange.peers()));
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  text.Counter("gullward_processor_seconds_total", "Processor time of this process", {},
+               ToSeconds(seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+                         Duration(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec)));
+  text.Gauge("gullward_peak_memory_bytes", "Largest resident memory", {},
+             static_cast<double>(usage.ru_maxrss) * kBytesPerKilobyte);
   double version =
       this->state.config ? static_cast<double>(this->state.config->config().version) : 0;
   text.Gauge("gullward_config_version", "Configuration in force", {}, version);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/engine_pool.h"
 #include "gateway/settings.h"
 #include "process/event_log.h"
+#include "process/histogram.h"
 #include "serving/config_index.h"
 #include "serving/fleet.h"
 #include "serving/freshness.h"
@@ -30,11 +31,22 @@
   uint64_t callers_gone = 0;
   uint64_t events_passed = 0;
   uint64_t orders = 0;
+  // By the length of the prompt (LengthName).
+  std::map<std::string, LatencyHistogram> first_event;
+  std::map<std::string, LatencyHistogram> longest_pause;
+  // Answers that are no streams, whole.
+  LatencyHistogram plain_answer;
   std::map<ResultCode, uint64_t> failures;
 
   bool operator==(const GatewayCounters&) const = default;
 };
 
+// The lengths of prompts that the metrics tell apart: those of the users' sheets.
+inline const char* LengthName(double prompt_tokens) {
+  if (prompt_tokens < 24'000) return "short";
+  return prompt_tokens < 110'000 ? "middle" : "vast";
+}
+
 struct GatewayState {
   GatewayState(EventLoop* event_loop, const GatewaySettings& gateway_settings, EventLog* event_log,
                uint64_t random_seed)
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -383,5 +383,33 @@
       world->RunUntil([&] { return second.peers() == 1 && world->gateway->peers() == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(OperatorsGetMetricsAndState) {
+  auto world = StartedWorld();
+  world->Call(world->StreamRequest("m1"));
+  world->Call(world->SafeRequest("m2"));
+  auto fetch = [&](const std::string& path) {
+    auto channel =
+        RequestChannel::Open(&world->loop, {"127.0.0.1", world->gateway->ready_port()});
+    Reply reply;
+    RequestChannel::Hooks hooks;
+    hooks.head = [&](const ResponseHead& head) { reply.head = head; };
+    hooks.body = [&](std::string_view bytes) { reply.body.append(bytes); };
+    hooks.done = [&](ChannelResult) { reply.done = true; };
+    channel->Send("GET " + path + " HTTP/1.1\r\n\r\n", std::move(hooks), false);
+    BOOST_TEST(world->RunUntil([&] { return reply.done; }));
+    return reply;
+  };
+  std::string metrics = fetch("/metrics").body;
+  for (const char* line :
+       {"gullward_requests_total 2", "gullward_first_event_seconds_bucket{prompt=\"short\"",
+        "gullward_plain_answer_seconds_count 1", "gullward_config_version 1",
+        "gullward_engines 5"}) {
+    BOOST_TEST_CONTEXT(line) { BOOST_TEST(absl::StrContains(metrics, line)); }
+  }
+  BOOST_TEST(json::parse(fetch("/state").body)["ready"] == true);
+  BOOST_TEST(fetch("/readyz").head.status == 200);
+  BOOST_TEST(fetch("/nothing").head.status == 404);
+}
+
 }  // namespace
 }  // namespace gullward
--- /dev/null
+++ b/src/process/histogram.h
@@ -0,0 +1,53 @@
+// How long things took, in buckets that a metrics page can show.
+//
+//   LatencyHistogram first_event;
+//   first_event.Add(milliseconds(130));
+
+#ifndef GULLWARD_PROCESS_HISTOGRAM_H_
+#define GULLWARD_PROCESS_HISTOGRAM_H_
+
+#include <array>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace gullward {
+
+class LatencyHistogram {
+ public:
+  // Upper bounds in seconds; they hold the objectives of both users' sheets (0.12,
+  // 0.3, 1.5, 3 and 4 s, pauses 0.2, 0.5 and 0.8 s) and end at their deadlines.
+  static constexpr std::array<double, 12> kBounds = {0.03, 0.06, 0.12, 0.2, 0.3, 0.5,
+                                                     0.8,  1.5,  3,    4,   10,  15};
+
+  void Add(Duration latency) {
+    double value = ToSeconds(latency);
+    size_t bucket = 0;
+    while (bucket < kBounds.size() && value > kBounds[bucket]) ++bucket;
+    this->counts[bucket] += 1;
+    this->total_count += 1;
+    this->total_seconds += value;
+  }
+
+  // How many took at most kBounds[bucket].
+  uint64_t CumulativeCount(size_t bucket) const {
+    uint64_t sum = 0;
+    for (size_t i = 0; i <= bucket; ++i) sum += this->counts[i];
+    return sum;
+  }
+
+  uint64_t count() const { return this->total_count; }
+  double sum_seconds() const { return this->total_seconds; }
+
+  bool operator==(const LatencyHistogram&) const = default;
+
+ private:
+  // The last bucket holds what is over every bound.
+  std::array<uint64_t, kBounds.size() + 1> counts{};
+  uint64_t total_count = 0;
+  double total_seconds = 0;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_PROCESS_HISTOGRAM_H_
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -34,6 +34,20 @@
   this->Add(name, help, prometheus::MetricType::Gauge, labels).gauge.value = value;
 }
 
+void MetricsText::Histogram(const std::string& name, const std::string& help,
+                            const MetricLabels& labels, const LatencyHistogram& histogram) {
+  prometheus::ClientMetric& metric =
+      this->Add(name, help, prometheus::MetricType::Histogram, labels);
+  metric.histogram.sample_count = histogram.count();
+  metric.histogram.sample_sum = histogram.sum_seconds();
+  for (size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
+    prometheus::ClientMetric::Bucket bucket;
+    bucket.upper_bound = LatencyHistogram::kBounds[i];
+    bucket.cumulative_count = histogram.CumulativeCount(i);
+    metric.histogram.bucket.push_back(bucket);
+  }
+}
+
 std::string MetricsText::Serialize() const {
   return prometheus::TextSerializer().Serialize(this->families);
 }
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -16,6 +16,8 @@
 #include <string>
 #include <vector>
 
+#include "process/histogram.h"
+
 namespace gullward {
 
 class MetricsText {
@@ -27,6 +29,9 @@
   void Gauge(const std::string& name, const std::string& help, const MetricLabels& labels,
              double value);
 
+  void Histogram(const std::string& name, const std::string& help, const MetricLabels& labels,
+                 const LatencyHistogram& histogram);
+
   std::string Serialize() const;
 
  private:
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -39,6 +39,7 @@
   Fleet(const RetryBounds& retry_bounds, std::string own_data_centre);
 
   EngineDirectory& directory() { return this->engines; }
+  const EngineDirectory& directory() const { return this->engines; }
   LoadBook& loads() { return this->load_book; }
   EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
   RetryWindow& RetriesOf(const std::string& service);
