--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -177,8 +177,7 @@
     return;
   }
   if (this->phase != Phase::kReading) return;
-  bool head_late =
-      !this->head_complete && now - this->request.arrived > this->limits.head_timeout;
+  bool head_late = !this->head_complete && now - this->request.arrived > this->limits.head_timeout;
   bool body_late = now - this->last_bytes > this->limits.idle_timeout;
   if (head_late || body_late) this->Reject(ResultCode::kCallerStalled);
 }
--- a/src/gateway/engine_pool.cc
+++ b/src/gateway/engine_pool.cc
@@ -7,8 +7,7 @@
 
 namespace gullward {
 
-std::shared_ptr<RequestChannel> EnginePool::Take(const EngineRecord& engine, Time now,
-                                                 bool fresh) {
+std::shared_ptr<RequestChannel> EnginePool::Take(const EngineRecord& engine, Time now, bool fresh) {
   std::vector<Idle>& waiting = this->idle[engine.id];
   while (!fresh && !waiting.empty()) {
     Idle last = std::move(waiting.back());
--- a/src/gateway/engine_request.cc
+++ b/src/gateway/engine_request.cc
@@ -59,8 +59,7 @@
 }
 
 std::string EngineRequestText(const CallerRequest& request, const EngineOrders& orders) {
-  std::string text =
-      absl::StrCat(request.head.method, " ", request.head.target, " HTTP/1.1\r\n");
+  std::string text = absl::StrCat(request.head.method, " ", request.head.target, " HTTP/1.1\r\n");
   for (const auto& [name, value] : request.head.headers) {
     bool replaced = orders.last_event_id && SameHeaderName(name, platform::kLastEventId);
     if (!replaced) AppendHeader(&text, name, value);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -30,8 +30,6 @@
 // news of it take about as long.
 constexpr double kComeBackSeconds = 0.3;
 constexpr double kComeBackShare = 0.3;
-// Reading that would make a stream of shorts pause: peers learn of it at once.
-constexpr double kTellAtOnceMs = 50;
 // A caller that waits for less than this share of the route's time has spent the
 // rest on earlier tries.
 constexpr double kFirstTryShare = 0.95;
@@ -236,17 +234,17 @@
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   if (this->attempts > 1 || this->state->log->Sample()) {
-    this->state->log->Write(this->Line("attempt")
-                                .Text("engine", choice.engine.id)
-                                .Number("attempt", this->attempts)
-                                .Number("candidates", static_cast<double>(choice.candidates))
-                                .Number("readers", static_cast<double>(choice.readers.size() + 1))
-                                .Number("prompt_tokens", this->facts.prompt_tokens)
-                                .Number("engine_requests", choice.load.requests)
-                                .Number("engine_reading_ms", choice.load.ToReadMs())
-                                .Number("expected_first_ms", choice.placement.first_event_ms)
-                                .Number("config", static_cast<double>(
-                                                      this->config->config().version)));
+    this->state->log->Write(
+        this->Line("attempt")
+            .Text("engine", choice.engine.id)
+            .Number("attempt", this->attempts)
+            .Number("candidates", static_cast<double>(choice.candidates))
+            .Number("readers", static_cast<double>(choice.readers.size() + 1))
+            .Number("prompt_tokens", this->facts.prompt_tokens)
+            .Number("engine_requests", choice.load.requests)
+            .Number("engine_reading_ms", choice.load.ToReadMs())
+            .Number("expected_first_ms", choice.placement.first_event_ms)
+            .Number("config", static_cast<double>(this->config->config().version)));
   }
 
   std::weak_ptr<Exchange> weak = this->weak_from_this();
@@ -281,14 +279,13 @@
     WorkPart part;
     part.engine = reader.id;
     part.reading_ms = choice.placement.part_reading_ms;
-    part.prompt_tokens =
-        choice.placement.spreads_memory ? choice.placement.memory_tokens : 0;
+    part.prompt_tokens = choice.placement.spreads_memory ? choice.placement.memory_tokens : 0;
     part.is_main = false;
     parts.push_back(part);
   }
   this->state->fleet.loads().Begin(this->id, std::move(parts), now);
-  bool long_read = choice.placement.part_reading_ms > kTellAtOnceMs;
-  if (long_read && this->state->tell_peers) this->state->tell_peers();
+  bool shared_engine = this->service->runs_models;
+  if (shared_engine && this->state->tell_peers) this->state->tell_peers();
 }
 
 void Exchange::OnHead(const ResponseHead& head) {
@@ -574,10 +571,10 @@
   decision.attempts_run += 1;
   if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return;
   if (this->state->fleet.RetriesOf(this->service->name).Left(now) < 1) return;
-  this->state->log->Write(this->Line("engine_silent")
-                              .Text("engine", this->attempt->engine.id)
-                              .Number("silent_ms", ToSeconds(now - this->attempt->last_progress) *
-                                                       1000));
+  this->state->log->Write(
+      this->Line("engine_silent")
+          .Text("engine", this->attempt->engine.id)
+          .Number("silent_ms", ToSeconds(now - this->attempt->last_progress) * 1000));
   this->state->fleet.HealthOf(this->attempt->engine.id).AddFailure(now);
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kUnknown);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -21,9 +21,9 @@
 // Connections and idle channels are looked at every so many ticks.
 constexpr uint64_t kSlowTicks = 20;
 // Changes of the configuration must be in force within two seconds, and engines
-// that leave be left alone within two; these take a tenth of that.
-constexpr Duration kGatherConfigs = milliseconds(100);
-constexpr Duration kGatherEngines = milliseconds(200);
+// that leave be left alone within two; these take a tenth and a fifth of that.
+constexpr Duration kGatherConfigs = milliseconds(200);
+constexpr Duration kGatherEngines = milliseconds(400);
 // Engines' changes come at once; the wait only bounds how late a store that has
 // gone silent is noticed.
 constexpr Duration kEngineListWait = seconds(5);
@@ -61,10 +61,10 @@
     : loop(event_loop),
       log(STDOUT_FILENO),
       state(event_loop, settings, &this->log, random_seed),
-      config_follower(event_loop, settings.store,
-                      {std::string(platform::kConfigTopic), ConfigWait(settings.key_trust),
-                       kGatherConfigs},
-                      this->StoreHooks("config")),
+      config_follower(
+          event_loop, settings.store,
+          {std::string(platform::kConfigTopic), ConfigWait(settings.key_trust), kGatherConfigs},
+          this->StoreHooks("config")),
       engine_follower(event_loop, settings.store,
                       {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
                       this->StoreHooks("engines")),
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -33,24 +33,24 @@
       loads(load_book),
       log(event_log),
       registrar(event_loop, settings.store),
-      follower(event_loop, settings.store, {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
-               {.replace =
-                    [this](std::vector<platform::KeyedRecord> records) {
-                      for (const auto& record : records) this->OnPeerRecord(record);
-                    },
-                .change = [this](const platform::KeyedRecord& record) {
-                  this->OnPeerRecord(record);
-                },
-                .up_to_date = {},
-                .lost = {},
-                .regained = {}}),
+      follower(
+          event_loop, settings.store,
+          {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
+          {.replace =
+               [this](std::vector<platform::KeyedRecord> records) {
+                 for (const auto& record : records) this->OnPeerRecord(record);
+               },
+           .change = [this](const platform::KeyedRecord& record) { this->OnPeerRecord(record); },
+           .up_to_date = {},
+           .lost = {},
+           .regained = {}}),
       config(std::move(config_hooks)),
       freshness(own_incarnation) {}
 
 absl::Status LoadExchange::Start() {
-  absl::Status status = this->socket.Bind(
-      this->loop, this->own_address,
-      [this](std::string_view datagram) { this->OnDatagram(datagram); });
+  absl::Status status =
+      this->socket.Bind(this->loop, this->own_address,
+                        [this](std::string_view datagram) { this->OnDatagram(datagram); });
   if (!status.ok()) return status;
   this->own_address.port = this->socket.port();
   this->Register();
@@ -95,8 +95,8 @@
 
 void LoadExchange::HearNote(const LoadDigest& digest) {
   uint64_t own_version = this->config.version();
-  std::optional<Time> proved = this->freshness.Hear(digest.box, digest.incarnation,
-                                                    *digest.freshness, own_version, Now());
+  std::optional<Time> proved =
+      this->freshness.Hear(digest.box, digest.incarnation, *digest.freshness, own_version, Now());
   if (proved) this->config.confirm(*proved);
   if (digest.freshness->config_version > own_version) {
     this->config.behind(digest.freshness->config_version);
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -17,7 +17,8 @@
 
   std::string request = absl::StrCat(call.method, " ", call.target,
                                      " HTTP/1.1\r\nHost: ", this->address.ToString(), "\r\n");
-  if (call.method != "GET") AppendHeader(&request, "Content-Length", absl::StrCat(call.body.size()));
+  if (call.method != "GET")
+    AppendHeader(&request, "Content-Length", absl::StrCat(call.body.size()));
   request += "\r\n";
   request += call.body;
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -142,10 +142,11 @@
 
 BOOST_AUTO_TEST_CASE(EnginesGetWhatIsOursAndNothingForged) {
   auto world = StartedWorld();
-  world->Call(world->StreamRequest("f",
-                                   "Tenant: thief\r\nExpect-Instance: other\r\nHelpers: 1.2.3.4:5\r\n"
-                                   "Priority: 0\r\nX-Mine: kept\r\nTE: trailers\r\n"
-                                   "Connection: keep-alive, Model\r\n"));
+  world->Call(
+      world->StreamRequest("f",
+                           "Tenant: thief\r\nExpect-Instance: other\r\nHelpers: 1.2.3.4:5\r\n"
+                           "Priority: 0\r\nX-Mine: kept\r\nTE: trailers\r\n"
+                           "Connection: keep-alive, Model\r\n"));
   const RequestHead* head = nullptr;
   for (auto& engine : world->engines) {
     if (!engine->seen().empty()) head = &engine->seen().front().request.head;
@@ -176,7 +177,8 @@
 
 BOOST_AUTO_TEST_CASE(BadInputIsAnsweredAtOnceAndReachesNoEngine) {
   auto world = StartedWorld();
-  const std::string head = "POST /app/order/x HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: bad\r\n";
+  const std::string head =
+      "POST /app/order/x HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: bad\r\n";
   const std::string key = "X-Api-Key: key-1\r\n";
   const BadRequest table[] = {
       {"no HTTP", "nonsense\r\n\r\n", 400},
@@ -218,8 +220,8 @@
   config["version"] = 7;
   config["tenants"][0]["apiKeys"] = {"key-2"};
   world->Publish(config);
-  BOOST_TEST(world->RunUntil(
-      [&] { return world->Call(world->SafeRequest("k2")).head.status == 401; }));
+  BOOST_TEST(
+      world->RunUntil([&] { return world->Call(world->SafeRequest("k2")).head.status == 401; }));
   config = world->DefaultConfig();
   config["version"] = 6;
   world->Publish(config);
@@ -268,8 +270,8 @@
   world->store.Compact("keyed.op");
   world->store.Compact("keyed.servers");
   world->store.SetTrouble(StoreTrouble::kNone);
-  BOOST_TEST(world->RunUntil(
-      [&] { return world->Call(world->SafeRequest("c")).head.status == 401; }));
+  BOOST_TEST(
+      world->RunUntil([&] { return world->Call(world->SafeRequest("c")).head.status == 401; }));
 }
 
 BOOST_AUTO_TEST_CASE(AListOfManyPagesIsReadWhole) {
@@ -296,8 +298,11 @@
 BOOST_AUTO_TEST_CASE(AnotherEngineAtTheAddressIsNotUsed) {
   auto world = StartedWorld({.engines = 1, .apps = 1});
   EngineStandin impostor(&world->loop, {.id = "impostor"});
-  json record = {{"service", "app"}, {"address", impostor.address().ToString()},
-                 {"zone", "hall-1"}, {"slots", 16}, {"state", "ready"}};
+  json record = {{"service", "app"},
+                 {"address", impostor.address().ToString()},
+                 {"zone", "hall-1"},
+                 {"slots", 16},
+                 {"state", "ready"}};
   world->store.Put("keyed.servers", "app-gone", record.dump());
   for (int i = 0; i < 20; ++i) {
     Reply reply = world->Call(world->SafeRequest(absl::StrCat("i", i)));
@@ -321,8 +326,8 @@
   Reply late = world->Call(world->SafeRequest("during"));
   BOOST_TEST(late.head.status == 200);
   BOOST_TEST(!late.head.keep_alive);
-  BOOST_TEST(world->RunUntil([&] { return world->Send(world->SafeRequest("after"))->done ||
-                                          world->loop.stopped(); }));
+  BOOST_TEST(world->RunUntil(
+      [&] { return world->Send(world->SafeRequest("after"))->done || world->loop.stopped(); }));
 }
 
 // Seen on the bench (LOST): a kept connection brought a request seconds after the
@@ -333,8 +338,7 @@
   auto world = StartedWorld(options);
   // Keeps the stop from ending early.
   auto busy = world->Send(world->StreamRequest("busy"));
-  auto channel =
-      RequestChannel::Open(&world->loop, {"127.0.0.1", world->gateway->callers_port()});
+  auto channel = RequestChannel::Open(&world->loop, {"127.0.0.1", world->gateway->callers_port()});
   bool answered = false;
   bool closed = false;
   channel->OnIdleEnd([&] { closed = true; });
@@ -379,8 +383,7 @@
   settings.store = world->store.address();
   GatewayServer second(&world->loop, settings, 2);
   BOOST_TEST(second.Start().ok());
-  BOOST_TEST(
-      world->RunUntil([&] { return second.peers() == 1 && world->gateway->peers() == 1; }));
+  BOOST_TEST(world->RunUntil([&] { return second.peers() == 1 && world->gateway->peers() == 1; }));
 }
 
 BOOST_AUTO_TEST_CASE(OperatorsGetMetricsAndState) {
@@ -388,8 +391,7 @@
   world->Call(world->StreamRequest("m1"));
   world->Call(world->SafeRequest("m2"));
   auto fetch = [&](const std::string& path) {
-    auto channel =
-        RequestChannel::Open(&world->loop, {"127.0.0.1", world->gateway->ready_port()});
+    auto channel = RequestChannel::Open(&world->loop, {"127.0.0.1", world->gateway->ready_port()});
     Reply reply;
     RequestChannel::Hooks hooks;
     hooks.head = [&](const ResponseHead& head) { reply.head = head; };
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -17,10 +17,10 @@
 
 json RouteJson(const std::string& name, const std::string& prefix, const std::string& kind,
                const std::string& service) {
-  return {{"name", name},         {"host", "test.example"}, {"pathPrefix", prefix},
-          {"kind", kind},         {"timeoutMs", 10000},     {"targetLatencyMs", 300},
-          {"priority", 1},        {"service", service},     {"maxAttempts", 2},
-          {"public", false},      {"sticky", false},        {"resumable", kind == "streaming"},
+  return {{"name", name},     {"host", "test.example"}, {"pathPrefix", prefix},
+          {"kind", kind},     {"timeoutMs", 10000},     {"targetLatencyMs", 300},
+          {"priority", 1},    {"service", service},     {"maxAttempts", 2},
+          {"public", false},  {"sticky", false},        {"resumable", kind == "streaming"},
           {"gap_aim_ms", 200}};
 }
 
@@ -48,12 +48,13 @@
 }
 
 json GatewayWorld::DefaultConfig() const {
-  json engine = {{"slots", 16},          {"kvCapacity", 450000}, {"step_ms", 0.925},
-                 {"per_seq_ms", 0.005},  {"context_per_k", 0.0025}, {"read_per_s", 256000},
-                 {"pairs_per_m", 0.0917}, {"chunk", 2048},       {"stride", 46}};
+  json engine = {{"slots", 16},           {"kvCapacity", 450000},    {"step_ms", 0.925},
+                 {"per_seq_ms", 0.005},   {"context_per_k", 0.0025}, {"read_per_s", 256000},
+                 {"pairs_per_m", 0.0917}, {"chunk", 2048},           {"stride", 46}};
   return {{"version", 1},
           {"routes",
-           {RouteJson("chat", "/chat/", "streaming", kModels), RouteJson("look", "/app/look/", "safe", kApp),
+           {RouteJson("chat", "/chat/", "streaming", kModels),
+            RouteJson("look", "/app/look/", "safe", kApp),
             RouteJson("order", "/app/order/", "unsafe", kApp)}},
           {"services",
            {{{"name", kModels}, {"healthPath", "/healthz"}, {"maxConns", 400}, {"engine", engine}},
@@ -124,8 +125,7 @@
 
 std::shared_ptr<Reply> GatewayWorld::Send(const std::string& request) {
   auto reply = std::make_shared<Reply>();
-  auto channel =
-      RequestChannel::Open(&this->loop, {"127.0.0.1", this->gateway->callers_port()});
+  auto channel = RequestChannel::Open(&this->loop, {"127.0.0.1", this->gateway->callers_port()});
   RequestChannel::Hooks hooks;
   hooks.head = [reply](const ResponseHead& head) { reply->head = head; };
   hooks.body = [reply](std::string_view bytes) { reply->body.append(bytes); };
--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -50,8 +50,7 @@
   this->on_acquired = std::move(acquired);
   this->prolonged = Now();
   for (const TicketWish& wish : this->wishes) {
-    std::string text =
-        platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
+    std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
     this->Order(wish, text, [self = this->shared_from_this(), engine = wish.engine.id](bool given) {
       if (!given) {
         self->Finish(false, engine);
@@ -72,8 +71,7 @@
   if (this->released || now - this->prolonged < kProlongEvery) return;
   this->prolonged = now;
   for (const TicketWish& wish : this->wishes) {
-    std::string text =
-        platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
+    std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
     this->Order(wish, text, [](bool) {});
   }
 }
@@ -87,9 +85,8 @@
 
 void TicketSet::ReleaseOne(const TicketWish& wish, int tries_left) {
   if (tries_left == 0) {
-    this->state->log->Write(LogLine("ticket_left_to_lapse")
-                                .Text("ticket", wish.ticket)
-                                .Text("engine", wish.engine.id));
+    this->state->log->Write(
+        LogLine("ticket_left_to_lapse").Text("ticket", wish.ticket).Text("engine", wish.engine.id));
     return;
   }
   this->Order(wish, platform::ReleaseMemoryText(wish.engine, wish.ticket),
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -70,10 +70,9 @@
 
 void TopicFollower::ReadTail() {
   this->call_sent = Now();
-  this->client.Call(
-      platform::ReadFrom(this->options.topic, this->next_offset, this->options.wait),
-      this->options.wait + kAnswerPatience,
-      [this](const StoreAnswer& answer) { this->OnTail(answer); });
+  this->client.Call(platform::ReadFrom(this->options.topic, this->next_offset, this->options.wait),
+                    this->options.wait + kAnswerPatience,
+                    [this](const StoreAnswer& answer) { this->OnTail(answer); });
 }
 
 void TopicFollower::OnTail(const StoreAnswer& answer) {
--- a/src/http/header_list.cc
+++ b/src/http/header_list.cc
@@ -14,8 +14,16 @@
 namespace {
 
 constexpr std::string_view kHopByHopNames[] = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Content-Length",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
 };
 
 bool IsHopByHop(std::string_view name) {
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -43,7 +43,8 @@
       parser({.head = [this](ResponseHead head) { this->OnHead(std::move(head)); },
               .body =
                   [this](std::string_view bytes) {
-                    bool wanted = !this->closed && !this->skipping && this->hooks && this->hooks->body;
+                    bool wanted =
+                        !this->closed && !this->skipping && this->hooks && this->hooks->body;
                     if (wanted) this->hooks->body(bytes);
                   }}) {}
 
--- a/src/http/testing/message_parser_test.cc
+++ b/src/http/testing/message_parser_test.cc
@@ -2,10 +2,10 @@
 // answers that end in every way.
 
 #define BOOST_TEST_MODULE message_parser
-#include <boost/test/unit_test.hpp>
-
 #include "http/message_parser.h"
 
+#include <boost/test/unit_test.hpp>
+
 namespace gullward {
 namespace {
 
@@ -83,9 +83,9 @@
               ParseState::kBodyTooLarge));
   BOOST_TEST((ParseRequest(head + "Content-Length: 4\r\n\r\nabcd", 16, limits).state ==
               ParseState::kComplete));
-  BOOST_TEST((ParseRequest(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 99,
-                           limits)
-                  .state == ParseState::kBodyTooLarge));
+  BOOST_TEST(
+      (ParseRequest(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 99, limits)
+           .state == ParseState::kBodyTooLarge));
 }
 
 BOOST_AUTO_TEST_CASE(WhatFollowsAMessageWaitsForNext) {
@@ -149,10 +149,9 @@
 bool KeepsModel(std::string_view name) { return SameHeaderName(name, "Model"); }
 
 BOOST_AUTO_TEST_CASE(HopByHopFieldsGoAndEndToEndFieldsCannotBeNamedAway) {
-  HttpHeaders headers = {{"Host", "h"},       {"connection", "X-Private, model"},
-                         {"X-Private", "1"},  {"MODEL", "m"},
-                         {"Keep-Alive", "5"}, {"Transfer-Encoding", "chunked"},
-                         {"X-Other", "2"}};
+  HttpHeaders headers = {
+      {"Host", "h"},       {"connection", "X-Private, model"}, {"X-Private", "1"}, {"MODEL", "m"},
+      {"Keep-Alive", "5"}, {"Transfer-Encoding", "chunked"},   {"X-Other", "2"}};
   RemoveHopByHopHeaders(&headers, KeepsModel);
   const HttpHeaders expected = {{"Host", "h"}, {"MODEL", "m"}, {"X-Other", "2"}};
   BOOST_TEST((headers == expected));
--- a/src/process/testing/event_log_test.cc
+++ b/src/process/testing/event_log_test.cc
@@ -1,6 +1,8 @@
 // Lines are records; a reader that stops holds nothing up.
 
 #define BOOST_TEST_MODULE event_log
+#include "process/event_log.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -8,8 +10,6 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "process/event_log.h"
-
 namespace gullward {
 namespace {
 
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -19,8 +19,7 @@
   if (!found->second.gone_at) found->second.gone_at = keep_until;
 }
 
-void EngineDirectory::Replace(const std::vector<EngineRecord>& records, Time now,
-                              Time keep_until) {
+void EngineDirectory::Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until) {
   std::set<std::string> listed;
   for (const EngineRecord& record : records) {
     listed.insert(record.id);
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -8,8 +8,7 @@
 namespace gullward {
 namespace {
 
-std::vector<PauseClass> Merged(std::vector<PauseClass> left,
-                               const std::vector<PauseClass>& right) {
+std::vector<PauseClass> Merged(std::vector<PauseClass> left, const std::vector<PauseClass>& right) {
   for (const PauseClass& added : right) {
     auto place = std::lower_bound(
         left.begin(), left.end(), added,
--- a/src/serving/peer_freshness.cc
+++ b/src/serving/peer_freshness.cc
@@ -12,8 +12,8 @@
   if (this->rounds.size() > kRoundsKept) this->rounds.pop_front();
 }
 
-FreshnessNote PeerFreshness::NoteFor(const std::string& peer, uint64_t own_version,
-                                     Time own_proved, Time now) const {
+FreshnessNote PeerFreshness::NoteFor(const std::string& peer, uint64_t own_version, Time own_proved,
+                                     Time now) const {
   FreshnessNote note;
   note.round = this->last_round;
   note.config_version = own_version;
@@ -27,8 +27,7 @@
 }
 
 std::optional<Time> PeerFreshness::Hear(const std::string& peer, uint64_t peer_incarnation,
-                                        const FreshnessNote& note, uint64_t own_version,
-                                        Time now) {
+                                        const FreshnessNote& note, uint64_t own_version, Time now) {
   Heard& last = this->heard[peer];
   if (last.incarnation != peer_incarnation) last = Heard{peer_incarnation, 0, now};
   // The time of the first arrival: a later copy must not make it look younger.
@@ -36,9 +35,8 @@
   this->newest_version = std::max(this->newest_version, note.config_version);
   if (note.config_version > own_version || note.echoed_round == 0) return std::nullopt;
   if (note.echoed_incarnation != this->incarnation) return std::nullopt;
-  auto sent = std::find_if(this->rounds.begin(), this->rounds.end(), [&](const Round& round) {
-    return round.number == note.echoed_round;
-  });
+  auto sent = std::find_if(this->rounds.begin(), this->rounds.end(),
+                           [&](const Round& round) { return round.number == note.echoed_round; });
   if (sent == this->rounds.end()) return std::nullopt;
   return sent->sent + note.echo_held - note.proved_ago;
 }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -101,8 +101,7 @@
   // that come before the event of its own.
   double wait_ms = candidate.load.writers > 0 ? pass_ms / 2 : 0;
   double steps_ms = std::max(pass_ms, speed.steps_per_pass * speed.step_ms);
-  return wait_ms + SlotWaitMs(speed, candidate) + candidate.load.ToReadMs() + reading_ms +
-         steps_ms;
+  return wait_ms + SlotWaitMs(speed, candidate) + candidate.load.ToReadMs() + reading_ms + steps_ms;
 }
 
 // The cost of memory that the engine has not got: it would put the request, or
@@ -171,9 +170,9 @@
 }
 
 // The engine that the request itself costs least on, or none.
-std::optional<size_t> ChooseMain(const std::vector<Candidate>& candidates,
-                                 const EngineSpeed& speed, const Demand& demand,
-                                 const ReaderCosts& costs, Placement* placement) {
+std::optional<size_t> ChooseMain(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
+                                 const Demand& demand, const ReaderCosts& costs,
+                                 Placement* placement) {
   std::optional<size_t> best;
   placement->cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < candidates.size(); ++i) {
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -2,10 +2,10 @@
 // is never promised twice.
 
 #define BOOST_TEST_MODULE placement
-#include <boost/test/unit_test.hpp>
-
 #include "serving/placement.h"
 
+#include <boost/test/unit_test.hpp>
+
 namespace gullward {
 namespace {
 
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -45,8 +45,8 @@
 
 // Every combination of a request's state with every result keeps the promises.
 BOOST_AUTO_TEST_CASE(NoDecisionBreaksAPromise) {
-  const AttemptResult results[] = {AttemptResult::kSuccess,  AttemptResult::kEngineFailure,
-                                   AttemptResult::kRejected, AttemptResult::kNotRun,
+  const AttemptResult results[] = {AttemptResult::kSuccess,     AttemptResult::kEngineFailure,
+                                   AttemptResult::kRejected,    AttemptResult::kNotRun,
                                    AttemptResult::kWrongEngine, AttemptResult::kUnknown};
   for (AttemptResult result : results) {
     for (Repeat repeat : {Repeat::kAllowed, Repeat::kNever, Repeat::kResumeStream}) {
@@ -109,9 +109,8 @@
     }
     for (Time end : retries) {
       auto in_window = [&](const std::vector<Time>& times) {
-        return std::count_if(times.begin(), times.end(), [&](Time at) {
-          return at <= end && at > end - bounds.window;
-        });
+        return std::count_if(times.begin(), times.end(),
+                             [&](Time at) { return at <= end && at > end - bounds.window; });
       };
       double allowed = bounds.ratio * static_cast<double>(in_window(requests)) + bounds.slack;
       BOOST_REQUIRE(static_cast<double>(in_window(retries)) <= allowed);
@@ -153,8 +152,8 @@
     for (size_t second = first; second <= text.size(); ++second) {
       EventSplitter splitter;
       WholeEvents all;
-      for (const std::string& part : {text.substr(0, first), text.substr(first, second - first),
-                                      text.substr(second)}) {
+      for (const std::string& part :
+           {text.substr(0, first), text.substr(first, second - first), text.substr(second)}) {
         WholeEvents some = splitter.Feed(part);
         all.bytes += some.bytes;
         all.count += some.count;
@@ -172,8 +171,8 @@
                            const std::string& path) {
   const Route* best = nullptr;
   for (const Route& route : config.routes) {
-    bool fits = route.host == host && path.compare(0, route.path_prefix.size(),
-                                                   route.path_prefix) == 0;
+    bool fits =
+        route.host == host && path.compare(0, route.path_prefix.size(), route.path_prefix) == 0;
     if (!fits) continue;
     if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
   }
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -29,11 +29,11 @@
 
 const std::vector<EngineFault>& AllEngineFaults() {
   static const auto* const all = new std::vector<EngineFault>{
-      EngineFault::kNotRun,          EngineFault::kBusyUnsure, EngineFault::kWrongEngine,
-      EngineFault::kFailed,          EngineFault::kResetUnanswered,
-      EngineFault::kSilent,          EngineFault::kTornEvent,  EngineFault::kUnsealed,
-      EngineFault::kEncoded,         EngineFault::kForeignFirst,
-      EngineFault::kExtraAfter,      EngineFault::kUnframed,   EngineFault::kShortBody};
+      EngineFault::kNotRun,       EngineFault::kBusyUnsure,      EngineFault::kWrongEngine,
+      EngineFault::kFailed,       EngineFault::kResetUnanswered, EngineFault::kSilent,
+      EngineFault::kTornEvent,    EngineFault::kUnsealed,        EngineFault::kEncoded,
+      EngineFault::kForeignFirst, EngineFault::kExtraAfter,      EngineFault::kUnframed,
+      EngineFault::kShortBody};
   return *all;
 }
 
@@ -123,8 +123,8 @@
   channel->Answer(Plain(fits ? 200 : 409), "{}");
 }
 
-void EngineStandin::Run(const std::shared_ptr<Connection>& connection,
-                        const CallerRequest& request, EngineFault fault) {
+void EngineStandin::Run(const std::shared_ptr<Connection>& connection, const CallerRequest& request,
+                        EngineFault fault) {
   CallerChannel* channel = connection->channel.get();
   switch (fault) {
     case EngineFault::kBusyUnsure:
@@ -150,8 +150,7 @@
     channel->AnswerAhead(foreign, "not yours");
   }
   channel->BeginAnswer(head, std::nullopt, fault == EngineFault::kUnframed);
-  std::optional<std::string_view> after =
-      FindHeader(request.head.headers, platform::kLastEventId);
+  std::optional<std::string_view> after = FindHeader(request.head.headers, platform::kLastEventId);
   int done = static_cast<int>(after ? ParseCount(*after).value_or(0) : 0);
   this->Stream(connection, done + 1, fault);
 }
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -109,9 +109,8 @@
   answer["end"] = topic.first + topic.records.size();
   auto next = after.empty() ? topic.newest.begin() : topic.newest.upper_bound(after);
   for (; next != topic.newest.end() && answer["items"].size() < this->page_size; ++next) {
-    answer["items"].push_back({{"tlsKey", next->first},
-                               {"value", absl::Base64Escape(next->second)},
-                               {"offset", 0}});
+    answer["items"].push_back(
+        {{"tlsKey", next->first}, {"value", absl::Base64Escape(next->second)}, {"offset", 0}});
   }
   answer["more"] = next != topic.newest.end();
   channel->Answer(Head(200), answer.dump());
@@ -144,8 +143,8 @@
   for (Waiting& entry : std::exchange(this->waiting, {})) {
     std::shared_ptr<CallerChannel> channel = entry.channel.lock();
     if (!channel || channel->is_closed()) continue;
-    bool done = this->AnswerTail(channel.get(), this->topics[entry.topic], entry.from,
-                                 now >= entry.until);
+    bool done =
+        this->AnswerTail(channel.get(), this->topics[entry.topic], entry.from, now >= entry.until);
     if (!done) still.push_back(std::move(entry));
   }
   this->waiting.insert(this->waiting.end(), still.begin(), still.end());
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -29,9 +29,8 @@
         builder, note.round, note.config_version, static_cast<uint64_t>(note.proved_ago.count()),
         note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation);
   }
-  builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box),
-                                      digest.incarnation, digest.sequence,
-                                      builder.CreateVector(entries), freshness));
+  builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
+                                      digest.sequence, builder.CreateVector(entries), freshness));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
