--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -227,7 +227,7 @@
   // What must not run twice must not meet a kept connection that is just being
   // closed: nobody could tell whether it ran.
   bool fresh = this->route->repeat == Repeat::kNever;
-  this->attempt.emplace();
+  this->attempt = Attempt{};
   this->attempt->engine = choice.engine;
   this->attempt->started = now;
   this->attempt->last_progress = now;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -81,13 +81,13 @@
     this->log.Write(LogLine("store_regained").Text("topic", topic));
   };
   if (is_config) {
-    hooks.replace = [this](std::vector<platform::KeyedRecord> records) {
+    hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
       this->OnConfigRecords(records);
     };
     hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
     hooks.up_to_date = [this](Time sent) { this->state.keys.Confirm(sent); };
   } else {
-    hooks.replace = [this](std::vector<platform::KeyedRecord> records) {
+    hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
       this->OnEngineRecords(records);
     };
     hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -37,7 +37,7 @@
           event_loop, settings.store,
           {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
           {.replace =
-               [this](std::vector<platform::KeyedRecord> records) {
+               [this](const std::vector<platform::KeyedRecord>& records) {
                  for (const auto& record : records) this->OnPeerRecord(record);
                },
            .change = [this](const platform::KeyedRecord& record) { this->OnPeerRecord(record); },
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -27,7 +27,7 @@
   hooks.body = [this](std::string_view bytes) { this->incoming.body.append(bytes); };
   hooks.done = [this, number](ChannelResult result) {
     if (result == ChannelResult::kWholeAnswer) {
-      this->Finish(number, std::move(this->incoming));
+      this->Finish(number, StoreAnswer(this->incoming));
     } else {
       this->Finish(number, {0, "", "connection lost"});
     }
@@ -36,7 +36,7 @@
   this->loop->RunAfter(patience, [this, number] { this->Finish(number, {0, "", "overdue"}); });
 }
 
-void StoreClient::Finish(uint64_t number, StoreAnswer answer) {
+void StoreClient::Finish(uint64_t number, const StoreAnswer& answer) {
   if (number != this->call_count || !this->waiting) return;
   if (answer.status == 0) {
     this->channel->Close();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -44,7 +44,7 @@
   uint64_t calls() const { return this->call_count; }
 
  private:
-  void Finish(uint64_t number, StoreAnswer answer);
+  void Finish(uint64_t number, const StoreAnswer& answer);
 
   EventLoop* loop;
   SocketAddress address;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -35,7 +35,7 @@
   };
   struct Hooks {
     // All records, after the pages have been read.
-    std::function<void(std::vector<platform::KeyedRecord>)> replace;
+    std::function<void(const std::vector<platform::KeyedRecord>&)> replace;
     // One record more.
     std::function<void(const platform::KeyedRecord&)> change;
     // Everything up to a read that was sent at `sent` has been told.
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -40,7 +40,7 @@
 
 RequestChannel::RequestChannel(std::shared_ptr<TcpStream> tcp)
     : stream(std::move(tcp)),
-      parser({.head = [this](ResponseHead head) { this->OnHead(std::move(head)); },
+      parser({.head = [this](ResponseHead head) { this->OnHead(head); },
               .body =
                   [this](std::string_view bytes) {
                     bool wanted =
@@ -86,7 +86,7 @@
   }
 }
 
-void RequestChannel::OnHead(ResponseHead head) {
+void RequestChannel::OnHead(const ResponseHead& head) {
   if (this->closed || !this->hooks) return;
   bool interim = head.status < kFirstFinalStatus;
   bool ours = !this->hooks->accepts || this->hooks->accepts(head);
--- a/src/http/request_channel.h
+++ b/src/http/request_channel.h
@@ -71,7 +71,7 @@
   explicit RequestChannel(std::shared_ptr<TcpStream> tcp);
   void OnData(std::string_view bytes);
   void OnClosed(StreamEnd end);
-  void OnHead(ResponseHead head);
+  void OnHead(const ResponseHead& head);
   void OnAnswerComplete();
   void ReadAnswers(ParseState state);
   void Finish(ChannelResult result);
--- a/src/serving/retry_window.cc
+++ b/src/serving/retry_window.cc
@@ -7,7 +7,8 @@
 namespace gullward {
 
 RetryWindow::Bucket& RetryWindow::At(Time now) {
-  int64_t width = std::max<int64_t>(this->bounds.window.count() / (kBuckets - 1), 1);
+  int64_t width =
+      std::max<int64_t>(this->bounds.window.count() / static_cast<int64_t>(kBuckets - 1), 1);
   int64_t number = now.time_since_epoch().count() / width;
   Bucket& bucket = this->buckets[static_cast<size_t>(number) % kBuckets];
   if (bucket.number != number) bucket = Bucket{number, 0, 0};
