--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -40,7 +40,7 @@
 
 RequestChannel::RequestChannel(std::shared_ptr<TcpStream> tcp)
     : stream(std::move(tcp)),
-      parser({.head = [this](ResponseHead head) { this->OnHead(head); },
+      parser({.head = [this](const ResponseHead& head) { this->OnHead(head); },
               .body =
                   [this](std::string_view bytes) {
                     bool wanted =
