A fault soak of real programs

Store, engines and gateways as separate processes; loopback proxies that delay, reset and silence one way; SIGSTOP, SIGKILL, SIGTERM, SIGHUP; new versions that take keys away. It checks that answers are own and whole, streams in order, at most once, refusals true, deadlines kept, taken-away keys not run.

--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -45,6 +45,7 @@
     LOG(ERROR) << status.message();
     return 1;
   }
+  WriteReadyFile(SocketAddress{settings.callers.host, server.callers_port()}.ToString());
   loop.Run();
   return 0;
 }
--- /dev/null
+++ b/src/soak/loopback_proxy.h
@@ -0,0 +1,61 @@
+// A loopback proxy that harms the connections which pass through it.
+//
+//   LoopbackProxy proxy(&loop, target);
+//   proxy.SetDelay(milliseconds(50));
+//   proxy.SetSilent(LoopbackProxy::kFromServer, true);   // cut one way
+//   proxy.ResetAll();
+
+#ifndef GULLWARD_SOAK_LOOPBACK_PROXY_H_
+#define GULLWARD_SOAK_LOOPBACK_PROXY_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "transport/tcp_listener.h"
+#include "transport/tcp_stream.h"
+
+namespace gullward {
+
+class LoopbackProxy {
+ public:
+  enum Direction { kFromClient = 0, kFromServer = 1 };
+
+  LoopbackProxy(EventLoop* event_loop, SocketAddress server);
+
+  SocketAddress address() const { return {"127.0.0.1", this->listener.port()}; }
+
+  // Where new connections go from now on.
+  void SetTarget(const SocketAddress& server) { this->target = server; }
+
+  // Bytes that come while it is set are passed on that much later, in order.
+  void SetDelay(Duration wanted) { this->delay = wanted; }
+
+  // Bytes of a silent direction are held until it speaks again.
+  void SetSilent(Direction direction, bool wanted);
+
+  // Resets every connection.
+  void ResetAll();
+
+ private:
+  struct Link {
+    std::shared_ptr<TcpStream> ends[2];
+    std::string held[2];
+    bool closed = false;
+  };
+
+  void OnClient(int fd);
+  void Forward(const std::shared_ptr<Link>& link, Direction from, const std::string& bytes);
+  void CloseLink(const std::shared_ptr<Link>& link, StreamEnd end);
+
+  EventLoop* loop;
+  SocketAddress target;
+  TcpListener listener;
+  Duration delay{};
+  bool silent[2] = {false, false};
+  std::vector<std::shared_ptr<Link>> links;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SOAK_LOOPBACK_PROXY_H_
--- /dev/null
+++ b/src/soak/soak.cc
@@ -0,0 +1,403 @@
+// soak.h tells what is checked.
+
+#include "soak/soak.h"
+
+#include <signal.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "platform/headers.h"
+
+namespace gullward {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kEvents = 20;
+constexpr uint64_t kDeadlineMs = 3000;
+// Time for an answer to come back after the deadline, on a busy machine.
+constexpr Duration kAnswerSlack = milliseconds(1500);
+// For so long after harm a gateway is excused from being on time.
+constexpr Duration kExcusedAfterHarm = seconds(4);
+constexpr uint64_t kKeyTrustMs = 2000;
+constexpr uint64_t kStopGraceSeconds = 5;
+constexpr size_t kKeysInForce = 3;
+constexpr Duration kStartPatience = seconds(20);
+constexpr Duration kSettle = seconds(6);
+constexpr char kApp[] = "app";
+constexpr char kModels[] = "models";
+constexpr char kPlainBody[] = "the whole answer";
+
+std::string WholeStream() {
+  std::string text;
+  for (int id = 1; id <= kEvents; ++id) {
+    absl::StrAppend(&text, "id: ", id, "\ndata: event-", id, "\n\n");
+  }
+  return text;
+}
+
+json RouteJson(const std::string& prefix, const std::string& kind, const std::string& service) {
+  return {{"name", prefix},     {"host", "soak.example"}, {"pathPrefix", prefix},
+          {"kind", kind},       {"timeoutMs", 10000},     {"targetLatencyMs", 300},
+          {"service", service}, {"maxAttempts", 2},       {"resumable", kind == "streaming"},
+          {"gap_aim_ms", 200}};
+}
+
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+Soak::Soak(const SoakOptions& soak_options)
+    : options(soak_options), random(soak_options.seed), processes(soak_options.folder) {}
+
+void Soak::Broken(const std::string& what) { this->broken.push_back(what); }
+
+void Soak::RunUntil(const std::function<bool()>& condition, Duration patience) {
+  Time until = Now() + patience;
+  while (!condition() && Now() < until) this->loop.RunOnce(milliseconds(10));
+}
+
+void Soak::Later(Duration delay, std::function<void()> task) {
+  this->loop.RunAfter(delay, std::move(task));
+}
+
+std::vector<std::string> Soak::Run() {
+  this->StartAll();
+  if (!this->broken.empty()) return this->broken;
+  for (size_t i = 0; i < this->callers.size(); ++i) this->SendNext(i);
+  Time end = Now() + this->options.duration;
+  Time next_harm = Now() + milliseconds(500);
+  while (Now() < end) {
+    this->loop.RunOnce(milliseconds(10));
+    this->KeepRunning();
+    this->CheckDeadlines();
+    if (Now() < next_harm) continue;
+    this->HarmSomething();
+    next_harm = Now() + milliseconds(50 + this->Draw(500));
+  }
+  this->ending = true;
+  this->RunUntil([] { return false; }, kSettle);
+  this->CheckRuns();
+  return this->broken;
+}
+
+// ------------------------------------------------------------------ programs
+
+void Soak::StartAll() {
+  this->processes.Start("store", "standin-store", {});
+  auto ready = [this](const std::string& name) {
+    this->RunUntil([&] { return !this->processes.ReadyAddress(name).empty(); }, kStartPatience);
+    absl::StatusOr<SocketAddress> address =
+        SocketAddress::Parse(this->processes.ReadyAddress(name));
+    if (!address.ok()) this->Broken(name + " did not start");
+    return address.ok() ? *address : SocketAddress{};
+  };
+  SocketAddress store_address = ready("store");
+  this->store = std::make_unique<StoreClient>(&this->loop, store_address);
+  this->engines.resize(static_cast<size_t>(this->options.engines + this->options.apps));
+  for (size_t i = 0; i < this->engines.size(); ++i) {
+    bool is_app = i >= static_cast<size_t>(this->options.engines);
+    this->engines[i].service = is_app ? kApp : kModels;
+    this->StartEngine(i);
+  }
+  this->Publish();
+  this->gateways.resize(static_cast<size_t>(this->options.gateways));
+  for (size_t i = 0; i < this->gateways.size(); ++i) {
+    this->gateways[i].name = absl::StrCat("gateway-", i);
+    this->gateways[i].store_proxy = std::make_unique<LoopbackProxy>(&this->loop, store_address);
+    this->StartGateway(i);
+  }
+  for (GatewayPlace& gateway : this->gateways) {
+    this->RunUntil([&] { return !this->processes.ReadyAddress(gateway.name).empty(); },
+                   kStartPatience);
+  }
+  this->callers.resize(static_cast<size_t>(this->options.callers));
+}
+
+void Soak::StartEngine(size_t place) {
+  EnginePlace& engine = this->engines[place];
+  if (!engine.name.empty()) this->PutRecord(platform::kEnginesTopic, engine.name, "");
+  engine.lives += 1;
+  engine.name = absl::StrCat(engine.service, "-", place, "-", engine.lives);
+  this->engine_outputs.push_back(engine.name);
+  this->processes.Start(engine.name, "standin-model-engine",
+                        {"--id=" + engine.name, absl::StrCat("--events=", kEvents)});
+  std::string name = engine.name;
+  this->RunUntil([&] { return !this->processes.ReadyAddress(name).empty(); }, kStartPatience);
+  absl::StatusOr<SocketAddress> address = SocketAddress::Parse(this->processes.ReadyAddress(name));
+  if (!address.ok()) return this->Broken(name + " did not start");
+  if (engine.proxy) {
+    engine.proxy->SetTarget(*address);
+  } else {
+    engine.proxy = std::make_unique<LoopbackProxy>(&this->loop, *address);
+  }
+  json record = {{"service", engine.service},
+                 {"address", engine.proxy->address().ToString()},
+                 {"zone", "hall"},
+                 {"slots", 16},
+                 {"state", "ready"}};
+  this->PutRecord(platform::kEnginesTopic, name, record.dump());
+}
+
+void Soak::StartGateway(size_t place) {
+  GatewayPlace& gateway = this->gateways[place];
+  gateway.harmed = Now();
+  gateway.stopping = false;
+  std::string file = this->processes.PathOf(gateway.name + ".toml");
+  std::ofstream(file) << "box = \"" << gateway.name << "\"\ndata_centre = \"hall\"\n"
+                      << "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+                      << "peers = \"127.0.0.1:0\"\n"
+                      << "store = \"" << gateway.store_proxy->address().ToString() << "\"\n"
+                      << "key_trust_ms = " << kKeyTrustMs << "\n"
+                      << "stop_grace_seconds = " << kStopGraceSeconds << "\n";
+  this->processes.Start(gateway.name, "gullward-gateway", {"--settings=" + file});
+}
+
+// Starts again what has ended.
+void Soak::KeepRunning() {
+  for (size_t i = 0; i < this->gateways.size(); ++i) {
+    if (!this->processes.IsRunning(this->gateways[i].name)) this->StartGateway(i);
+  }
+  for (size_t i = 0; i < this->engines.size(); ++i) {
+    if (!this->processes.IsRunning(this->engines[i].name)) this->StartEngine(i);
+  }
+}
+
+void Soak::PutRecord(std::string_view topic, const std::string& key, const std::string& value) {
+  this->store_calls.emplace_back(platform::AppendKeyed(topic, {key, value}), nullptr);
+  this->NextStoreCall();
+}
+
+void Soak::NextStoreCall() {
+  if (this->store_busy || this->store_calls.empty()) return;
+  this->store_busy = true;
+  this->store->Call(this->store_calls.front().first, seconds(1), [this](const StoreAnswer& answer) {
+    this->store_busy = false;
+    // A record written twice says the same.
+    if (answer.status == 200) {
+      std::function<void()> acknowledged = this->store_calls.front().second;
+      this->store_calls.pop_front();
+      if (acknowledged) acknowledged();
+    }
+    this->Later(milliseconds(answer.status == 200 ? 0 : 100), [this] { this->NextStoreCall(); });
+  });
+}
+
+// A new version with one key more, and the oldest taken away.
+void Soak::Publish() {
+  this->config_version += 1 + this->Draw(3);
+  this->keys.push_back(absl::StrCat("key-", this->config_version));
+  std::string dropped;
+  if (this->keys.size() > kKeysInForce) {
+    dropped = this->keys.front();
+    this->keys.pop_front();
+  }
+  json engine = {{"slots", 16}, {"kvCapacity", 450000}, {"step_ms", 0.9}, {"stride", 46}};
+  json config = {{"version", this->config_version},
+                 {"routes",
+                  {RouteJson("/chat/", "streaming", kModels), RouteJson("/app/look/", "safe", kApp),
+                   RouteJson("/app/order/", "unsafe", kApp)}},
+                 {"services", {{{"name", kModels}, {"engine", engine}}, {{"name", kApp}}}},
+                 {"tenants", {{{"name", "shop"}, {"apiKeys", this->keys}}}}};
+  std::string text = config.dump();
+  this->store_calls.emplace_back(
+      platform::AppendKeyed(platform::kConfigTopic, {std::string(platform::kConfigKey), text}),
+      [this, dropped] {
+        if (!dropped.empty()) this->revoked[dropped] = Now();
+      });
+  this->NextStoreCall();
+}
+
+// -------------------------------------------------------------------- faults
+
+void Soak::HarmSomething() {
+  switch (this->Draw(4)) {
+    case 0:
+      return this->HarmGateway();
+    case 1:
+      return this->HarmStore();
+    default:
+      return this->HarmEngine();
+  }
+}
+
+void Soak::HarmEngine() {
+  size_t place = this->Draw(this->engines.size());
+  EnginePlace& engine = this->engines[place];
+  std::string name = engine.name;
+  LoopbackProxy* proxy = engine.proxy.get();
+  Duration span = milliseconds(100 + this->Draw(2500));
+  switch (this->Draw(6)) {
+    case 0:
+      return this->processes.Signal(name, SIGKILL);
+    case 1:
+      this->processes.Signal(name, SIGSTOP);
+      return this->Later(span, [this, name] { this->processes.Signal(name, SIGCONT); });
+    case 2:
+      return proxy->ResetAll();
+    case 3:
+      proxy->SetDelay(milliseconds(20 + this->Draw(300)));
+      return this->Later(span, [proxy] { proxy->SetDelay(Duration(0)); });
+    default: {
+      auto direction = static_cast<LoopbackProxy::Direction>(this->Draw(2));
+      proxy->SetSilent(direction, true);
+      return this->Later(span, [proxy, direction] { proxy->SetSilent(direction, false); });
+    }
+  }
+}
+
+void Soak::HarmGateway() {
+  size_t place = this->Draw(this->gateways.size());
+  GatewayPlace& gateway = this->gateways[place];
+  std::string name = gateway.name;
+  gateway.harmed = Now();
+  switch (this->Draw(4)) {
+    case 0:
+      return this->processes.Signal(name, SIGKILL);
+    case 1:
+      gateway.stopping = true;
+      return this->processes.Signal(name, SIGTERM);
+    case 2:
+      return this->processes.Signal(name, SIGHUP);
+    default:
+      this->processes.Signal(name, SIGSTOP);
+      this->Later(milliseconds(50 + this->Draw(2500)), [this, name, place] {
+        this->gateways[place].harmed = Now();
+        this->processes.Signal(name, SIGCONT);
+      });
+  }
+}
+
+void Soak::HarmStore() {
+  LoopbackProxy* proxy = this->gateways[this->Draw(this->gateways.size())].store_proxy.get();
+  Duration span = milliseconds(100 + this->Draw(4000));
+  switch (this->Draw(5)) {
+    case 0:
+      this->processes.Signal("store", SIGSTOP);
+      return this->Later(span, [this] { this->processes.Signal("store", SIGCONT); });
+    case 1:
+      return proxy->ResetAll();
+    case 2: {
+      auto direction = static_cast<LoopbackProxy::Direction>(this->Draw(2));
+      proxy->SetSilent(direction, true);
+      return this->Later(span, [proxy, direction] { proxy->SetSilent(direction, false); });
+    }
+    default:
+      return this->Publish();
+  }
+}
+
+// ------------------------------------------------------------------- callers
+
+void Soak::SendNext(size_t index) {
+  if (this->ending) return;
+  Caller& caller = this->callers[index];
+  bool reuse = caller.channel && caller.channel->reusable() && this->Draw(4) != 0;
+  if (!reuse) {
+    caller.gateway = this->Draw(this->gateways.size());
+    const std::string& name = this->gateways[caller.gateway].name;
+    absl::StatusOr<SocketAddress> address =
+        SocketAddress::Parse(this->processes.ReadyAddress(name));
+    if (!address.ok()) {
+      this->Later(milliseconds(50), [this, index] { this->SendNext(index); });
+      return;
+    }
+    if (caller.channel) caller.channel->Close();
+    caller.channel = RequestChannel::Open(&this->loop, *address);
+  }
+  caller.id = absl::StrCat("soak-", this->options.seed, "-", ++this->sent_count);
+  caller.kind = static_cast<Kind>(this->Draw(3));
+  bool use_revoked = !this->revoked.empty() && this->Draw(10) == 0;
+  caller.key = use_revoked ? std::next(this->revoked.begin(),
+                                       static_cast<long>(this->Draw(this->revoked.size())))
+                                 ->first
+                           : this->keys.back();
+  caller.sent = Now();
+  caller.head = {};
+  caller.body.clear();
+  caller.waiting = true;
+  auto gone = this->revoked.find(caller.key);
+  bool long_revoked =
+      gone != this->revoked.end() && caller.sent - gone->second > milliseconds(kKeyTrustMs);
+  if (long_revoked) this->must_not_run[caller.id] = "its key had been taken away";
+  if (caller.kind == Kind::kOnce) this->once_ids.push_back(caller.id);
+
+  const char* paths[] = {"POST /chat/x", "GET /app/look/x", "POST /app/order/x"};
+  std::string request =
+      absl::StrCat(paths[static_cast<int>(caller.kind)],
+                   " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: ", caller.id,
+                   "\r\nDeadline-Ms: ", kDeadlineMs, "\r\nX-Api-Key: ", caller.key,
+                   "\r\nToken-Count: 1000,80\r\nContent-Length: 0\r\n\r\n");
+  RequestChannel::Hooks hooks;
+  hooks.head = [this, index](const ResponseHead& head) { this->callers[index].head = head; };
+  hooks.body = [this, index](std::string_view bytes) { this->callers[index].body.append(bytes); };
+  hooks.done = [this, index](ChannelResult result) { this->OnDone(index, result); };
+  caller.channel->Send(request, std::move(hooks), /*is_head=*/false);
+}
+
+void Soak::OnDone(size_t index, ChannelResult result) {
+  Caller& caller = this->callers[index];
+  if (!caller.waiting) return;
+  caller.waiting = false;
+  this->CheckAnswer(caller, result);
+  this->Later(milliseconds(this->Draw(20)), [this, index] { this->SendNext(index); });
+}
+
+void Soak::CheckAnswer(const Caller& caller, ChannelResult result) {
+  const std::string whole_stream = WholeStream();
+  bool whole = result == ChannelResult::kWholeAnswer;
+  bool success = caller.head.status == 200;
+  std::string id(FindHeader(caller.head.headers, platform::kAttemptId).value_or(caller.id));
+  if (id != caller.id) this->Broken("own: " + caller.id + " got the answer of " + id);
+  if (success && caller.kind == Kind::kStream) {
+    bool is_beginning = whole_stream.compare(0, caller.body.size(), caller.body) == 0;
+    if (!is_beginning) this->Broken("order: " + caller.id + " got other events");
+    if (whole && caller.body != whole_stream) this->Broken("own: " + caller.id + " is not whole");
+  } else if (success && whole && caller.body != kPlainBody) {
+    this->Broken("own: " + caller.id + " has another body");
+  }
+  if (success && whole) this->served_count += 1;
+  if (whole && caller.kind == Kind::kOnce && PromisesNotRun(caller.head.status)) {
+    this->must_not_run[caller.id] = absl::StrCat("it was refused with ", caller.head.status);
+  }
+}
+
+// Gives up what is overdue, as a caller would, and judges whose fault it is.
+void Soak::CheckDeadlines() {
+  Time now = Now();
+  for (size_t i = 0; i < this->callers.size(); ++i) {
+    Caller& caller = this->callers[i];
+    bool overdue = caller.waiting && now - caller.sent > milliseconds(kDeadlineMs) + kAnswerSlack;
+    if (!overdue) continue;
+    bool harmed = now - this->gateways[caller.gateway].harmed < kExcusedAfterHarm + kAnswerSlack;
+    if (!harmed) this->Broken("on time: " + caller.id + " has no answer after its deadline");
+    caller.waiting = false;
+    caller.channel->Close();
+    this->SendNext(i);
+  }
+}
+
+void Soak::CheckRuns() {
+  std::map<std::string, int> runs;
+  for (const std::string& name : this->engine_outputs) {
+    std::istringstream lines(this->processes.Output(name));
+    for (std::string line; std::getline(lines, line);) {
+      if (absl::StartsWith(line, "ran ")) runs[line.substr(4)] += 1;
+    }
+  }
+  for (const std::string& id : this->once_ids) {
+    if (runs[id] > 1) this->Broken(absl::StrCat("once: ", id, " ran ", runs[id], " times"));
+  }
+  for (const auto& [id, reason] : this->must_not_run) {
+    if (runs[id] > 0) this->Broken(absl::StrCat("refused: ", id, " ran although ", reason));
+  }
+}
+
+}  // namespace gullward
