Leftovers out; one failure body, one framing of records

Cause: the JSON body of a failure was built in two places, and so was the framing of a keyed record (the store's calls and its stand-in). Members that nobody reads had stayed (RequestChannel::connected, begun and awaiting_answer of CallerChannel, first_head and head_seen of Exchange), a parameter of GiveUp was not used, and the comment over kContinue told of another constant.

Change: failure_body.h and platform::AppendRecord each do it once; the leftovers are gone; CallerChannel's header says that it is a plain HTTP server's end, which stand-ins use too. No behaviour changes.

--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -1,4 +1,5 @@
-// caller_channel.h tells the order of things.
+// The phases of a caller's connection: idle, reading a request, awaiting or
+// writing its answer, closed; and the framing of answers.
 
 #include "gateway/caller_channel.h"
 
@@ -10,7 +11,7 @@
 namespace gullward {
 namespace {
 
-// What waits behind the request under way; more than that stays in the kernel.
+// What a caller that asks before it sends a body is told.
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 ResultCode CodeOf(ParseState state) {
@@ -119,7 +120,6 @@
 void CallerChannel::BeginAnswer(const AnswerHead& head, std::optional<uint64_t> length,
                                 bool unframed) {
   if (this->phase != Phase::kAnswering) return;
-  this->begun = true;
   this->chunked = !length && !unframed && this->request.head.chunks_allowed;
   // Without chunks only the end of the connection can end the answer.
   if (!length && !this->chunked) this->closing = true;
@@ -149,7 +149,6 @@
 }
 
 void CallerChannel::FinishAnswer() {
-  this->begun = false;
   this->chunked = false;
   this->head_complete = false;
   if (this->closing) {
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -11,6 +11,10 @@
 //
 // An answer that was broken off never looks complete: the connection ends with a
 // reset before its last chunk or byte.
+//
+// Nothing here knows of engines: this is a plain HTTP server's end of a
+// connection.  The operators' pages and the stand-ins of tests use it as such;
+// to them, "the caller" is whoever connected.
 
 #ifndef GULLWARD_GATEWAY_CALLER_CHANNEL_H_
 #define GULLWARD_GATEWAY_CALLER_CHANNEL_H_
@@ -81,8 +85,6 @@
   // Looks at the clock: answers stalled requests, closes idle connections.
   void Tick(Time now);
 
-  bool awaiting_answer() const { return this->phase == Phase::kAnswering; }
-  bool answer_begun() const { return this->begun; }
   bool is_closed() const { return this->phase == Phase::kClosed; }
 
   // Bytes that the caller has not read yet.
@@ -107,7 +109,6 @@
   Phase phase = Phase::kIdle;
   CallerRequest request;
   bool head_complete = false;
-  bool begun = false;
   bool chunked = false;
   bool closing = false;
   Time idle_since = Now();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/failure_body.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
 
@@ -292,7 +293,6 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   this->attempt->head = head;
-  this->attempt->head_seen = true;
   AnswerFacts answer;
   answer.status = head.status;
   answer.sealed = FindHeader(head.headers, platform::kSeal).has_value();
@@ -533,11 +533,9 @@
   if (come_back) {
     head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
   }
-  std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
-                                  info.name, "\",\"message\":\"", info.description, "\"}");
   std::shared_ptr<CallerChannel> channel = this->caller;
   this->Finish();
-  channel->Answer(head, body);
+  channel->Answer(head, FailureBody(code));
 }
 
 Duration Exchange::PatienceWithEngine() const {
@@ -561,7 +559,7 @@
   if (this->tickets) this->tickets->Tick(now);
   if (!this->attempt) return;
   if (now >= this->answer_by) {
-    this->GiveUp(now);
+    this->GiveUp();
     return;
   }
   Duration silent = now - this->attempt->last_progress;
@@ -580,7 +578,7 @@
   this->AfterAttempt(AttemptResult::kUnknown);
 }
 
-void Exchange::GiveUp(Time) {
+void Exchange::GiveUp() {
   this->CancelAttempt();
   if (this->answer_begun) {
     this->Follow(NextStep::kBreakOff, AttemptResult::kUnknown);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,7 +52,6 @@
     Time started;
     Time last_progress;
     ResponseHead head;
-    bool head_seen = false;
     AttemptResult verdict = AttemptResult::kUnknown;
     std::string body;
     EventSplitter events;
@@ -85,7 +84,7 @@
   void DeliverWhole();
   void Refuse(ResultCode code);
   double ComeBackSeconds() const;
-  void GiveUp(Time now);
+  void GiveUp();
   void CancelAttempt();
   void Finish();
   Duration PatienceWithEngine() const;
@@ -122,7 +121,6 @@
   Duration first_event_after{};
   Duration longest_pause_seen{};
   Time last_event_at{};
-  std::optional<AnswerHead> first_head;
   bool answer_begun = false;
   bool is_finished = false;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/absl_view.h"
+#include "gateway/failure_body.h"
 #include "platform/documents.h"
 #include "process/metrics.h"
 
@@ -176,9 +177,8 @@
   const ResultCodeInfo& info = Info(code);
   this->state.counters.failures[code] += 1;
   this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
-  std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
-                                  info.name, "\",\"message\":\"", info.description, "\"}");
-  found->second.channel->Answer(TextAnswer(info.http_status, info.name, "application/json"), body);
+  found->second.channel->Answer(TextAnswer(info.http_status, info.name, "application/json"),
+                                FailureBody(code));
 }
 
 void GatewayServer::OnGone(uint64_t caller_id) {
--- a/src/http/request_channel.h
+++ b/src/http/request_channel.h
@@ -1,7 +1,8 @@
 // A connection that we opened, and the one request that is on it.
 //
 //   auto channel = RequestChannel::Open(&loop, address);
-//   channel->Send(text, {.accepts = ..., .head = ..., .body = ..., .done = ...}, options);
+//   channel->Send(text, {.accepts = ..., .head = ..., .body = ..., .done = ...},
+//   /*is_head=*/false);
 //
 // A channel carries one request at a time.  After `done` with a whole answer it
 // may carry the next one if reusable().  An answer that `accepts` turns down
@@ -54,8 +55,6 @@
   // is on it.
   void OnIdleEnd(std::function<void()> hook) { this->idle_end = std::move(hook); }
 
-  bool connected() const { return this->stream->connected(); }
-
   // Whether the answer that ended left the channel fit for another request.
   bool reusable() const { return this->fit_for_reuse && !this->closed; }
 
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -1,4 +1,5 @@
-// store_standin.h.
+// Topics in memory; a read that finds nothing new waits until a record comes or
+// its time is up.
 
 #include "standins/store_standin.h"
 
@@ -34,10 +35,6 @@
   return query;
 }
 
-void AppendNumber(std::string* out, uint64_t value, size_t size) {
-  for (size_t i = size; i-- > 0;) out->push_back(static_cast<char>(value >> (8 * i)));
-}
-
 uint64_t ToNumber(const std::string& text) { return ParseCount(text).value_or(0); }
 
 }  // namespace
@@ -125,13 +122,11 @@
   }
   if (from >= end && !even_if_none) return false;
   std::string body;
-  AppendNumber(&body, end, 8);
-  AppendNumber(&body, topic.first, 8);
+  platform::AppendNumber(&body, end, 8);
+  platform::AppendNumber(&body, topic.first, 8);
   for (uint64_t offset = from; offset < end; ++offset) {
     const platform::KeyedRecord& record = topic.records[offset - topic.first];
-    AppendNumber(&body, 1 + record.key.size() + record.value.size(), 4);
-    AppendNumber(&body, record.key.size(), 1);
-    body += record.key + record.value;
+    platform::AppendRecord(&body, record);
   }
   channel->Answer(Head(200), body);
   return true;
