The metrics page has a file of its own

Cause: gateway_server.cc ties connections, the store's topics and the stop together, and half a screen of metric names stood among them.

Change: MetricsPage moves to metrics_page.{h,cc}, in one function for each part of the page; the server fills in PageFigures. Names, help texts, their order and values stay as they were.

The tests gateway_test, serving_test, placement_test, platform_test, message_parser_test and event_log_test pass.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,18 +1,18 @@
-// gateway_server.h tells what it ties together.
+// Takes connections, hands requests to exchanges and records of the store to the
+// core, looks at every clock once a tick, and stops in an order that callers do
+// not notice.
 
 #include "gateway/gateway_server.h"
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "base/absl_view.h"
 #include "gateway/failure_body.h"
+#include "gateway/metrics_page.h"
 #include "platform/documents.h"
-#include "process/metrics.h"
 
 namespace gullward {
 namespace {
@@ -38,7 +38,6 @@
 constexpr Duration kReadShouldHaveCome = milliseconds(400);
 // Operators' requests have no body worth keeping.
 constexpr uint64_t kOperatorBodyBytes = 64 << 10;
-constexpr double kBytesPerKilobyte = 1024;
 constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
 
 // How long one read of the configuration may wait at the store.  A read proves
@@ -212,7 +211,7 @@
                                    const CallerRequest& request) {
   const std::string& path = request.head.target;
   if (path == "/metrics") {
-    channel->Answer(TextAnswer(200, "OK", kTextPlain), this->MetricsPage());
+    channel->Answer(TextAnswer(200, "OK", kTextPlain), this->Metrics());
   } else if (path == "/state") {
     channel->Answer(TextAnswer(200, "OK", "application/json"), this->StateDump());
   } else if (path == "/v1/readyz" || path == "/readyz") {
@@ -365,58 +364,17 @@
   this->log.Write(LogLine("reloaded"));
 }
 
-std::string GatewayServer::MetricsPage() const {
-  const GatewayCounters& counters = this->state.counters;
-  MetricsText text;
-  auto count = [&text](const std::string& name, const std::string& help, uint64_t value) {
-    text.Counter(name, help, {}, static_cast<double>(value));
-  };
-  count("gullward_requests_total", "Requests read from callers", counters.requests);
-  count("gullward_attempts_total", "Requests sent to engines", counters.attempts);
-  count("gullward_retries_total", "Second and later attempts", counters.retries);
-  count("gullward_retries_denied_total", "Retries that the budget denied", counters.retries_denied);
-  count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
-  count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
-  count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
-  count("gullward_events_total", "Stream events passed on", counters.events_passed);
-  count("gullward_engine_orders_total", "Orders to engines", counters.orders);
-  count("gullward_engine_connections_total", "Connections opened", this->state.pool.opened());
-  count("gullward_log_lines_dropped_total", "Log lines dropped", this->log.dropped());
-  count("gullward_store_calls_total", "Calls to the platform's store",
-        this->config_follower.calls() + this->engine_follower.calls() +
-            this->load_exchange.store_calls());
-  for (const auto& [code, failures] : counters.failures) {
-    text.Counter("gullward_failures_total", "Failures answered by gullward",
-                 {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
-                 static_cast<double>(failures));
-  }
-  for (const auto& [length, histogram] : counters.first_event) {
-    text.Histogram("gullward_first_event_seconds", "From a request's arrival to its first event",
-                   {{"prompt", length}}, histogram);
-  }
-  for (const auto& [length, histogram] : counters.longest_pause) {
-    text.Histogram("gullward_longest_pause_seconds", "Longest pause within a stream",
-                   {{"prompt", length}}, histogram);
-  }
-  text.Histogram("gullward_plain_answer_seconds", "From arrival to an answer that is no stream", {},
-                 counters.plain_answer);
-  text.Gauge("gullward_engines", "Engines on the list", {},
-             static_cast<double>(this->state.fleet.directory().size()));
-  text.Gauge("gullward_peers", "Other gateways known", {},
-             static_cast<double>(this->load_exchange.peers()));
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  text.Counter("gullward_processor_seconds_total", "Processor time of this process", {},
-               ToSeconds(seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-                         Duration(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec)));
-  text.Gauge("gullward_peak_memory_bytes", "Largest resident memory", {},
-             static_cast<double>(usage.ru_maxrss) * kBytesPerKilobyte);
-  double version =
-      this->state.config ? static_cast<double>(this->state.config->config().version) : 0;
-  text.Gauge("gullward_config_version", "Configuration in force", {}, version);
-  text.Gauge("gullward_config_age_seconds", "Since the configuration was proved current", {},
-             ToSeconds(Now() - this->state.keys.confirmed_at()));
-  return text.Serialize();
+std::string GatewayServer::Metrics() const {
+  PageFigures figures;
+  figures.engine_connections = this->state.pool.opened();
+  figures.log_lines_dropped = this->log.dropped();
+  figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
+                        this->load_exchange.store_calls();
+  figures.engines = this->state.fleet.directory().size();
+  figures.peers = this->load_exchange.peers();
+  if (this->state.config) figures.config_version = this->state.config->config().version;
+  figures.config_age = Now() - this->state.keys.confirmed_at();
+  return MetricsPage(this->state.counters, figures);
 }
 
 std::string GatewayServer::StateDump() const {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -73,7 +73,8 @@
   void Tick();
   void TakeNoMore();
   void StopWhenIdle(Time now);
-  std::string MetricsPage() const;
+  // The pages that operators read: metrics as text, the process's state as JSON.
+  std::string Metrics() const;
   std::string StateDump() const;
 
   EventLoop* loop;
--- /dev/null
+++ b/src/gateway/metrics_page.cc
@@ -0,0 +1,77 @@
+// One function for each part of the page, in the order in which they stand there.
+
+#include "gateway/metrics_page.h"
+
+#include <sys/resource.h>
+
+#include "absl/strings/str_cat.h"
+#include "process/metrics.h"
+
+namespace gullward {
+namespace {
+
+constexpr double kBytesPerKilobyte = 1024;
+
+void AddCounts(const GatewayCounters& counters, const PageFigures& figures, MetricsText* text) {
+  auto count = [text](const std::string& name, const std::string& help, uint64_t value) {
+    text->Counter(name, help, {}, static_cast<double>(value));
+  };
+  count("gullward_requests_total", "Requests read from callers", counters.requests);
+  count("gullward_attempts_total", "Requests sent to engines", counters.attempts);
+  count("gullward_retries_total", "Second and later attempts", counters.retries);
+  count("gullward_retries_denied_total", "Retries that the budget denied", counters.retries_denied);
+  count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
+  count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
+  count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
+  count("gullward_events_total", "Stream events passed on", counters.events_passed);
+  count("gullward_engine_orders_total", "Orders to engines", counters.orders);
+  count("gullward_engine_connections_total", "Connections opened", figures.engine_connections);
+  count("gullward_log_lines_dropped_total", "Log lines dropped", figures.log_lines_dropped);
+  count("gullward_store_calls_total", "Calls to the platform's store", figures.store_calls);
+  for (const auto& [code, failures] : counters.failures) {
+    text->Counter("gullward_failures_total", "Failures answered by gullward",
+                  {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
+                  static_cast<double>(failures));
+  }
+}
+
+void AddLatencies(const GatewayCounters& counters, MetricsText* text) {
+  for (const auto& [length, histogram] : counters.first_event) {
+    text->Histogram("gullward_first_event_seconds", "From a request's arrival to its first event",
+                    {{"prompt", length}}, histogram);
+  }
+  for (const auto& [length, histogram] : counters.longest_pause) {
+    text->Histogram("gullward_longest_pause_seconds", "Longest pause within a stream",
+                    {{"prompt", length}}, histogram);
+  }
+  text->Histogram("gullward_plain_answer_seconds", "From arrival to an answer that is no stream",
+                  {}, counters.plain_answer);
+}
+
+void AddProcess(MetricsText* text) {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  text->Counter("gullward_processor_seconds_total", "Processor time of this process", {},
+                ToSeconds(seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+                          Duration(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec)));
+  text->Gauge("gullward_peak_memory_bytes", "Largest resident memory", {},
+              static_cast<double>(usage.ru_maxrss) * kBytesPerKilobyte);
+}
+
+}  // namespace
+
+std::string MetricsPage(const GatewayCounters& counters, const PageFigures& figures) {
+  MetricsText text;
+  AddCounts(counters, figures, &text);
+  AddLatencies(counters, &text);
+  text.Gauge("gullward_engines", "Engines on the list", {}, static_cast<double>(figures.engines));
+  text.Gauge("gullward_peers", "Other gateways known", {}, static_cast<double>(figures.peers));
+  AddProcess(&text);
+  text.Gauge("gullward_config_version", "Configuration in force", {},
+             static_cast<double>(figures.config_version));
+  text.Gauge("gullward_config_age_seconds", "Since the configuration was proved current", {},
+             ToSeconds(figures.config_age));
+  return text.Serialize();
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/metrics_page.h
@@ -0,0 +1,41 @@
+// The gateway's metrics, as the text that Prometheus collects.
+//
+//   std::string page = MetricsPage(state.counters, figures);
+//
+// docs/OPERATIONS.md says what operators read off it.
+
+#ifndef GULLWARD_GATEWAY_METRICS_PAGE_H_
+#define GULLWARD_GATEWAY_METRICS_PAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "base/clock.h"
+#include "gateway/gateway_state.h"
+
+namespace gullward {
+
+// What the page shows besides the counters of requests.
+struct PageFigures {
+  // Since the process began.
+  uint64_t engine_connections = 0;
+  uint64_t log_lines_dropped = 0;
+  uint64_t store_calls = 0;
+  // At this moment.
+  size_t engines = 0;
+  size_t peers = 0;
+  // 0 while there is no configuration.
+  uint64_t config_version = 0;
+  // Since the configuration was proved current.
+  Duration config_age{};
+
+  bool operator==(const PageFigures&) const = default;
+};
+
+// Adds what the kernel says of this process: processor time and memory.
+std::string MetricsPage(const GatewayCounters& counters, const PageFigures& figures);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_METRICS_PAGE_H_
