Admission stands apart from the course of a request

Change: the checks of route, account and time and the draw of a service move to admission.{h,cc}; they return a code, and the exchange alone answers with it. What admission finds is one value, Admission. The order of the checks, the codes and the draws stay.

The tests gateway_test, serving_test, placement_test, platform_test, message_parser_test and event_log_test pass.

--- /dev/null
+++ b/src/gateway/admission.cc
@@ -0,0 +1,60 @@
+// The order of the checks decides which code a caller sees: the route, then the
+// account, then the request's own header fields.
+
+#include "gateway/admission.h"
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+#include "platform/headers.h"
+
+namespace gullward {
+namespace {
+
+std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
+
+ResultCode AdmitAccount(const GatewayState& state, const ConfigIndex& config,
+                        const CallerRequest& request, Time now, Admission* admission) {
+  admission->needs_key = !config.config().accounts.empty() && !admission->route->is_public;
+  if (!admission->needs_key) return ResultCode::kOk;
+  if (!state.keys.IsFresh(now)) return ResultCode::kKeysNotVouched;
+  std::optional<std::string_view> key = FindHeader(request.head.headers, platform::kApiKey);
+  if (!key) return ResultCode::kMissingKey;
+  const ClientAccount* holder = config.FindAccount(*key);
+  if (holder == nullptr) return ResultCode::kWrongKey;
+  admission->account = holder->name;
+  return ResultCode::kOk;
+}
+
+}  // namespace
+
+ResultCode Admit(const GatewayState& state, const ConfigIndex* config, const CallerRequest& request,
+                 const RequestFacts& facts, Time now, Admission* admission) {
+  if (config == nullptr) return ResultCode::kNotReady;
+  std::string host(FindHeader(request.head.headers, "Host").value_or(""));
+  admission->route = config->FindRoute(host, Path(request.head.target));
+  if (admission->route == nullptr) return ResultCode::kUnknownRoute;
+  ResultCode by_account = AdmitAccount(state, *config, request, now, admission);
+  if (by_account != ResultCode::kOk) return by_account;
+  if (!facts.valid) return ResultCode::kInvalidHeader;
+  Duration patience = facts.patience.value_or(admission->route->timeout);
+  admission->caller_waits_until = request.arrived + patience;
+  admission->answer_by = request.arrived + std::min(patience, admission->route->timeout);
+  return ResultCode::kOk;
+}
+
+const Service* PickService(const ConfigIndex& config, const Route& route, std::mt19937_64* random) {
+  double total = 0;
+  for (const ServiceShare& share : route.services) total += std::max(share.weight, 0.0);
+  std::uniform_real_distribution<double> draw(0, total);
+  double left = draw(*random);
+  for (const ServiceShare& share : route.services) {
+    if (share.weight <= 0) continue;
+    left -= share.weight;
+    if (left <= 0) return config.FindService(share.service);
+  }
+  return nullptr;
+}
+
+}  // namespace gullward
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -37,8 +37,6 @@
 // Sets of engines that are asked for memory before a request is refused.
 constexpr int kMostTicketRounds = 4;
 
-std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
-
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -53,16 +51,21 @@
 LogLine Exchange::Line(std::string_view event) const {
   LogLine line(event);
   line.Text("request", this->facts.attempt_id);
-  if (this->route != nullptr) line.Text("route", this->route->name);
+  if (this->admission.route != nullptr) line.Text("route", this->admission.route->name);
   line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
   return line;
 }
 
 void Exchange::Start(Time now) {
   this->state->counters.requests += 1;
-  if (!this->Admit(now)) return;
+  ResultCode admitted =
+      Admit(*this->state, this->config.get(), this->request, this->facts, now, &this->admission);
+  if (admitted != ResultCode::kOk) {
+    this->Refuse(admitted);
+    return;
+  }
   KeepForwardedHeaders(&this->request.head.headers);
-  this->service = this->PickService();
+  this->service = PickService(*this->config, *this->admission.route, &this->state->random);
   if (this->service == nullptr) {
     this->Refuse(ResultCode::kNoEndpoint);
     return;
@@ -71,64 +74,8 @@
   this->StartAttempt(now);
 }
 
-bool Exchange::Admit(Time now) {
-  if (!this->config) {
-    this->Refuse(ResultCode::kNotReady);
-    return false;
-  }
-  std::string host(FindHeader(this->request.head.headers, "Host").value_or(""));
-  this->route = this->config->FindRoute(host, Path(this->request.head.target));
-  if (this->route == nullptr) {
-    this->Refuse(ResultCode::kUnknownRoute);
-    return false;
-  }
-  if (!this->AdmitAccount(now)) return false;
-  if (!this->facts.valid) {
-    this->Refuse(ResultCode::kInvalidHeader);
-    return false;
-  }
-  Duration patience = this->facts.patience.value_or(this->route->timeout);
-  this->caller_waits_until = this->request.arrived + patience;
-  this->answer_by = this->request.arrived + std::min(patience, this->route->timeout);
-  return true;
-}
-
-bool Exchange::AdmitAccount(Time now) {
-  this->needs_key = !this->config->config().accounts.empty() && !this->route->is_public;
-  if (!this->needs_key) return true;
-  if (!this->KeysAreFresh(now)) {
-    this->Refuse(ResultCode::kKeysNotVouched);
-    return false;
-  }
-  std::optional<std::string_view> key = FindHeader(this->request.head.headers, platform::kApiKey);
-  if (!key) {
-    this->Refuse(ResultCode::kMissingKey);
-    return false;
-  }
-  const ClientAccount* holder = this->config->FindAccount(*key);
-  if (holder == nullptr) {
-    this->Refuse(ResultCode::kWrongKey);
-    return false;
-  }
-  this->account = holder->name;
-  return true;
-}
-
 bool Exchange::KeysAreFresh(Time now) const {
-  return !this->needs_key || this->state->keys.IsFresh(now);
-}
-
-const Service* Exchange::PickService() {
-  double total = 0;
-  for (const ServiceShare& share : this->route->services) total += std::max(share.weight, 0.0);
-  std::uniform_real_distribution<double> draw(0, total);
-  double left = draw(this->state->random);
-  for (const ServiceShare& share : this->route->services) {
-    if (share.weight <= 0) continue;
-    left -= share.weight;
-    if (left <= 0) return this->config->FindService(share.service);
-  }
-  return nullptr;
+  return !this->admission.needs_key || this->state->keys.IsFresh(now);
 }
 
 void Exchange::StartAttempt(Time now) {
@@ -140,11 +87,11 @@
   Demand demand;
   demand.prompt_tokens = this->facts.prompt_tokens;
   demand.answer_tokens = this->facts.answer_tokens;
-  demand.objective_ms = ToSeconds(this->route->objective) * 1000;
-  demand.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
-  demand.streaming = this->route->streaming;
-  Duration patience = this->caller_waits_until - this->request.arrived;
-  demand.came_back = patience < kFirstTryShare * this->route->timeout;
+  demand.objective_ms = ToSeconds(this->admission.route->objective) * 1000;
+  demand.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
+  demand.streaming = this->admission.route->streaming;
+  Duration patience = this->admission.caller_waits_until - this->request.arrived;
+  demand.came_back = patience < kFirstTryShare * this->admission.route->timeout;
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -216,9 +163,9 @@
   this->BookLoad(choice, now);
 
   EngineOrders orders;
-  orders.time_left = this->answer_by - now;
+  orders.time_left = this->admission.answer_by - now;
   orders.engine_id = choice.engine.id;
-  orders.account = this->account;
+  orders.account = this->admission.account;
   for (size_t i = 0; i < choice.readers.size(); ++i) {
     std::string ticket = this->tickets ? this->tickets->tickets()[i].ticket : "";
     orders.readers.push_back(platform::ReaderText(choice.readers[i].address, ticket));
@@ -227,7 +174,7 @@
 
   // What must not run twice must not meet a kept connection that is just being
   // closed: nobody could tell whether it ran.
-  bool fresh = this->route->repeat == Repeat::kNever;
+  bool fresh = this->admission.route->repeat == Repeat::kNever;
   this->attempt = Attempt{};
   this->attempt->engine = choice.engine;
   this->attempt->started = now;
@@ -274,7 +221,7 @@
   main.engine = choice.engine.id;
   main.prompt_tokens = choice.placement.memory_tokens;
   main.reading_ms = choice.placement.part_reading_ms;
-  main.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
+  main.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
   parts.push_back(main);
   for (const EngineRecord& reader : choice.readers) {
     WorkPart part;
@@ -305,7 +252,7 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   bool passing = this->attempt->verdict == AttemptResult::kSuccess;
-  if (passing && this->route->streaming) {
+  if (passing && this->admission.route->streaming) {
     this->PassEvents(bytes);
   } else {
     this->PassBody(bytes);
@@ -344,7 +291,7 @@
 // A late answer always gets its line: someone may ask why.
 void Exchange::LogAnswered() {
   Time now = Now();
-  bool streamed = this->route->streaming;
+  bool streamed = this->admission.route->streaming;
   GatewayCounters& counters = this->state->counters;
   Duration first = streamed ? this->first_event_after : now - this->request.arrived;
   if (streamed) {
@@ -354,9 +301,9 @@
   } else {
     counters.plain_answer.Add(first);
   }
-  bool late = first > this->route->objective;
-  bool paused = streamed && this->route->longest_pause.count() > 0 &&
-                this->longest_pause_seen > this->route->longest_pause;
+  bool late = first > this->admission.route->objective;
+  bool paused = streamed && this->admission.route->longest_pause.count() > 0 &&
+                this->longest_pause_seen > this->admission.route->longest_pause;
   if (!late && !paused && !this->state->log->Sample()) return;
   this->state->log->Write(
       this->Line(late || paused ? "answered_late" : "answered")
@@ -366,9 +313,9 @@
           .Number("prompt_tokens", this->facts.prompt_tokens)
           .Number("expected_first_ms", this->attempt->expected_first_ms)
           .Number("first_ms", ToSeconds(first) * 1000)
-          .Number("objective_ms", ToSeconds(this->route->objective) * 1000)
+          .Number("objective_ms", ToSeconds(this->admission.route->objective) * 1000)
           .Number("pause_ms", ToSeconds(this->longest_pause_seen) * 1000)
-          .Number("pause_aim_ms", ToSeconds(this->route->longest_pause) * 1000));
+          .Number("pause_aim_ms", ToSeconds(this->admission.route->longest_pause) * 1000));
 }
 
 void Exchange::PassBody(std::string_view bytes) {
@@ -396,7 +343,8 @@
 AttemptResult Exchange::ResultOf(ChannelResult result) const {
   if (result == ChannelResult::kNotSent) return AttemptResult::kNotRun;
   if (result != ChannelResult::kWholeAnswer) return AttemptResult::kUnknown;
-  bool torn = this->attempt->verdict == AttemptResult::kSuccess && this->route->streaming &&
+  bool torn = this->attempt->verdict == AttemptResult::kSuccess &&
+              this->admission.route->streaming &&
               (this->attempt->events.has_rest() || !this->answer_begun);
   return torn ? AttemptResult::kUnknown : this->attempt->verdict;
 }
@@ -428,13 +376,13 @@
 
 RequestState Exchange::StateForDecision(Time now) const {
   RequestState decision;
-  decision.repeat = this->route->repeat;
+  decision.repeat = this->admission.route->repeat;
   decision.attempts = this->attempts;
   decision.attempts_run = this->attempts_run;
-  decision.max_attempts = this->route->max_attempts;
+  decision.max_attempts = this->admission.route->max_attempts;
   decision.answer_begun = this->answer_begun;
   decision.may_have_run = this->may_have_run;
-  decision.time_left = now < this->answer_by;
+  decision.time_left = now < this->admission.answer_by;
   return decision;
 }
 
@@ -510,8 +458,8 @@
 // When a caller that was refused should come back: in time for its objective
 // still, but not before engines can have got anywhere.
 double Exchange::ComeBackSeconds() const {
-  if (this->route == nullptr) return kComeBackSeconds;
-  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->route->objective));
+  if (this->admission.route == nullptr) return kComeBackSeconds;
+  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->admission.route->objective));
 }
 
 // Answers with a failure of our own.
@@ -539,9 +487,9 @@
 }
 
 Duration Exchange::PatienceWithEngine() const {
-  double ms = this->attempt->any_event ? ToSeconds(this->route->longest_pause) * 1000
+  double ms = this->attempt->any_event ? ToSeconds(this->admission.route->longest_pause) * 1000
                                        : this->attempt->expected_first_ms;
-  if (!this->service->runs_models) ms = ToSeconds(this->route->objective) * 1000;
+  if (!this->service->runs_models) ms = ToSeconds(this->admission.route->objective) * 1000;
   return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
 }
 
@@ -558,7 +506,7 @@
   if (this->is_finished) return;
   if (this->tickets) this->tickets->Tick(now);
   if (!this->attempt) return;
-  if (now >= this->answer_by) {
+  if (now >= this->admission.answer_by) {
     this->GiveUp();
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,6 @@
 // One request, from the caller's bytes to the end of its answer.
 //
-// An exchange admits the request (route, account, time), has it run by one
+// An exchange admits the request (admission.h), has it run by one
 // engine after another until one answers or nothing more may be tried, and
 // passes the answer on.  What follows an attempt is decided by
 // serving/attempt_result.h; where it runs, by serving/fleet.h.
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/admission.h"
 #include "gateway/caller_channel.h"
 #include "gateway/engine_request.h"
 #include "gateway/gateway_state.h"
@@ -59,9 +60,6 @@
     double expected_first_ms = 0;
   };
 
-  bool Admit(Time now);
-  bool AdmitAccount(Time now);
-  const Service* PickService();
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
@@ -99,13 +97,8 @@
   CallerRequest request;
   RequestFacts facts;
   std::shared_ptr<const ConfigIndex> config;
-  const Route* route = nullptr;
+  Admission admission;
   const Service* service = nullptr;
-  std::string account;
-  bool needs_key = false;
-  // When the answer must be final.
-  Time answer_by{};
-  Time caller_waits_until{};
 
   std::optional<Attempt> attempt;
   // Memory on the readers of the attempt, where it is spread.
