An exchange sends an attempt and times an answer in smaller pieces

Cause: Exchange::SendAttempt wrote the engine's orders, a log line and four hooks in one go; the times of an answer, its histograms and its lateness stood among the decisions; the head of an answer was put together twice.

Change: OrdersFor, LogAttempt, AttemptHooks and TakeAnswerHead; the times move to answer_times.{h,cc}, a small value that knows the route's aims. Log lines keep their names, fields and order.

The tests gateway_test, serving_test, placement_test, platform_test, message_parser_test and event_log_test pass.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -46,7 +46,8 @@
       caller(std::move(caller_channel)),
       request(std::move(caller_request)),
       facts(ReadFacts(request.head)),
-      config(gateway_state->config) {}
+      config(gateway_state->config),
+      times(this->request.arrived) {}
 
 LogLine Exchange::Line(std::string_view event) const {
   LogLine line(event);
@@ -161,7 +162,21 @@
   this->state->counters.attempts += 1;
   this->tried.insert(choice.engine.id);
   this->BookLoad(choice, now);
+  // What must not run twice must not meet a kept connection that is just being
+  // closed: nobody could tell whether it ran.
+  bool fresh = this->admission.route->repeat == Repeat::kNever;
+  this->attempt = Attempt{};
+  this->attempt->engine = choice.engine;
+  this->attempt->started = now;
+  this->attempt->last_progress = now;
+  this->attempt->expected_first_ms = choice.placement.first_event_ms;
+  this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
+  this->LogAttempt(choice);
+  this->attempt->channel->Send(EngineRequestText(this->request, this->OrdersFor(choice, now)),
+                               this->AttemptHooks(), this->request.head.method == "HEAD");
+}
 
+EngineOrders Exchange::OrdersFor(const FleetChoice& choice, Time now) const {
   EngineOrders orders;
   orders.time_left = this->admission.answer_by - now;
   orders.engine_id = choice.engine.id;
@@ -171,30 +186,27 @@
     orders.readers.push_back(platform::ReaderText(choice.readers[i].address, ticket));
   }
   orders.last_event_id = this->last_event_id;
+  return orders;
+}
 
-  // What must not run twice must not meet a kept connection that is just being
-  // closed: nobody could tell whether it ran.
-  bool fresh = this->admission.route->repeat == Repeat::kNever;
-  this->attempt = Attempt{};
-  this->attempt->engine = choice.engine;
-  this->attempt->started = now;
-  this->attempt->last_progress = now;
-  this->attempt->expected_first_ms = choice.placement.first_event_ms;
-  this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
-  if (this->attempts > 1 || this->state->log->Sample()) {
-    this->state->log->Write(
-        this->Line("attempt")
-            .Text("engine", choice.engine.id)
-            .Number("attempt", this->attempts)
-            .Number("candidates", static_cast<double>(choice.candidates))
-            .Number("readers", static_cast<double>(choice.readers.size() + 1))
-            .Number("prompt_tokens", this->facts.prompt_tokens)
-            .Number("engine_requests", choice.load.requests)
-            .Number("engine_reading_ms", choice.load.ToReadMs())
-            .Number("expected_first_ms", choice.placement.first_event_ms)
-            .Number("config", static_cast<double>(this->config->config().version)));
-  }
+// Second attempts always get their line, first ones a sample.
+void Exchange::LogAttempt(const FleetChoice& choice) {
+  if (this->attempts <= 1 && !this->state->log->Sample()) return;
+  this->state->log->Write(
+      this->Line("attempt")
+          .Text("engine", choice.engine.id)
+          .Number("attempt", this->attempts)
+          .Number("candidates", static_cast<double>(choice.candidates))
+          .Number("readers", static_cast<double>(choice.readers.size() + 1))
+          .Number("prompt_tokens", this->facts.prompt_tokens)
+          .Number("engine_requests", choice.load.requests)
+          .Number("engine_reading_ms", choice.load.ToReadMs())
+          .Number("expected_first_ms", choice.placement.first_event_ms)
+          .Number("config", static_cast<double>(this->config->config().version)));
+}
 
+// The exchange may be gone by the time an engine answers.
+RequestChannel::Hooks Exchange::AttemptHooks() {
   std::weak_ptr<Exchange> weak = this->weak_from_this();
   std::string attempt_id = this->facts.attempt_id;
   RequestChannel::Hooks hooks;
@@ -211,8 +223,7 @@
   hooks.done = [weak](ChannelResult result) {
     if (auto self = weak.lock()) self->OnDone(result);
   };
-  this->attempt->channel->Send(EngineRequestText(this->request, orders), std::move(hooks),
-                               this->request.head.method == "HEAD");
+  return hooks;
 }
 
 void Exchange::BookLoad(const FleetChoice& choice, Time now) {
@@ -266,7 +277,7 @@
   WholeEvents whole = this->attempt->events.Feed(bytes);
   if (whole.count == 0) return;
   if (!this->attempt->any_event) this->NoteFirstEvent();
-  this->NotePause(Now());
+  this->times.NoteEvent(Now());
   this->state->counters.events_passed += static_cast<uint64_t>(whole.count);
   if (!this->answer_begun) this->BeginAnswer(std::nullopt);
   if (whole.last_id) this->last_event_id = whole.last_id;
@@ -278,44 +289,21 @@
   this->state->fleet.loads().FirstEvent(this->id);
 }
 
-void Exchange::NotePause(Time now) {
-  bool is_first = this->last_event_at == Time{};
-  if (is_first) {
-    this->first_event_after = now - this->request.arrived;
-  } else {
-    this->longest_pause_seen = std::max(this->longest_pause_seen, now - this->last_event_at);
-  }
-  this->last_event_at = now;
-}
-
 // A late answer always gets its line: someone may ask why.
 void Exchange::LogAnswered() {
-  Time now = Now();
-  bool streamed = this->admission.route->streaming;
-  GatewayCounters& counters = this->state->counters;
-  Duration first = streamed ? this->first_event_after : now - this->request.arrived;
-  if (streamed) {
-    const char* length = LengthName(this->facts.prompt_tokens);
-    counters.first_event[length].Add(first);
-    counters.longest_pause[length].Add(this->longest_pause_seen);
-  } else {
-    counters.plain_answer.Add(first);
-  }
-  bool late = first > this->admission.route->objective;
-  bool paused = streamed && this->admission.route->longest_pause.count() > 0 &&
-                this->longest_pause_seen > this->admission.route->longest_pause;
-  if (!late && !paused && !this->state->log->Sample()) return;
-  this->state->log->Write(
-      this->Line(late || paused ? "answered_late" : "answered")
-          .Text("engine", this->attempt->engine.id)
-          .Number("status", this->attempt->head.status)
-          .Number("attempts", this->attempts)
-          .Number("prompt_tokens", this->facts.prompt_tokens)
-          .Number("expected_first_ms", this->attempt->expected_first_ms)
-          .Number("first_ms", ToSeconds(first) * 1000)
-          .Number("objective_ms", ToSeconds(this->admission.route->objective) * 1000)
-          .Number("pause_ms", ToSeconds(this->longest_pause_seen) * 1000)
-          .Number("pause_aim_ms", ToSeconds(this->admission.route->longest_pause) * 1000));
+  const Route& on = *this->admission.route;
+  Duration first = this->times.FirstAfter(on, Now());
+  this->times.Count(on, this->facts.prompt_tokens, first, &this->state->counters);
+  bool late = this->times.IsLate(on, first);
+  if (!late && !this->state->log->Sample()) return;
+  LogLine line = this->Line(late ? "answered_late" : "answered");
+  line.Text("engine", this->attempt->engine.id)
+      .Number("status", this->attempt->head.status)
+      .Number("attempts", this->attempts)
+      .Number("prompt_tokens", this->facts.prompt_tokens)
+      .Number("expected_first_ms", this->attempt->expected_first_ms);
+  this->times.Describe(on, first, &line);
+  this->state->log->Write(line);
 }
 
 void Exchange::PassBody(std::string_view bytes) {
@@ -331,13 +319,19 @@
 }
 
 void Exchange::BeginAnswer(std::optional<uint64_t> length) {
+  this->answer_begun = true;
+  this->caller->BeginAnswer(this->TakeAnswerHead(), length);
+}
+
+// The head for the caller.  Its fields move out of the attempt, since there is one
+// answer only.
+AnswerHead Exchange::TakeAnswerHead() {
   AnswerHead head;
   head.status = this->attempt->head.status;
   head.reason = this->attempt->head.reason;
-  head.headers = this->attempt->head.headers;
+  head.headers = std::move(this->attempt->head.headers);
   KeepAnsweredHeaders(&head.headers);
-  this->answer_begun = true;
-  this->caller->BeginAnswer(head, length);
+  return head;
 }
 
 AttemptResult Exchange::ResultOf(ChannelResult result) const {
@@ -445,11 +439,7 @@
     channel->EndAnswer();
     return;
   }
-  AnswerHead head;
-  head.status = this->attempt->head.status;
-  head.reason = this->attempt->head.reason;
-  head.headers = std::move(this->attempt->head.headers);
-  KeepAnsweredHeaders(&head.headers);
+  AnswerHead head = this->TakeAnswerHead();
   std::string body = std::move(this->attempt->body);
   this->Finish();
   channel->Answer(head, body);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "gateway/admission.h"
+#include "gateway/answer_times.h"
 #include "gateway/caller_channel.h"
 #include "gateway/engine_request.h"
 #include "gateway/gateway_state.h"
@@ -65,12 +66,14 @@
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
   void DropTickets();
   void SendAttempt(const FleetChoice& choice, Time now);
+  EngineOrders OrdersFor(const FleetChoice& choice, Time now) const;
+  void LogAttempt(const FleetChoice& choice);
+  RequestChannel::Hooks AttemptHooks();
   void BookLoad(const FleetChoice& choice, Time now);
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void PassEvents(std::string_view bytes);
   void NoteFirstEvent();
-  void NotePause(Time now);
   void LogAnswered();
   void PassBody(std::string_view bytes);
   void OnDone(ChannelResult result);
@@ -79,6 +82,7 @@
   void AfterAttempt(AttemptResult result);
   void Follow(NextStep step, AttemptResult result);
   void BeginAnswer(std::optional<uint64_t> length);
+  AnswerHead TakeAnswerHead();
   void DeliverWhole();
   void Refuse(ResultCode code);
   double ComeBackSeconds() const;
@@ -109,11 +113,7 @@
   int attempts_run = 0;
   bool may_have_run = false;
   std::optional<std::string> last_event_id;
-  // From the request's arrival to its first event, and the longest time between
-  // two of its events.
-  Duration first_event_after{};
-  Duration longest_pause_seen{};
-  Time last_event_at{};
+  AnswerTimes times;
   bool answer_begun = false;
   bool is_finished = false;
 };
