Prose above what had none, with units

Cause: five .cc files opened with no more than their header's name; several structs and functions had no line that says what they are or in which unit; the engine stand-in was said to be a back end, and set up two faults of a head twice. TcpStream::connected and Attempt::started were read by nobody.

Change: the prose is there, an endpoint is called so, PlayHeadFault does the two faults once, the two leftovers are gone.

The tests gateway_test, serving_test, placement_test, platform_test, message_parser_test and event_log_test pass.

--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -32,6 +32,7 @@
 
 namespace gullward {
 
+// A request, read whole.
 struct CallerRequest {
   RequestHead head;
   std::string body;
@@ -41,6 +42,7 @@
   bool operator==(const CallerRequest&) const = default;
 };
 
+// The head of an answer; the channel adds the fields that frame its body.
 struct AnswerHead {
   int status = 200;
   std::string reason;
@@ -61,10 +63,12 @@
     std::function<void()> drained;
   };
 
+  // Takes over an accepted socket.
   static std::shared_ptr<CallerChannel> Adopt(EventLoop* loop, int fd, const CallerLimits& limits);
 
   void SetHooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
 
+  // Answers in one piece.
   void Answer(const AnswerHead& head, std::string_view body);
   // Without a length the answer goes in chunks; `unframed`, by the connection's end.
   void BeginAnswer(const AnswerHead& head, std::optional<uint64_t> length, bool unframed = false);
--- a/src/gateway/engine_request.h
+++ b/src/gateway/engine_request.h
@@ -30,10 +30,12 @@
   bool operator==(const RequestFacts&) const = default;
 };
 
+// Reads them; what cannot be read leaves `valid` false.
 RequestFacts ReadFacts(const RequestHead& head);
 
 // What we add to a request for one attempt.
 struct EngineOrders {
+  // Until the answer must be final.
   Duration time_left;
   std::string engine_id;
   // Empty where the route needs no account.
@@ -52,6 +54,7 @@
 // Drops from an engine's fields what a caller must not get.
 void KeepAnsweredHeaders(HttpHeaders* headers);
 
+// The whole request: first line, fields and body.
 std::string EngineRequestText(const CallerRequest& request, const EngineOrders& orders);
 
 }  // namespace gullward
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,4 +1,5 @@
-// exchange.h tells the course of a request.
+// In the order of a request's course: admitted, an engine chosen, an attempt sent,
+// its answer passed on, and what follows when it ends, or the clock runs out.
 
 #include "gateway/exchange.h"
 
@@ -167,7 +168,6 @@
   bool fresh = this->admission.route->repeat == Repeat::kNever;
   this->attempt = Attempt{};
   this->attempt->engine = choice.engine;
-  this->attempt->started = now;
   this->attempt->last_progress = now;
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,7 +51,6 @@
   struct Attempt {
     EngineRecord engine;
     std::shared_ptr<RequestChannel> channel;
-    Time started;
     Time last_progress;
     ResponseHead head;
     AttemptResult verdict = AttemptResult::kUnknown;
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -1,4 +1,4 @@
-// gateway_world.h.
+// The configuration that tests begin with, and callers that collect their answers.
 
 #include "gateway/testing/gateway_world.h"
 
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -16,6 +16,7 @@
 
 namespace gullward {
 
+// Names and values, in the order of the message.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 // Whether two header names are the same name.
--- a/src/process/histogram.h
+++ b/src/process/histogram.h
@@ -13,6 +13,7 @@
 
 namespace gullward {
 
+// Counts of durations, for one label of a metric.
 class LatencyHistogram {
  public:
   // Upper bounds in seconds; they hold the objectives of both users' sheets (0.12,
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -24,6 +24,7 @@
  public:
   using MetricLabels = std::map<std::string, std::string>;
 
+  // A number that only rises, and one that goes both ways.
   void Counter(const std::string& name, const std::string& help, const MetricLabels& labels,
                double value);
   void Gauge(const std::string& name, const std::string& help, const MetricLabels& labels,
@@ -32,6 +33,7 @@
   void Histogram(const std::string& name, const std::string& help, const MetricLabels& labels,
                  const LatencyHistogram& histogram);
 
+  // The page.
   std::string Serialize() const;
 
  private:
--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -14,6 +14,7 @@
 constexpr double kWorthPerToken = 1e-4;
 // Predictions run this much short: a pass begins before the request arrives.
 constexpr double kPauseSafety = 0.85;
+// Share of the aim over which lateness rises from nothing to whole.
 constexpr double kLatenessSlope = 0.5;
 // Callers give up a stream that pauses for two seconds, and come back with the
 // whole of it.
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -72,6 +72,8 @@
   // work is ending or unknown.
   static constexpr Duration kPeerSilence = milliseconds(1500);
 
+  // A request's work, under a number of this process's own: sent, its first event
+  // come, ended.
   void Begin(uint64_t work, std::vector<WorkPart> parts, Time now);
   void FirstEvent(uint64_t work);
   void End(uint64_t work);
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -22,6 +22,7 @@
 
 namespace gullward {
 
+// Where a request runs.
 struct FleetChoice {
   // Runs the request.
   EngineRecord engine;
@@ -40,8 +41,11 @@
 
   EngineDirectory& directory() { return this->engines; }
   const EngineDirectory& directory() const { return this->engines; }
+  // What runs on each engine.
   LoadBook& loads() { return this->load_book; }
+  // This process's own experience of an engine.
   EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
+  // The budget of second attempts at a service.
   RetryWindow& RetriesOf(const std::string& service);
 
   // Says how many processes share the budget of retries.
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -35,6 +35,7 @@
 struct Demand {
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  // The route's aims for the first event and for the longest pause.
   double objective_ms = 300;
   double pause_ms = 0;
   bool streaming = false;
@@ -45,9 +46,11 @@
   bool operator==(const Demand&) const = default;
 };
 
+// An engine that may run a request, or help to read its prompt.
 struct Candidate {
   std::string engine;
   EngineLoad load;
+  // Requests that it runs at a time.
   int slots = 1;
   bool same_data_centre = false;
   // 0 to 1: how often it has failed of late.
@@ -58,6 +61,7 @@
   bool operator==(const Candidate&) const = default;
 };
 
+// Which engines a request goes to, and what is expected of that.
 struct Placement {
   // The first runs the request; the others help to read its prompt.  Indices
   // into the candidates.
@@ -66,17 +70,19 @@
   bool spreads_memory = false;
   // Tokens of memory that each engine holds; where not spread, the first alone.
   double memory_tokens = 0;
-  // What each of them reads.
+  // Milliseconds that each of them reads.
   double part_reading_ms = 0;
-  // How long a slot has to be waited for; more than none only where every
+  // Milliseconds for which a slot has to be waited for; more than none only where every
   // engine's are taken.
   double slot_wait_ms = 0;
-  // When the first event is expected, from now.
+  // When the first event is expected, in milliseconds from now.
   double first_event_ms = 0;
+  // In units of a short request's worth.
   double cost = 0;
   // The part of the cost that streams on the engines bear.
   double harm = 0;
-  // How busy all candidates are, 0 to 1, and the engine time that it takes.
+  // How busy all candidates are, 0 to 1, and the engine time that it takes, in
+  // seconds.
   double busy = 0;
   double engine_seconds = 0;
 
--- a/src/serving/retry_window.h
+++ b/src/serving/retry_window.h
@@ -28,8 +28,10 @@
 // Others may start that are not known yet; then this many times the known ones.
 inline constexpr double kSharersMargin = 1.4;
 
+// What the operator allows for one service.
 struct RetryBounds {
   Duration window = seconds(10);
+  // Second attempts for each request.
   double ratio = 0.2;
   // For all processes together.
   double slack = 100;
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -59,13 +59,17 @@
 
 // How fast the model engines of a service work, as their operator states it.
 struct EngineSpeed {
+  // Requests that one engine runs at a time.
   int slots = 1;
+  // Tokens of context that one engine holds; 0: not stated.
   double memory_tokens = 0;
+  // Milliseconds of one decode step.
   double step_ms = 1;
   // Added to a step for each running request, and for each 1,000 tokens of
   // its context.
   double step_ms_per_request = 0;
   double step_ms_per_thousand_context = 0;
+  // How fast a prompt is read, and what each million pairs of its tokens adds.
   double prefill_tokens_per_ms = 256;
   double prefill_ms_per_million_pairs = 0;
   // Decode steps that an engine plays between two looks at its queue.
@@ -80,6 +84,7 @@
   bool operator==(const EngineSpeed&) const = default;
 };
 
+// Endpoints of one kind, to which a route may send.
 struct Service {
   std::string name;
   std::string health_path;
@@ -102,6 +107,7 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
+// Who pays for requests, told by the API key that comes with them.
 struct ClientAccount {
   std::string name;
   std::vector<std::string> api_keys;
@@ -111,6 +117,7 @@
   bool operator==(const ClientAccount&) const = default;
 };
 
+// One published version.
 struct ServingConfig {
   uint64_t version = 0;
   std::vector<Route> routes;
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -1,4 +1,5 @@
-// engine_standin.h.
+// Every fault is played at the one place of an answer where it belongs; whatever a
+// fault leaves alone goes on as on a sound engine.
 
 #include "standins/engine_standin.h"
 
@@ -25,6 +26,16 @@
   return head;
 }
 
+// What a fault does to a sealed answer's head, or sends ahead of it.
+void PlayHeadFault(EngineFault fault, CallerChannel* channel, AnswerHead* head) {
+  if (fault == EngineFault::kEncoded) head->headers.emplace_back("Content-Encoding", "gzip");
+  if (fault == EngineFault::kForeignFirst) {
+    AnswerHead foreign = *head;
+    foreign.headers.front().second = "another-request";
+    channel->AnswerAhead(foreign, "not yours");
+  }
+}
+
 }  // namespace
 
 const std::vector<EngineFault>& AllEngineFaults() {
@@ -143,12 +154,7 @@
     return;
   }
   AnswerHead head = this->SealedHead(request, 200);
-  if (fault == EngineFault::kEncoded) head.headers.emplace_back("Content-Encoding", "gzip");
-  if (fault == EngineFault::kForeignFirst) {
-    AnswerHead foreign = head;
-    foreign.headers.front().second = "another-request";
-    channel->AnswerAhead(foreign, "not yours");
-  }
+  PlayHeadFault(fault, channel, &head);
   channel->BeginAnswer(head, std::nullopt, fault == EngineFault::kUnframed);
   std::optional<std::string_view> after = FindHeader(request.head.headers, platform::kLastEventId);
   int done = static_cast<int>(after ? ParseCount(*after).value_or(0) : 0);
@@ -182,12 +188,7 @@
   CallerChannel* channel = connection->channel.get();
   connection->request.reset();
   AnswerHead head = this->SealedHead(request, 200);
-  if (fault == EngineFault::kEncoded) head.headers.emplace_back("Content-Encoding", "gzip");
-  if (fault == EngineFault::kForeignFirst) {
-    AnswerHead foreign = head;
-    foreign.headers.front().second = "another-request";
-    channel->AnswerAhead(foreign, "not yours");
-  }
+  PlayHeadFault(fault, channel, &head);
   if (fault == EngineFault::kShortBody || fault == EngineFault::kTornEvent) {
     channel->BeginAnswer(head, std::string(kBody).size());
     channel->WritePart(std::string(kBody).substr(0, 5));
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -1,4 +1,4 @@
-// A small stand-in for a back end of the platform: a model engine that streams
+// A small stand-in for an endpoint of the platform: a model engine that streams
 // events, or a plain service, with the faults that the platform's pages name.
 //
 //   EngineStandin engine(&loop, {.id = "i-1"});
@@ -57,8 +57,10 @@
  public:
   struct Options {
     std::string id;
+    // Events of a whole stream, and the time between two.
     int events = 4;
     Duration event_every = milliseconds(2);
+    // From a request to the beginning of its answer.
     Duration work = milliseconds(2);
     uint64_t memory_tokens = 450'000;
   };
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -37,7 +37,9 @@
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   struct Hooks {
+    // Bytes as they come; they hold only during the call.
     std::function<void(std::string_view)> data;
+    // The connection has ended.
     std::function<void(StreamEnd)> closed;
     // Everything written has gone to the kernel.
     std::function<void()> drained;
@@ -54,11 +56,11 @@
 
   void SetHooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
 
+  // Sends the bytes, or keeps what the kernel does not take.
   void Write(std::string_view bytes);
 
   // Bytes written that the kernel has not taken yet.
   size_t pending() const { return this->unsent.size(); }
-  bool connected() const { return this->state == State::kOpen; }
 
   // Stops and resumes reading; the kernel then holds the peer up.
   void SetReading(bool wanted);
@@ -68,6 +70,7 @@
   // connection and could lose the answer on its way.
   void FinishAndClose();
 
+  // Closes at once; what is pending is lost.
   void Close();
 
   // Closes so that the peer sees a reset, never a good end.
--- a/src/transport/udp_socket.cc
+++ b/src/transport/udp_socket.cc
@@ -1,4 +1,4 @@
-// udp_socket.h.
+// Receives until the kernel has no more, so that a burst costs one wake-up.
 
 #include "transport/udp_socket.h"
 
--- a/src/transport/udp_socket.h
+++ b/src/transport/udp_socket.h
@@ -1,4 +1,8 @@
 // A bound datagram socket on the event loop.
+//
+//   UdpSocket socket;
+//   absl::Status status = socket.Bind(&loop, address, [](std::string_view datagram) { ... });
+//   socket.Send(peer, "...");
 
 #ifndef GULLWARD_TRANSPORT_UDP_SOCKET_H_
 #define GULLWARD_TRANSPORT_UDP_SOCKET_H_
@@ -22,9 +26,11 @@
   UdpSocket(const UdpSocket&) = delete;
   UdpSocket& operator=(const UdpSocket&) = delete;
 
+  // Begins to hand datagrams to `received`.  Port 0 leaves the choice to the kernel.
   absl::Status Bind(EventLoop* event_loop, const SocketAddress& address,
                     std::function<void(std::string_view datagram)> received);
 
+  // The port that it is bound to.
   uint16_t port() const;
 
   // Sends or drops: datagrams promise nothing.
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -1,4 +1,4 @@
-// load_digest.h; the schema is gullward.fbs.
+// To and from FlatBuffers; the schema is gullward.fbs.
 
 #include "wire/load_digest.h"
 
