One reading of an engine's entry

Cause: gateway_server.cc decoded an entry of the engine list, and logged one that cannot be read, in two places.

Change: ReadEngine does it once; the log line keeps its name and fields.

The tests gateway_test, serving_test, placement_test, platform_test, message_parser_test and event_log_test pass.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "base/absl_view.h"
@@ -54,6 +55,17 @@
   return head;
 }
 
+// An engine's entry on the list; nothing, and a line in the log, if it cannot be
+// read.
+std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
+  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
+  if (engine.ok()) return *std::move(engine);
+  log->Write(LogLine("engine_record_invalid")
+                 .Text("engine", record.key)
+                 .Text("reason", StdView(engine.status().message())));
+  return std::nullopt;
+}
+
 }  // namespace
 
 GatewayServer::GatewayServer(EventLoop* event_loop, const GatewaySettings& settings,
@@ -251,14 +263,8 @@
   std::vector<EngineRecord> engines;
   for (const platform::KeyedRecord& record : records) {
     if (record.value.empty()) continue;
-    absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
-    if (engine.ok()) {
-      engines.push_back(*std::move(engine));
-    } else {
-      this->log.Write(LogLine("engine_record_invalid")
-                          .Text("engine", record.key)
-                          .Text("reason", StdView(engine.status().message())));
-    }
+    std::optional<EngineRecord> engine = ReadEngine(record, &this->log);
+    if (engine) engines.push_back(*std::move(engine));
   }
   this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
   this->engines_known = true;
@@ -271,13 +277,8 @@
     this->state.fleet.directory().Remove(record.key, Now(), this->KeepLapsedUntil());
     return;
   }
-  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
-  if (!engine.ok()) {
-    this->log.Write(LogLine("engine_record_invalid")
-                        .Text("engine", record.key)
-                        .Text("reason", StdView(engine.status().message())));
-    return;
-  }
+  std::optional<EngineRecord> engine = ReadEngine(record, &this->log);
+  if (!engine) return;
   const EngineRecord* known = this->state.fleet.directory().Find(record.key);
   bool changed = known == nullptr || !(*known == *engine);
   if (changed) {
