--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -11,6 +11,10 @@
 //
 // An answer that was broken off never looks complete: the connection ends with a
 // reset before its last chunk or byte.
+//
+// Nothing here knows of engines: this is a plain HTTP server's end of a
+// connection.  The operators' pages and the stand-ins of tests use it as such;
+// to them, "the caller" is whoever connected.
 
 #ifndef GULLWARD_GATEWAY_CALLER_CHANNEL_H_
 #define GULLWARD_GATEWAY_CALLER_CHANNEL_H_
@@ -28,6 +32,7 @@
 
 namespace gullward {
 
+// A request, read whole.
 struct CallerRequest {
   RequestHead head;
   std::string body;
@@ -37,6 +42,7 @@
   bool operator==(const CallerRequest&) const = default;
 };
 
+// The head of an answer; the channel adds the fields that frame its body.
 struct AnswerHead {
   int status = 200;
   std::string reason;
@@ -57,10 +63,12 @@
     std::function<void()> drained;
   };
 
+  // Takes over an accepted socket.
   static std::shared_ptr<CallerChannel> Adopt(EventLoop* loop, int fd, const CallerLimits& limits);
 
   void SetHooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
 
+  // Answers in one piece.
   void Answer(const AnswerHead& head, std::string_view body);
   // Without a length the answer goes in chunks; `unframed`, by the connection's end.
   void BeginAnswer(const AnswerHead& head, std::optional<uint64_t> length, bool unframed = false);
@@ -81,8 +89,6 @@
   // Looks at the clock: answers stalled requests, closes idle connections.
   void Tick(Time now);
 
-  bool awaiting_answer() const { return this->phase == Phase::kAnswering; }
-  bool answer_begun() const { return this->begun; }
   bool is_closed() const { return this->phase == Phase::kClosed; }
 
   // Bytes that the caller has not read yet.
@@ -107,7 +113,6 @@
   Phase phase = Phase::kIdle;
   CallerRequest request;
   bool head_complete = false;
-  bool begun = false;
   bool chunked = false;
   bool closing = false;
   Time idle_since = Now();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,4 +1,5 @@
-// exchange.h tells the course of a request.
+// In the order of a request's course: admitted, an engine chosen, an attempt sent,
+// its answer passed on, and what follows when it ends, or the clock runs out.
 
 #include "gateway/exchange.h"
 
@@ -6,6 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/failure_body.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
 
@@ -36,8 +38,6 @@
 // Sets of engines that are asked for memory before a request is refused.
 constexpr int kMostTicketRounds = 4;
 
-std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
-
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -47,21 +47,27 @@
       caller(std::move(caller_channel)),
       request(std::move(caller_request)),
       facts(ReadFacts(request.head)),
-      config(gateway_state->config) {}
+      config(gateway_state->config),
+      times(this->request.arrived) {}
 
 LogLine Exchange::Line(std::string_view event) const {
   LogLine line(event);
   line.Text("request", this->facts.attempt_id);
-  if (this->route != nullptr) line.Text("route", this->route->name);
+  if (this->admission.route != nullptr) line.Text("route", this->admission.route->name);
   line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
   return line;
 }
 
 void Exchange::Start(Time now) {
   this->state->counters.requests += 1;
-  if (!this->Admit(now)) return;
+  ResultCode admitted =
+      Admit(*this->state, this->config.get(), this->request, this->facts, now, &this->admission);
+  if (admitted != ResultCode::kOk) {
+    this->Refuse(admitted);
+    return;
+  }
   KeepForwardedHeaders(&this->request.head.headers);
-  this->service = this->PickService();
+  this->service = PickService(*this->config, *this->admission.route, &this->state->random);
   if (this->service == nullptr) {
     this->Refuse(ResultCode::kNoEndpoint);
     return;
@@ -70,64 +76,8 @@
   this->StartAttempt(now);
 }
 
-bool Exchange::Admit(Time now) {
-  if (!this->config) {
-    this->Refuse(ResultCode::kNotReady);
-    return false;
-  }
-  std::string host(FindHeader(this->request.head.headers, "Host").value_or(""));
-  this->route = this->config->FindRoute(host, Path(this->request.head.target));
-  if (this->route == nullptr) {
-    this->Refuse(ResultCode::kUnknownRoute);
-    return false;
-  }
-  if (!this->AdmitAccount(now)) return false;
-  if (!this->facts.valid) {
-    this->Refuse(ResultCode::kInvalidHeader);
-    return false;
-  }
-  Duration patience = this->facts.patience.value_or(this->route->timeout);
-  this->caller_waits_until = this->request.arrived + patience;
-  this->answer_by = this->request.arrived + std::min(patience, this->route->timeout);
-  return true;
-}
-
-bool Exchange::AdmitAccount(Time now) {
-  this->needs_key = !this->config->config().accounts.empty() && !this->route->is_public;
-  if (!this->needs_key) return true;
-  if (!this->KeysAreFresh(now)) {
-    this->Refuse(ResultCode::kKeysNotVouched);
-    return false;
-  }
-  std::optional<std::string_view> key = FindHeader(this->request.head.headers, platform::kApiKey);
-  if (!key) {
-    this->Refuse(ResultCode::kMissingKey);
-    return false;
-  }
-  const ClientAccount* holder = this->config->FindAccount(*key);
-  if (holder == nullptr) {
-    this->Refuse(ResultCode::kWrongKey);
-    return false;
-  }
-  this->account = holder->name;
-  return true;
-}
-
 bool Exchange::KeysAreFresh(Time now) const {
-  return !this->needs_key || this->state->keys.IsFresh(now);
-}
-
-const Service* Exchange::PickService() {
-  double total = 0;
-  for (const ServiceShare& share : this->route->services) total += std::max(share.weight, 0.0);
-  std::uniform_real_distribution<double> draw(0, total);
-  double left = draw(this->state->random);
-  for (const ServiceShare& share : this->route->services) {
-    if (share.weight <= 0) continue;
-    left -= share.weight;
-    if (left <= 0) return this->config->FindService(share.service);
-  }
-  return nullptr;
+  return !this->admission.needs_key || this->state->keys.IsFresh(now);
 }
 
 void Exchange::StartAttempt(Time now) {
@@ -139,11 +89,11 @@
   Demand demand;
   demand.prompt_tokens = this->facts.prompt_tokens;
   demand.answer_tokens = this->facts.answer_tokens;
-  demand.objective_ms = ToSeconds(this->route->objective) * 1000;
-  demand.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
-  demand.streaming = this->route->streaming;
-  Duration patience = this->caller_waits_until - this->request.arrived;
-  demand.came_back = patience < kFirstTryShare * this->route->timeout;
+  demand.objective_ms = ToSeconds(this->admission.route->objective) * 1000;
+  demand.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
+  demand.streaming = this->admission.route->streaming;
+  Duration patience = this->admission.caller_waits_until - this->request.arrived;
+  demand.came_back = patience < kFirstTryShare * this->admission.route->timeout;
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -213,40 +163,50 @@
   this->state->counters.attempts += 1;
   this->tried.insert(choice.engine.id);
   this->BookLoad(choice, now);
+  // What must not run twice must not meet a kept connection that is just being
+  // closed: nobody could tell whether it ran.
+  bool fresh = this->admission.route->repeat == Repeat::kNever;
+  this->attempt = Attempt{};
+  this->attempt->engine = choice.engine;
+  this->attempt->last_progress = now;
+  this->attempt->expected_first_ms = choice.placement.first_event_ms;
+  this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
+  this->LogAttempt(choice);
+  this->attempt->channel->Send(EngineRequestText(this->request, this->OrdersFor(choice, now)),
+                               this->AttemptHooks(), this->request.head.method == "HEAD");
+}
 
+EngineOrders Exchange::OrdersFor(const FleetChoice& choice, Time now) const {
   EngineOrders orders;
-  orders.time_left = this->answer_by - now;
+  orders.time_left = this->admission.answer_by - now;
   orders.engine_id = choice.engine.id;
-  orders.account = this->account;
+  orders.account = this->admission.account;
   for (size_t i = 0; i < choice.readers.size(); ++i) {
     std::string ticket = this->tickets ? this->tickets->tickets()[i].ticket : "";
     orders.readers.push_back(platform::ReaderText(choice.readers[i].address, ticket));
   }
   orders.last_event_id = this->last_event_id;
+  return orders;
+}
 
-  // What must not run twice must not meet a kept connection that is just being
-  // closed: nobody could tell whether it ran.
-  bool fresh = this->route->repeat == Repeat::kNever;
-  this->attempt = Attempt{};
-  this->attempt->engine = choice.engine;
-  this->attempt->started = now;
-  this->attempt->last_progress = now;
-  this->attempt->expected_first_ms = choice.placement.first_event_ms;
-  this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
-  if (this->attempts > 1 || this->state->log->Sample()) {
-    this->state->log->Write(
-        this->Line("attempt")
-            .Text("engine", choice.engine.id)
-            .Number("attempt", this->attempts)
-            .Number("candidates", static_cast<double>(choice.candidates))
-            .Number("readers", static_cast<double>(choice.readers.size() + 1))
-            .Number("prompt_tokens", this->facts.prompt_tokens)
-            .Number("engine_requests", choice.load.requests)
-            .Number("engine_reading_ms", choice.load.ToReadMs())
-            .Number("expected_first_ms", choice.placement.first_event_ms)
-            .Number("config", static_cast<double>(this->config->config().version)));
-  }
+// Second attempts always get their line, first ones a sample.
+void Exchange::LogAttempt(const FleetChoice& choice) {
+  if (this->attempts <= 1 && !this->state->log->Sample()) return;
+  this->state->log->Write(
+      this->Line("attempt")
+          .Text("engine", choice.engine.id)
+          .Number("attempt", this->attempts)
+          .Number("candidates", static_cast<double>(choice.candidates))
+          .Number("readers", static_cast<double>(choice.readers.size() + 1))
+          .Number("prompt_tokens", this->facts.prompt_tokens)
+          .Number("engine_requests", choice.load.requests)
+          .Number("engine_reading_ms", choice.load.ToReadMs())
+          .Number("expected_first_ms", choice.placement.first_event_ms)
+          .Number("config", static_cast<double>(this->config->config().version)));
+}
 
+// The exchange may be gone by the time an engine answers.
+RequestChannel::Hooks Exchange::AttemptHooks() {
   std::weak_ptr<Exchange> weak = this->weak_from_this();
   std::string attempt_id = this->facts.attempt_id;
   RequestChannel::Hooks hooks;
@@ -263,8 +223,7 @@
   hooks.done = [weak](ChannelResult result) {
     if (auto self = weak.lock()) self->OnDone(result);
   };
-  this->attempt->channel->Send(EngineRequestText(this->request, orders), std::move(hooks),
-                               this->request.head.method == "HEAD");
+  return hooks;
 }
 
 void Exchange::BookLoad(const FleetChoice& choice, Time now) {
@@ -273,7 +232,7 @@
   main.engine = choice.engine.id;
   main.prompt_tokens = choice.placement.memory_tokens;
   main.reading_ms = choice.placement.part_reading_ms;
-  main.pause_ms = ToSeconds(this->route->longest_pause) * 1000;
+  main.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
   parts.push_back(main);
   for (const EngineRecord& reader : choice.readers) {
     WorkPart part;
@@ -292,7 +251,6 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   this->attempt->head = head;
-  this->attempt->head_seen = true;
   AnswerFacts answer;
   answer.status = head.status;
   answer.sealed = FindHeader(head.headers, platform::kSeal).has_value();
@@ -305,7 +263,7 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   bool passing = this->attempt->verdict == AttemptResult::kSuccess;
-  if (passing && this->route->streaming) {
+  if (passing && this->admission.route->streaming) {
     this->PassEvents(bytes);
   } else {
     this->PassBody(bytes);
@@ -319,7 +277,7 @@
   WholeEvents whole = this->attempt->events.Feed(bytes);
   if (whole.count == 0) return;
   if (!this->attempt->any_event) this->NoteFirstEvent();
-  this->NotePause(Now());
+  this->times.NoteEvent(Now());
   this->state->counters.events_passed += static_cast<uint64_t>(whole.count);
   if (!this->answer_begun) this->BeginAnswer(std::nullopt);
   if (whole.last_id) this->last_event_id = whole.last_id;
@@ -331,44 +289,21 @@
   this->state->fleet.loads().FirstEvent(this->id);
 }
 
-void Exchange::NotePause(Time now) {
-  bool is_first = this->last_event_at == Time{};
-  if (is_first) {
-    this->first_event_after = now - this->request.arrived;
-  } else {
-    this->longest_pause_seen = std::max(this->longest_pause_seen, now - this->last_event_at);
-  }
-  this->last_event_at = now;
-}
-
 // A late answer always gets its line: someone may ask why.
 void Exchange::LogAnswered() {
-  Time now = Now();
-  bool streamed = this->route->streaming;
-  GatewayCounters& counters = this->state->counters;
-  Duration first = streamed ? this->first_event_after : now - this->request.arrived;
-  if (streamed) {
-    const char* length = LengthName(this->facts.prompt_tokens);
-    counters.first_event[length].Add(first);
-    counters.longest_pause[length].Add(this->longest_pause_seen);
-  } else {
-    counters.plain_answer.Add(first);
-  }
-  bool late = first > this->route->objective;
-  bool paused = streamed && this->route->longest_pause.count() > 0 &&
-                this->longest_pause_seen > this->route->longest_pause;
-  if (!late && !paused && !this->state->log->Sample()) return;
-  this->state->log->Write(
-      this->Line(late || paused ? "answered_late" : "answered")
-          .Text("engine", this->attempt->engine.id)
-          .Number("status", this->attempt->head.status)
-          .Number("attempts", this->attempts)
-          .Number("prompt_tokens", this->facts.prompt_tokens)
-          .Number("expected_first_ms", this->attempt->expected_first_ms)
-          .Number("first_ms", ToSeconds(first) * 1000)
-          .Number("objective_ms", ToSeconds(this->route->objective) * 1000)
-          .Number("pause_ms", ToSeconds(this->longest_pause_seen) * 1000)
-          .Number("pause_aim_ms", ToSeconds(this->route->longest_pause) * 1000));
+  const Route& on = *this->admission.route;
+  Duration first = this->times.FirstAfter(on, Now());
+  this->times.Count(on, this->facts.prompt_tokens, first, &this->state->counters);
+  bool late = this->times.IsLate(on, first);
+  if (!late && !this->state->log->Sample()) return;
+  LogLine line = this->Line(late ? "answered_late" : "answered");
+  line.Text("engine", this->attempt->engine.id)
+      .Number("status", this->attempt->head.status)
+      .Number("attempts", this->attempts)
+      .Number("prompt_tokens", this->facts.prompt_tokens)
+      .Number("expected_first_ms", this->attempt->expected_first_ms);
+  this->times.Describe(on, first, &line);
+  this->state->log->Write(line);
 }
 
 void Exchange::PassBody(std::string_view bytes) {
@@ -384,19 +319,26 @@
 }
 
 void Exchange::BeginAnswer(std::optional<uint64_t> length) {
+  this->answer_begun = true;
+  this->caller->BeginAnswer(this->TakeAnswerHead(), length);
+}
+
+// The head for the caller.  Its fields move out of the attempt, since there is one
+// answer only.
+AnswerHead Exchange::TakeAnswerHead() {
   AnswerHead head;
   head.status = this->attempt->head.status;
   head.reason = this->attempt->head.reason;
-  head.headers = this->attempt->head.headers;
+  head.headers = std::move(this->attempt->head.headers);
   KeepAnsweredHeaders(&head.headers);
-  this->answer_begun = true;
-  this->caller->BeginAnswer(head, length);
+  return head;
 }
 
 AttemptResult Exchange::ResultOf(ChannelResult result) const {
   if (result == ChannelResult::kNotSent) return AttemptResult::kNotRun;
   if (result != ChannelResult::kWholeAnswer) return AttemptResult::kUnknown;
-  bool torn = this->attempt->verdict == AttemptResult::kSuccess && this->route->streaming &&
+  bool torn = this->attempt->verdict == AttemptResult::kSuccess &&
+              this->admission.route->streaming &&
               (this->attempt->events.has_rest() || !this->answer_begun);
   return torn ? AttemptResult::kUnknown : this->attempt->verdict;
 }
@@ -428,13 +370,13 @@
 
 RequestState Exchange::StateForDecision(Time now) const {
   RequestState decision;
-  decision.repeat = this->route->repeat;
+  decision.repeat = this->admission.route->repeat;
   decision.attempts = this->attempts;
   decision.attempts_run = this->attempts_run;
-  decision.max_attempts = this->route->max_attempts;
+  decision.max_attempts = this->admission.route->max_attempts;
   decision.answer_begun = this->answer_begun;
   decision.may_have_run = this->may_have_run;
-  decision.time_left = now < this->answer_by;
+  decision.time_left = now < this->admission.answer_by;
   return decision;
 }
 
@@ -497,11 +439,7 @@
     channel->EndAnswer();
     return;
   }
-  AnswerHead head;
-  head.status = this->attempt->head.status;
-  head.reason = this->attempt->head.reason;
-  head.headers = std::move(this->attempt->head.headers);
-  KeepAnsweredHeaders(&head.headers);
+  AnswerHead head = this->TakeAnswerHead();
   std::string body = std::move(this->attempt->body);
   this->Finish();
   channel->Answer(head, body);
@@ -510,8 +448,8 @@
 // When a caller that was refused should come back: in time for its objective
 // still, but not before engines can have got anywhere.
 double Exchange::ComeBackSeconds() const {
-  if (this->route == nullptr) return kComeBackSeconds;
-  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->route->objective));
+  if (this->admission.route == nullptr) return kComeBackSeconds;
+  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->admission.route->objective));
 }
 
 // Answers with a failure of our own.
@@ -533,17 +471,15 @@
   if (come_back) {
     head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
   }
-  std::string body = absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"",
-                                  info.name, "\",\"message\":\"", info.description, "\"}");
   std::shared_ptr<CallerChannel> channel = this->caller;
   this->Finish();
-  channel->Answer(head, body);
+  channel->Answer(head, FailureBody(code));
 }
 
 Duration Exchange::PatienceWithEngine() const {
-  double ms = this->attempt->any_event ? ToSeconds(this->route->longest_pause) * 1000
+  double ms = this->attempt->any_event ? ToSeconds(this->admission.route->longest_pause) * 1000
                                        : this->attempt->expected_first_ms;
-  if (!this->service->runs_models) ms = ToSeconds(this->route->objective) * 1000;
+  if (!this->service->runs_models) ms = ToSeconds(this->admission.route->objective) * 1000;
   return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
 }
 
@@ -560,8 +496,8 @@
   if (this->is_finished) return;
   if (this->tickets) this->tickets->Tick(now);
   if (!this->attempt) return;
-  if (now >= this->answer_by) {
-    this->GiveUp(now);
+  if (now >= this->admission.answer_by) {
+    this->GiveUp();
     return;
   }
   Duration silent = now - this->attempt->last_progress;
@@ -580,7 +516,7 @@
   this->AfterAttempt(AttemptResult::kUnknown);
 }
 
-void Exchange::GiveUp(Time) {
+void Exchange::GiveUp() {
   this->CancelAttempt();
   if (this->answer_begun) {
     this->Follow(NextStep::kBreakOff, AttemptResult::kUnknown);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,6 @@
 // One request, from the caller's bytes to the end of its answer.
 //
-// An exchange admits the request (route, account, time), has it run by one
+// An exchange admits the request (admission.h), has it run by one
 // engine after another until one answers or nothing more may be tried, and
 // passes the answer on.  What follows an attempt is decided by
 // serving/attempt_result.h; where it runs, by serving/fleet.h.
@@ -17,6 +17,8 @@
 #include <set>
 #include <string>
 
+#include "gateway/admission.h"
+#include "gateway/answer_times.h"
 #include "gateway/caller_channel.h"
 #include "gateway/engine_request.h"
 #include "gateway/gateway_state.h"
@@ -49,10 +51,8 @@
   struct Attempt {
     EngineRecord engine;
     std::shared_ptr<RequestChannel> channel;
-    Time started;
     Time last_progress;
     ResponseHead head;
-    bool head_seen = false;
     AttemptResult verdict = AttemptResult::kUnknown;
     std::string body;
     EventSplitter events;
@@ -60,20 +60,19 @@
     double expected_first_ms = 0;
   };
 
-  bool Admit(Time now);
-  bool AdmitAccount(Time now);
-  const Service* PickService();
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
   void DropTickets();
   void SendAttempt(const FleetChoice& choice, Time now);
+  EngineOrders OrdersFor(const FleetChoice& choice, Time now) const;
+  void LogAttempt(const FleetChoice& choice);
+  RequestChannel::Hooks AttemptHooks();
   void BookLoad(const FleetChoice& choice, Time now);
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void PassEvents(std::string_view bytes);
   void NoteFirstEvent();
-  void NotePause(Time now);
   void LogAnswered();
   void PassBody(std::string_view bytes);
   void OnDone(ChannelResult result);
@@ -82,10 +81,11 @@
   void AfterAttempt(AttemptResult result);
   void Follow(NextStep step, AttemptResult result);
   void BeginAnswer(std::optional<uint64_t> length);
+  AnswerHead TakeAnswerHead();
   void DeliverWhole();
   void Refuse(ResultCode code);
   double ComeBackSeconds() const;
-  void GiveUp(Time now);
+  void GiveUp();
   void CancelAttempt();
   void Finish();
   Duration PatienceWithEngine() const;
@@ -100,13 +100,8 @@
   CallerRequest request;
   RequestFacts facts;
   std::shared_ptr<const ConfigIndex> config;
-  const Route* route = nullptr;
+  Admission admission;
   const Service* service = nullptr;
-  std::string account;
-  bool needs_key = false;
-  // When the answer must be final.
-  Time answer_by{};
-  Time caller_waits_until{};
 
   std::optional<Attempt> attempt;
   // Memory on the readers of the attempt, where it is spread.
@@ -117,12 +112,7 @@
   int attempts_run = 0;
   bool may_have_run = false;
   std::optional<std::string> last_event_id;
-  // From the request's arrival to its first event, and the longest time between
-  // two of its events.
-  Duration first_event_after{};
-  Duration longest_pause_seen{};
-  Time last_event_at{};
-  std::optional<AnswerHead> first_head;
+  AnswerTimes times;
   bool answer_begun = false;
   bool is_finished = false;
 };
