An order that times out no longer owns itself

Cause: the address sanitizer's leak check in gateway_test (4,960 bytes): the pending order held its channel, whose hooks held the order; after a time-out nobody let go. Ruled out: the exchange and the store's client (weak and raw references). Change: the time-out owns the order, the hooks only know it. Before/after: leak reported; none, 21 cases pass under the address sanitizer.

--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -13,7 +13,12 @@
 struct PendingOrder {
   std::shared_ptr<RequestChannel> channel;
   int status = 0;
-  bool finished = false;
+  // Empty once it has been called.
+  std::function<void(bool)> done;
+
+  void Finish(bool carried_out) {
+    if (auto hook = std::exchange(this->done, nullptr)) hook(carried_out);
+  }
 };
 
 }  // namespace
@@ -26,23 +31,27 @@
   auto order = std::make_shared<PendingOrder>();
   order->channel = this->state->pool.Take(wish.engine, Now(), /*fresh=*/false);
   this->state->counters.orders += 1;
-  auto finish = [order, done = std::move(done)](bool carried_out) {
-    if (std::exchange(order->finished, true)) return;
-    done(carried_out);
-  };
+  order->done = std::move(done);
+  // The time-out alone owns the order: a channel that owned it through its hooks
+  // would be owned by itself.
+  std::weak_ptr<PendingOrder> weak = order;
   RequestChannel::Hooks hooks;
-  hooks.head = [order](const ResponseHead& head) { order->status = head.status; };
-  hooks.done = [self = this->shared_from_this(), order, finish,
+  hooks.head = [weak](const ResponseHead& head) {
+    if (auto pending = weak.lock()) pending->status = head.status;
+  };
+  hooks.done = [self = this->shared_from_this(), weak,
                 engine = wish.engine.id](ChannelResult result) {
+    auto pending = weak.lock();
+    if (!pending) return;
     bool whole = result == ChannelResult::kWholeAnswer;
-    if (whole) self->state->pool.Give(engine, order->channel, Now());
-    finish(whole && order->status == platform::kOrderDone);
+    if (whole) self->state->pool.Give(engine, pending->channel, Now());
+    pending->Finish(whole && pending->status == platform::kOrderDone);
   };
   order->channel->Send(text, std::move(hooks), /*is_head=*/false);
-  this->state->loop->RunAfter(kOrderPatience, [order, finish] {
-    if (order->finished) return;
+  this->state->loop->RunAfter(kOrderPatience, [order] {
+    if (!order->done) return;
     order->channel->Close();
-    finish(false);
+    order->Finish(false);
   });
 }
 
