--- a/src/http/testing/message_parser_test.cc
+++ b/src/http/testing/message_parser_test.cc
@@ -91,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(WhatFollowsAMessageWaitsForNext) {
   std::string both = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
   std::vector<std::string> targets;
-  RequestParser parser({.head = [&](RequestHead head) { targets.push_back(head.target); },
+  RequestParser parser({.head = [&](const RequestHead& head) { targets.push_back(head.target); },
                         .body = [](std::string_view) {}},
                        {});
   BOOST_TEST((parser.Feed(both) == ParseState::kComplete));
@@ -136,7 +136,7 @@
   for (const ResponseRow& row : table) {
     BOOST_TEST_CONTEXT(row.what) {
       std::string body;
-      ResponseParser parser({.head = [](ResponseHead) {},
+      ResponseParser parser({.head = [](const ResponseHead&) {},
                              .body = [&](std::string_view bytes) { body.append(bytes); }});
       parser.Next(row.no_body);
       BOOST_TEST((parser.Feed(row.text) == row.state));
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -101,9 +101,10 @@
   };
   SocketAddress store_address = ready("store");
   this->store = std::make_unique<StoreClient>(&this->loop, store_address);
-  this->engines.resize(static_cast<size_t>(this->options.engines + this->options.apps));
+  auto models = static_cast<size_t>(this->options.engines);
+  this->engines.resize(models + static_cast<size_t>(this->options.apps));
   for (size_t i = 0; i < this->engines.size(); ++i) {
-    bool is_app = i >= static_cast<size_t>(this->options.engines);
+    bool is_app = i >= models;
     this->engines[i].service = is_app ? kApp : kModels;
     this->StartEngine(i);
   }
