The soak forgets what an earlier run wrote

Ruled out: a request run twice (each id had one line from each run). Change: outputs and ready files of an earlier run are removed at the start.

--- a/src/soak/process_set.cc
+++ b/src/soak/process_set.cc
@@ -30,6 +30,11 @@
 
 ProcessSet::ProcessSet(std::string output_folder) : folder(std::move(output_folder)) {
   std::filesystem::create_directories(this->folder);
+  // What an earlier run wrote here would be taken for this one's.
+  for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
+    bool ours = entry.path().extension() == ".out" || entry.path().extension() == ".ready";
+    if (ours) std::filesystem::remove(entry.path());
+  }
 }
 
 ProcessSet::~ProcessSet() {
