One way to start a program, one version look-up, hooks without a string to compare

Cause: read once more, the soak had its own copy of the tests' way to start a program; the configuration's version was looked up in four places, what follows an unsent attempt stood three times, two followers' hooks were told apart by a string; the platform's header names and the balancer's path stood outside platform/. Change: testing/spawn serves both; ConfigVersion, FollowUnsent, LoggingHooks; the names come from platform/. Out: Demand::streaming and a header name that nobody read, a second check of the keys' freshness behind its own name. Reload's comment says what it does take over. Ruled out as twins: RetryBudget and RetryWindow (a purse for each success; a shared bound in a window), the entry's error body and the gateway's (other fields).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -76,14 +76,10 @@
   this->StartAttempt(now);
 }
 
-bool Exchange::KeysAreFresh(Time now) const {
-  return !this->admission.needs_key || this->state->keys.IsFresh(now);
-}
-
 void Exchange::StartAttempt(Time now) {
-  if (!this->KeysAreFresh(now)) {
-    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
-                 AttemptResult::kNotRun);
+  bool keys_hold = !this->admission.needs_key || this->state->keys.IsFresh(now);
+  if (!keys_hold) {
+    this->FollowUnsent(now);
     return;
   }
   Demand demand;
@@ -91,14 +87,12 @@
   demand.answer_tokens = this->facts.answer_tokens;
   demand.objective_ms = ToSeconds(this->admission.route->objective) * 1000;
   demand.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
-  demand.streaming = this->admission.route->streaming;
   Duration patience = this->admission.caller_waits_until - this->request.arrived;
   demand.came_back = patience < kFirstTryShare * this->admission.route->timeout;
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
-    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
-                 AttemptResult::kNotRun);
+    this->FollowUnsent(now);
     return;
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
@@ -147,8 +141,7 @@
   if (this->ticket_rounds < kMostTicketRounds) {
     this->StartAttempt(now);
   } else {
-    this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
-                 AttemptResult::kNotRun);
+    this->FollowUnsent(now);
   }
 }
 
@@ -408,6 +401,12 @@
   this->Follow(step, result);
 }
 
+// What follows where no attempt can be sent now.
+void Exchange::FollowUnsent(Time now) {
+  this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
+               AttemptResult::kNotRun);
+}
+
 void Exchange::Follow(NextStep step, AttemptResult result) {
   switch (step) {
     case NextStep::kDeliver:
@@ -507,10 +506,9 @@
   decision.attempts_run += 1;
   if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return;
   if (this->state->fleet.RetriesOf(this->service->name).Left(now) < 1) return;
-  this->state->log->Write(
-      this->Line("engine_silent")
-          .Text("engine", this->attempt->engine.id)
-          .Number("silent_ms", ToSeconds(now - this->attempt->last_progress) * 1000));
+  this->state->log->Write(this->Line("engine_silent")
+                              .Text("engine", this->attempt->engine.id)
+                              .Number("silent_ms", ToSeconds(silent) * 1000));
   this->state->fleet.HealthOf(this->attempt->engine.id).AddFailure(now);
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kUnknown);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -79,6 +79,7 @@
   AttemptResult ResultOf(ChannelResult result) const;
   void NoteHealth(AttemptResult result, ChannelResult channel_result);
   void AfterAttempt(AttemptResult result);
+  void FollowUnsent(Time now);
   void Follow(NextStep step, AttemptResult result);
   void BeginAnswer(std::optional<uint64_t> length);
   AnswerHead TakeAnswerHead();
@@ -90,7 +91,6 @@
   void Finish();
   Duration PatienceWithEngine() const;
   bool SilenceIsExplained(Duration silent, Time now) const;
-  bool KeysAreFresh(Time now) const;
   RequestState StateForDecision(Time now) const;
   LogLine Line(std::string_view event) const;
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -14,6 +14,7 @@
 #include "gateway/failure_body.h"
 #include "gateway/metrics_page.h"
 #include "platform/documents.h"
+#include "platform/headers.h"
 
 namespace gullward {
 namespace {
@@ -76,15 +77,15 @@
       config_follower(
           event_loop, settings.store,
           {std::string(platform::kConfigTopic), ConfigWait(settings.key_trust), kGatherConfigs},
-          this->StoreHooks("config")),
+          this->ConfigHooks()),
       engine_follower(event_loop, settings.store,
                       {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
-                      this->StoreHooks("engines")),
+                      this->EngineHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log,
                     this->ConfigNotes()) {}
 
-TopicFollower::Hooks GatewayServer::StoreHooks(const std::string& topic) {
-  bool is_config = topic == "config";
+// What the followers of both topics have in common: the log.
+TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
   TopicFollower::Hooks hooks;
   hooks.lost = [this, topic](const std::string& reason) {
     this->log.Write(LogLine("store_lost").Text("topic", topic).Text("reason", reason));
@@ -92,24 +93,36 @@
   hooks.regained = [this, topic] {
     this->log.Write(LogLine("store_regained").Text("topic", topic));
   };
-  if (is_config) {
-    hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
-      this->OnConfigRecords(records);
-    };
-    hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
-    hooks.up_to_date = [this](Time sent) { this->state.keys.Confirm(sent); };
-  } else {
-    hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
-      this->OnEngineRecords(records);
-    };
-    hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
-  }
   return hooks;
 }
 
+TopicFollower::Hooks GatewayServer::ConfigHooks() {
+  TopicFollower::Hooks hooks = this->LoggingHooks("config");
+  hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
+    for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
+  };
+  hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
+  hooks.up_to_date = [this](Time sent) { this->state.keys.Confirm(sent); };
+  return hooks;
+}
+
+TopicFollower::Hooks GatewayServer::EngineHooks() {
+  TopicFollower::Hooks hooks = this->LoggingHooks("engines");
+  hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
+    this->OnEngineRecords(records);
+  };
+  hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
+  return hooks;
+}
+
+// 0 where none has been read.
+uint64_t GatewayServer::ConfigVersion() const {
+  return this->state.config ? this->state.config->config().version : 0;
+}
+
 LoadExchange::ConfigHooks GatewayServer::ConfigNotes() {
   LoadExchange::ConfigHooks hooks;
-  hooks.version = [this] { return this->state.config ? this->state.config->config().version : 0; };
+  hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
   hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
   hooks.behind = [this](uint64_t version) { this->OnNewerVersion(version); };
@@ -226,7 +239,7 @@
     channel->Answer(TextAnswer(200, "OK", kTextPlain), this->Metrics());
   } else if (path == "/state") {
     channel->Answer(TextAnswer(200, "OK", "application/json"), this->StateDump());
-  } else if (path == "/v1/readyz" || path == "/readyz") {
+  } else if (path == platform::kReadyPath || path == "/readyz") {
     bool ready = this->IsReady();
     channel->Answer(TextAnswer(ready ? 200 : 503, ready ? "OK" : "Not Ready", kTextPlain), "");
   } else {
@@ -234,10 +247,6 @@
   }
 }
 
-void GatewayServer::OnConfigRecords(const std::vector<platform::KeyedRecord>& records) {
-  for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
-}
-
 void GatewayServer::OnConfigRecord(const platform::KeyedRecord& record) {
   if (record.key != platform::kConfigKey || record.value.empty()) return;
   absl::StatusOr<ServingConfig> config = platform::DecodeConfig(record.value);
@@ -245,9 +254,8 @@
     this->log.Write(LogLine("config_invalid").Text("reason", StdView(config.status().message())));
     return;
   }
-  uint64_t current = this->state.config ? this->state.config->config().version : 0;
   // Never back: an older version may still come by from a slow read.
-  if (this->state.config && config->version <= current) return;
+  if (this->state.config && config->version <= this->ConfigVersion()) return;
   this->log.Write(LogLine("config")
                       .Number("version", static_cast<double>(config->version))
                       .Number("routes", static_cast<double>(config->routes.size()))
@@ -360,7 +368,8 @@
 }
 
 void GatewayServer::Reload(const GatewaySettings& changed) {
-  // Addresses cannot move under open connections; the rest is taken over.
+  // Addresses cannot move under open connections, and the bounds belong to keys and
+  // retries under way: a restart takes those.
   this->state.settings.stop_grace = changed.stop_grace;
   this->log.Write(LogLine("reloaded"));
 }
@@ -373,7 +382,7 @@
                         this->load_exchange.store_calls();
   figures.engines = this->state.fleet.directory().size();
   figures.peers = this->load_exchange.peers();
-  if (this->state.config) figures.config_version = this->state.config->config().version;
+  figures.config_version = this->ConfigVersion();
   figures.config_age = Now() - this->state.keys.confirmed_at();
   return MetricsPage(this->state.counters, figures);
 }
@@ -384,7 +393,7 @@
   dump["ready"] = this->IsReady();
   dump["stopping"] = this->stopping;
   dump["callers"] = this->callers.size();
-  dump["config_version"] = this->state.config ? this->state.config->config().version : 0;
+  dump["config_version"] = this->ConfigVersion();
   return dump.dump(2) + "\n";
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -61,12 +61,14 @@
   void OnOperator(int fd);
   void AnswerOperator(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
 
-  void OnConfigRecords(const std::vector<platform::KeyedRecord>& records);
   void OnConfigRecord(const platform::KeyedRecord& record);
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
   void OnEngineRecord(const platform::KeyedRecord& record);
   Time KeepLapsedUntil() const;
-  TopicFollower::Hooks StoreHooks(const std::string& topic);
+  TopicFollower::Hooks LoggingHooks(const std::string& topic);
+  TopicFollower::Hooks ConfigHooks();
+  TopicFollower::Hooks EngineHooks();
+  uint64_t ConfigVersion() const;
   LoadExchange::ConfigHooks ConfigNotes();
   void OnNewerVersion(uint64_t version);
 
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -2,7 +2,7 @@
 //
 // Names compare without regard to case, as HTTP wants it:
 //
-//   std::optional<std::string_view> id = FindHeader(headers, "Attempt-Id");
+//   std::optional<std::string_view> id = FindHeader(headers, "Content-Type");
 //   RemoveHeaders(&headers, "Connection");
 
 #ifndef GULLWARD_HTTP_HEADER_LIST_H_
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -38,7 +38,6 @@
   // The route's aims for the first event and for the longest pause.
   double objective_ms = 300;
   double pause_ms = 0;
-  bool streaming = false;
   // Whether the caller seems to have been refused before: it waits for a shorter
   // time than the route allows.
   bool came_back = false;
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -331,11 +331,14 @@
   if (caller.kind == Kind::kOnce) this->once_ids.push_back(caller.id);
 
   const char* paths[] = {"POST /chat/x", "GET /app/look/x", "POST /app/order/x"};
-  std::string request =
-      absl::StrCat(paths[static_cast<int>(caller.kind)],
-                   " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: ", caller.id,
-                   "\r\nDeadline-Ms: ", kDeadlineMs, "\r\nX-Api-Key: ", caller.key,
-                   "\r\nToken-Count: 1000,80\r\nContent-Length: 0\r\n\r\n");
+  std::string request = absl::StrCat(paths[static_cast<int>(caller.kind)], " HTTP/1.1\r\n");
+  AppendHeader(&request, "Host", "soak.example");
+  AppendHeader(&request, platform::kAttemptId, caller.id);
+  AppendHeader(&request, platform::kDeadlineMs, absl::StrCat(kDeadlineMs));
+  AppendHeader(&request, platform::kApiKey, caller.key);
+  AppendHeader(&request, platform::kTokenCount, "1000,80");
+  AppendHeader(&request, "Content-Length", "0");
+  request += "\r\n";
   RequestChannel::Hooks hooks;
   hooks.head = [this, index](const ResponseHead& head) { this->callers[index].head = head; };
   hooks.body = [this, index](std::string_view bytes) { this->callers[index].body.append(bytes); };
--- a/src/testing/fleet.cc
+++ b/src/testing/fleet.cc
@@ -2,20 +2,17 @@
 
 #include "testing/fleet.h"
 
-#include <fcntl.h>
 #include <glog/logging.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
-#include <sstream>
 #include <thread>
 #include <utility>
 
-extern char** environ;
+#include "testing/spawn.h"
 
 namespace gullward {
 namespace {
@@ -26,33 +23,8 @@
 // SHA-256 of kKey.
 constexpr char kKeyHash[] = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
 
-std::string ReadWhole(const std::string& path) {
-  std::ifstream stream(path, std::ios::binary);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
-// Starts a program with its output in a file; dies with the test.
-pid_t Spawn(const std::string& program, const std::vector<std::string>& arguments,
-            const std::string& output) {
-  std::string path = std::string(GULLWARD_BIN_DIR) + "/" + program;
-  std::vector<char*> argv;
-  argv.push_back(const_cast<char*>(path.c_str()));
-  for (const std::string& argument : arguments) {
-    argv.push_back(const_cast<char*>(argument.c_str()));
-  }
-  argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                   0644);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  pid_t pid = 0;
-  int error = posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
-  CHECK_EQ(error, 0) << path;
-  posix_spawn_file_actions_destroy(&actions);
-  return pid;
+std::string PathOfProgram(const std::string& program) {
+  return std::string(GULLWARD_BIN_DIR) + "/" + program;
 }
 
 }  // namespace
@@ -84,10 +56,11 @@
   unlink(ready.c_str());
   std::vector<std::string> all = arguments;
   all.push_back("--ready_file=" + ready);
-  pid_t pid = Spawn(program, all, this->directory + "/" + name + ".log");
+  pid_t pid = SpawnProgram(PathOfProgram(program), all, this->directory + "/" + name + ".log");
   this->children[name] = {pid, program, arguments};
   bool started = WaitFor([&] { return access(ready.c_str(), R_OK) == 0; });
-  CHECK(started) << name << " did not start: " << ReadWhole(this->directory + "/" + name + ".log");
+  CHECK(started) << name
+                 << " did not start: " << ReadWholeFile(this->directory + "/" + name + ".log");
 }
 
 void Fleet::Restart(const std::string& name) {
@@ -98,10 +71,10 @@
 Fleet::Finished Fleet::Run(const std::string& program, const std::vector<std::string>& arguments) {
   std::string output = this->directory + "/run.out";
   unlink(output.c_str());
-  pid_t pid = Spawn(program, arguments, output);
+  pid_t pid = SpawnProgram(PathOfProgram(program), arguments, output);
   int status = 0;
   waitpid(pid, &status, 0);
-  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, ReadWhole(output)};
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, ReadWholeFile(output)};
 }
 
 void Fleet::Kill(const std::string& name, int signal) {
@@ -122,7 +95,7 @@
 }
 
 std::string Fleet::Address(const std::string& name, const std::string& key) const {
-  json ready = json::parse(ReadWhole(this->directory + "/" + name + ".ready"));
+  json ready = json::parse(ReadWholeFile(this->directory + "/" + name + ".ready"));
   return ready[key].get<std::string>();
 }
 
