Long prompts are taken for late from 0.3 of their aim on

Change: 0.3 for prompts that take longer to read than a pass; shorts keep 0.6, since they are packed; refusal keeps 0.6, since there a wrong guess loses the whole answer.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -3,6 +3,7 @@
 #include "serving/engine_costs.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace gullward {
@@ -111,8 +112,16 @@
   return wait_ms + SlotWaitMs(speed, candidate) + candidate.load.ToReadMs() + reading_ms + steps_ms;
 }
 
-double CostOfWaiting(const Demand& demand, double first_event_ms) {
-  double late = Lateness(first_event_ms, demand.objective_ms, kWaitSafety);
+int UsefulReaders(const EngineSpeed& speed, const Demand& demand) {
+  double pass_ms = speed.step_ms * speed.steps_per_pass;
+  double reading_ms = ReadingMs(speed, demand.prompt_tokens);
+  double passes = std::ceil(reading_ms / std::max(pass_ms, 1.0));
+  return static_cast<int>(std::clamp<double>(passes, 1, kMostReaders));
+}
+
+double CostOfWaiting(const EngineSpeed& speed, const Demand& demand, double first_event_ms) {
+  double safety = UsefulReaders(speed, demand) > 1 ? kLongReadSafety : kWaitSafety;
+  double late = Lateness(first_event_ms, demand.objective_ms, safety);
   double small = kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
   return kLateLoss * WorthOf(demand.prompt_tokens) * late + small;
 }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -18,6 +18,9 @@
 constexpr double kWorthPerEngineSecond = 8;
 // A request that was refused before may cost others so many times what it earns.
 constexpr double kComeBackShare = 1.2;
+// A request is refused for being late only from this share of its aim on: here a wrong
+// guess loses the whole answer, among placements only some engine time.
+constexpr double kRefusalSafety = 0.6;
 // A wait for a slot of this share of the objective counts as the cause of a late
 // answer.
 constexpr double kHopelessSlotShare = 0.8;
@@ -51,7 +54,7 @@
   for (size_t i = 0; i < candidates.size(); ++i) {
     double first_event_ms = costs.first_event_ms[i];
     double cost = CostAsMain(speed, candidates[i], demand, *placement) +
-                  CostOfWaiting(demand, first_event_ms);
+                  CostOfWaiting(speed, demand, first_event_ms);
     if (cost >= placement->cost) continue;
     placement->cost = cost;
     best = i;
@@ -71,14 +74,14 @@
 }
 
 // The `count` candidates besides `main` that cost least as readers.
-std::vector<size_t> CheapestReaders(const ReaderCosts& costs, const Demand& demand, size_t main,
-                                    long count) {
+std::vector<size_t> CheapestReaders(const ReaderCosts& costs, const EngineSpeed& speed,
+                                    const Demand& demand, size_t main, long count) {
   std::vector<size_t> others;
   for (size_t i = 0; i < costs.as_reader.size(); ++i) {
     if (i != main) others.push_back(i);
   }
   auto price = [&](size_t i) {
-    return costs.as_reader[i] + CostOfWaiting(demand, costs.first_event_ms[i]);
+    return costs.as_reader[i] + CostOfWaiting(speed, demand, costs.first_event_ms[i]);
   };
   std::partial_sort(others.begin(), others.begin() + count, others.end(),
                     [&](size_t left, size_t right) { return price(left) < price(right); });
@@ -99,14 +102,14 @@
   placement.harm = CostToOthers(speed, candidates[*main], placement.part_reading_ms);
   // The slowest reader alone decides when the first event comes, so lateness is
   // paid once.
-  placement.cost -= CostOfWaiting(demand, placement.first_event_ms);
-  for (size_t helper : CheapestReaders(costs, demand, *main, readers - 1)) {
+  placement.cost -= CostOfWaiting(speed, demand, placement.first_event_ms);
+  for (size_t helper : CheapestReaders(costs, speed, demand, *main, readers - 1)) {
     placement.engines.push_back(helper);
     placement.cost += costs.as_reader[helper];
     placement.harm += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
     placement.first_event_ms = std::max(placement.first_event_ms, costs.first_event_ms[helper]);
   }
-  placement.cost += CostOfWaiting(demand, placement.first_event_ms);
+  placement.cost += CostOfWaiting(speed, demand, placement.first_event_ms);
   return placement;
 }
 
@@ -117,12 +120,8 @@
   Placement best;
   if (candidates.empty()) return best;
   best.cost = std::numeric_limits<double>::infinity();
-  int most = std::min<int>(kMostReaders, static_cast<int>(candidates.size()));
-  // A prompt that is read within one pass of decoding gains nothing by parts.
-  double pass_ms = speed.step_ms * speed.steps_per_pass;
-  double reading_ms = ReadingMs(speed, demand.prompt_tokens);
-  int useful = static_cast<int>(std::ceil(reading_ms / std::max(pass_ms, 1.0)));
-  for (int readers = 1; readers <= std::clamp(useful, 1, most); ++readers) {
+  int most = std::min(UsefulReaders(speed, demand), static_cast<int>(candidates.size()));
+  for (int readers = 1; readers <= most; ++readers) {
     Placement placement = ChooseWithReaders(candidates, speed, demand, readers);
     if (!placement.engines.empty() && placement.cost < best.cost) best = placement;
   }
@@ -132,7 +131,7 @@
 }
 
 bool ShouldRefuse(const Placement& placement, const Demand& demand) {
-  double late = Lateness(placement.first_event_ms, demand.objective_ms, kWaitSafety);
+  double late = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
   double earned = WorthOf(demand.prompt_tokens) * (1 - kLateLoss * late);
   double taken = kWorthPerEngineSecond * placement.engine_seconds;
   double price = placement.harm + placement.busy * placement.busy * taken;
