Engines that answer with failures are set aside, and peers say which they avoid

Ruled out: a rate-based threshold of its own for error answers; the services' own 500s (9 in 100) put two in a row on one engine in under 1 in 100 answers, for 0.6 s. Change: every failure of an engine counts. Each datagram names the engines that its sender has set aside (16 at most, none where a quarter of the fleet is); two peers' words set an engine aside here too, unless it answered us within 0.7 s; believers come back one after the other.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -347,17 +347,19 @@
 }
 
 void Exchange::NoteHealth(AttemptResult result, ChannelResult channel_result) {
-  EngineHealth& health = this->state->fleet.HealthOf(this->attempt->engine.id);
+  Fleet& fleet = this->state->fleet;
+  const std::string& engine = this->attempt->engine.id;
+  Time now = Now();
   bool worked = result == AttemptResult::kSuccess || result == AttemptResult::kRejected;
   if (worked) {
-    health.AddSuccess(Now());
+    fleet.HealthOf(engine).AddSuccess(now);
   } else if (result == AttemptResult::kWrongEngine) {
-    this->state->log->Write(this->Line("engine_replaced").Text("engine", this->attempt->engine.id));
-    this->state->fleet.directory().Forget(this->attempt->engine.id);
-  } else if (channel_result == ChannelResult::kNotSent) {
-    health.AddUnreachable(Now());
-  } else if (result != AttemptResult::kEngineFailure) {
-    health.AddFailure(Now());
+    this->state->log->Write(this->Line("engine_replaced").Text("engine", engine));
+    fleet.directory().Forget(engine);
+  } else {
+    // Answers of failure count too: an engine that fails at once is always idle, and
+    // would draw everybody's requests.
+    fleet.NoteFailure(engine, channel_result == ChannelResult::kNotSent, now);
   }
 }
 
@@ -509,7 +511,7 @@
   this->state->log->Write(this->Line("engine_silent")
                               .Text("engine", this->attempt->engine.id)
                               .Number("silent_ms", ToSeconds(silent) * 1000));
-  this->state->fleet.HealthOf(this->attempt->engine.id).AddFailure(now);
+  this->state->fleet.NoteFailure(this->attempt->engine.id, /*unreachable=*/false, now);
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kUnknown);
 }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -81,7 +81,7 @@
       engine_follower(event_loop, settings.store,
                       {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
                       this->EngineHooks()),
-      load_exchange(event_loop, settings, random_seed, &this->state.fleet.loads(), &this->log,
+      load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
                     this->ConfigNotes()) {}
 
 // What the followers of both topics have in common: the log.
@@ -327,7 +327,7 @@
       this->state.fleet.SetProcesses(this->load_exchange.peers() + 1);
     }
     this->state.pool.Tick(now);
-    this->state.fleet.ForgetUnlisted();
+    this->state.fleet.ForgetUnlisted(now);
   }
   this->log.Flush();
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,7 +54,7 @@
         settings(gateway_settings),
         log(event_log),
         keys(gateway_settings.key_trust),
-        fleet(gateway_settings.retry, gateway_settings.data_centre),
+        fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre),
         pool(event_loop),
         random(random_seed) {}
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -24,13 +24,13 @@
 }  // namespace
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
-                           uint64_t own_incarnation, LoadBook* load_book, EventLog* event_log,
+                           uint64_t own_incarnation, Fleet* shared_fleet, EventLog* event_log,
                            ConfigHooks config_hooks)
     : loop(event_loop),
       box(settings.box),
       own_address(settings.peers),
       incarnation(own_incarnation),
-      loads(load_book),
+      fleet(shared_fleet),
       log(event_log),
       registrar(event_loop, settings.store),
       follower(
@@ -90,7 +90,10 @@
   std::optional<LoadDigest> digest = DecodeDigest(datagram);
   if (!digest || digest->box == this->box) return;
   if (digest->freshness) this->HearNote(*digest);
-  this->loads->ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads, Now());
+  Time now = Now();
+  this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+  this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
+                                 now);
 }
 
 void LoadExchange::HearNote(const LoadDigest& digest) {
@@ -108,7 +111,7 @@
   if (version == 0) return;
   this->freshness.BeginRound(now);
   for (const auto& [peer, address] : this->peer_addresses) {
-    LoadDigest digest{this->box, this->incarnation, ++this->sequence, {}, {}};
+    LoadDigest digest = this->NewDigest(now);
     digest.freshness = this->freshness.NoteFor(peer, version, this->config.proved(), now);
     this->socket.Send(address, EncodeDigest(digest));
   }
@@ -121,7 +124,7 @@
     this->refreshed = now;
     this->SendNotes(now);
   }
-  std::map<std::string, EngineLoad> own = this->loads->Own(now);
+  std::map<std::string, EngineLoad> own = this->fleet->loads().Own(now);
   // What was told and is no more is told once as zero.
   for (const auto& [engine, load] : this->told) own.try_emplace(engine);
   std::map<std::string, EngineLoad> changed;
@@ -141,13 +144,26 @@
     while (!changed.empty() && part.size() < kEntriesPerDatagram) {
       part.insert(changed.extract(changed.begin()));
     }
-    this->Send(std::move(part));
+    this->Send(std::move(part), now);
   }
 }
 
-void LoadExchange::Send(std::map<std::string, EngineLoad> part) {
-  std::string datagram =
-      EncodeDigest({this->box, this->incarnation, ++this->sequence, std::move(part), {}});
+// With all but what it is about.
+LoadDigest LoadExchange::NewDigest(Time now) {
+  LoadDigest digest;
+  digest.box = this->box;
+  digest.incarnation = this->incarnation;
+  digest.sequence = ++this->sequence;
+  for (const std::string& engine : this->fleet->SetAside(now)) {
+    if (digest.set_aside.size() < kMostSetAsideTold) digest.set_aside.insert(engine);
+  }
+  return digest;
+}
+
+void LoadExchange::Send(std::map<std::string, EngineLoad> part, Time now) {
+  LoadDigest digest = this->NewDigest(now);
+  digest.loads = std::move(part);
+  std::string datagram = EncodeDigest(digest);
   for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -3,13 +3,15 @@
 // Each gateway writes the address of its datagram socket into a topic of the
 // store when it starts, and follows that topic.  Then, a few times a second, it
 // sends the others what has changed of its own work, and now and then all of it.
+// Each datagram also names the engines that the sender has set aside
+// (serving/peer_suspicion.h).
 // Every half second each also gets a note on how current the sender's
 // configuration is (serving/peer_freshness.h), so that a gateway that is cut off
 // from the store can go on accepting keys.
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
 //
-//   LoadExchange exchange(&loop, settings, incarnation, &loads, &log);
+//   LoadExchange exchange(&loop, settings, incarnation, &fleet, &log, hooks);
 //   absl::Status status = exchange.Start();
 //   exchange.Tell(now);              // every few milliseconds
 
@@ -23,7 +25,7 @@
 #include "gateway/settings.h"
 #include "gateway/topic_follower.h"
 #include "process/event_log.h"
-#include "serving/engine_load.h"
+#include "serving/fleet.h"
 #include "transport/udp_socket.h"
 #include "wire/load_digest.h"
 
@@ -35,6 +37,8 @@
   static constexpr Duration kRefresh = milliseconds(500);
   // Entries that fit into one datagram with room to spare.
   static constexpr size_t kEntriesPerDatagram = 12;
+  // Engines set aside that one datagram names at most.
+  static constexpr size_t kMostSetAsideTold = 16;
   // More peers than this are not told; see docs/CAPACITY.md.
   static constexpr size_t kMostPeers = 32;
 
@@ -50,7 +54,7 @@
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
-               LoadBook* load_book, EventLog* event_log, ConfigHooks config_hooks);
+               Fleet* shared_fleet, EventLog* event_log, ConfigHooks config_hooks);
 
   absl::Status Start();
 
@@ -64,7 +68,8 @@
   void Register();
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
-  void Send(std::map<std::string, EngineLoad> loads);
+  LoadDigest NewDigest(Time now);
+  void Send(std::map<std::string, EngineLoad> loads, Time now);
   void SendNotes(Time now);
   void HearNote(const LoadDigest& digest);
 
@@ -72,7 +77,7 @@
   std::string box;
   SocketAddress own_address;
   uint64_t incarnation;
-  LoadBook* loads;
+  Fleet* fleet;
   EventLog* log;
   UdpSocket socket;
   StoreClient registrar;
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -374,6 +374,21 @@
   }));
 }
 
+// Such an engine is always idle, and would be the first choice for every request.
+BOOST_AUTO_TEST_CASE(AnEngineThatFailsEveryRequestAtOnceDrawsFew) {
+  auto world = StartedWorld();
+  world->Call(world->StreamRequest("first"));
+  EngineStandin* chosen = nullptr;
+  for (auto& engine : world->engines) {
+    if (!engine->seen().empty()) chosen = engine.get();
+  }
+  BOOST_REQUIRE(chosen != nullptr);
+  size_t before = chosen->seen().size();
+  chosen->FailAll(EngineFault::kFailed);
+  for (int i = 0; i < 20; ++i) world->Call(world->StreamRequest(absl::StrCat("s", i)));
+  BOOST_TEST(chosen->seen().size() - before <= 4u);
+}
+
 BOOST_AUTO_TEST_CASE(TwoGatewaysHearOfEachOther) {
   auto world = StartedWorld();
   GatewaySettings settings;
--- a/src/serving/engine_health.h
+++ b/src/serving/engine_health.h
@@ -28,12 +28,16 @@
   static constexpr Duration kLongestPause = seconds(5);
   // In which the failure rate halves without any answer.
   static constexpr Duration kHalfLife = seconds(2);
+  // How long a success of our own outweighs the others' word: about as long as
+  // their word holds.
+  static constexpr Duration kOwnWordLasts = milliseconds(700);
   // Weight of the newest answer in the failure rate.
   static constexpr double kNewestWeight = 0.1;
 
   void AddSuccess(Time now) {
     this->failures_in_row = 0;
     this->out_until = Time{};
+    this->succeeded_at = now;
     this->failure_rate = (1 - kNewestWeight) * this->FailureRate(now);
     this->rated_at = now;
   }
@@ -48,14 +52,19 @@
     this->out_until = now + std::min(kFirstPause * (1 << doublings), kLongestPause);
   }
 
-  // The engine was never reached: it is set aside without a second try.
-  void AddUnreachable(Time now) {
+  // A failure that leaves no doubt, since the engine was never reached or others
+  // have set it aside: it is set aside without a second try.
+  void AddCertainFailure(Time now) {
     this->failures_in_row = std::max(this->failures_in_row, kFailuresToSetAside - 1);
     this->AddFailure(now);
   }
 
   bool IsOut(Time now) const { return now < this->out_until; }
 
+  // Whether it has answered so lately that our own experience outweighs what
+  // others say.
+  bool SucceededLately(Time now) const { return now - this->succeeded_at < kOwnWordLasts; }
+
   // 0 (never) to 1 (always), of late.  It fades with time too: an engine that
   // gets no work because of it could never show that it is well again.
   double FailureRate(Time now) const {
@@ -67,6 +76,7 @@
   int failures_in_row = 0;
   double failure_rate = 0;
   Time rated_at{};
+  Time succeeded_at{};
   Time out_until{};
 };
 
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -16,8 +16,10 @@
 
 }  // namespace
 
-Fleet::Fleet(const RetryBounds& bounds, std::string own_data_centre)
-    : retry_bounds(bounds), data_centre(std::move(own_data_centre)) {}
+Fleet::Fleet(const RetryBounds& bounds, std::string own_box, std::string own_data_centre)
+    : retry_bounds(bounds),
+      data_centre(std::move(own_data_centre)),
+      suspicion(std::move(own_box)) {}
 
 RetryWindow& Fleet::RetriesOf(const std::string& service) {
   auto [found, is_new] = this->retries.try_emplace(service, this->retry_bounds);
@@ -30,6 +32,37 @@
   for (auto& [service, window] : this->retries) window.SetProcesses(count);
 }
 
+void Fleet::NoteFailure(const std::string& engine, bool unreachable, Time now) {
+  EngineHealth& record = this->health[engine];
+  if (unreachable || this->suspicion.Suspects(engine, now)) {
+    record.AddCertainFailure(now);
+  } else {
+    record.AddFailure(now);
+  }
+}
+
+std::set<std::string> Fleet::SetAside(Time now) const {
+  std::set<std::string> set_aside;
+  for (const auto& [engine, record] : this->health) {
+    if (record.IsOut(now)) set_aside.insert(engine);
+  }
+  double most = PeerSuspicion::kMostSetAside * static_cast<double>(this->engines.size());
+  if (static_cast<double>(set_aside.size()) > most) set_aside.clear();
+  return set_aside;
+}
+
+void Fleet::HearSetAside(const std::string& peer, const std::set<std::string>& set_aside,
+                         Time now) {
+  this->suspicion.Hear(peer, set_aside, this->engines.size(), now);
+}
+
+// Whether an engine gets no work while there are others.
+bool Fleet::Avoids(const std::string& engine, Time now) {
+  const EngineHealth& record = this->health[engine];
+  if (record.IsOut(now)) return true;
+  return this->suspicion.Suspects(engine, now) && !record.SucceededLately(now);
+}
+
 std::vector<const EngineRecord*> Fleet::Pickable(const std::string& service,
                                                  const std::set<std::string>& tried, Time now) {
   std::vector<const EngineRecord*> usable = this->engines.Usable(service, now);
@@ -38,7 +71,7 @@
   for (const EngineRecord* engine : usable) {
     if (tried.count(engine->id) != 0) continue;
     untried.push_back(engine);
-    if (!this->health[engine->id].IsOut(now)) good.push_back(engine);
+    if (!this->Avoids(engine->id, now)) good.push_back(engine);
   }
   if (!good.empty()) return good;
   // Engines that were set aside are better than none.
@@ -78,7 +111,8 @@
   return choice;
 }
 
-void Fleet::ForgetUnlisted() {
+void Fleet::ForgetUnlisted(Time now) {
+  this->suspicion.Tick(now);
   for (auto it = this->health.begin(); it != this->health.end();) {
     bool listed = this->engines.Find(it->first) != nullptr;
     it = listed ? std::next(it) : this->health.erase(it);
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -16,6 +16,7 @@
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
 #include "serving/engine_load.h"
+#include "serving/peer_suspicion.h"
 #include "serving/placement.h"
 #include "serving/retry_window.h"
 #include "serving/serving_config.h"
@@ -37,7 +38,7 @@
 
 class Fleet {
  public:
-  Fleet(const RetryBounds& retry_bounds, std::string own_data_centre);
+  Fleet(const RetryBounds& retry_bounds, std::string own_box, std::string own_data_centre);
 
   EngineDirectory& directory() { return this->engines; }
   const EngineDirectory& directory() const { return this->engines; }
@@ -48,6 +49,16 @@
   // The budget of second attempts at a service.
   RetryWindow& RetriesOf(const std::string& service);
 
+  // Counts an attempt that failed by the engine's doing.  Where peers have set the
+  // engine aside, or it could not be reached, one failure is enough to do so too.
+  void NoteFailure(const std::string& engine, bool unreachable, Time now);
+
+  // The engines that this process has set aside by its own experience; none where
+  // they are so many that the trouble must be its own.
+  std::set<std::string> SetAside(Time now) const;
+  // What a peer has set aside.
+  void HearSetAside(const std::string& peer, const std::set<std::string>& set_aside, Time now);
+
   // Says how many processes share the budget of retries.
   void SetProcesses(size_t count);
 
@@ -56,10 +67,12 @@
   std::optional<FleetChoice> Choose(const Service& service, const Demand& demand,
                                     const std::set<std::string>& tried, Time now);
 
-  // Forgets what is known of engines that are no longer listed.
-  void ForgetUnlisted();
+  // Forgets what is known of engines that are no longer listed, and words of peers
+  // that are over.
+  void ForgetUnlisted(Time now);
 
  private:
+  bool Avoids(const std::string& engine, Time now);
   std::vector<const EngineRecord*> Pickable(const std::string& service,
                                             const std::set<std::string>& tried, Time now);
 
@@ -69,6 +82,7 @@
   EngineDirectory engines;
   LoadBook load_book;
   std::map<std::string, EngineHealth> health;
+  PeerSuspicion suspicion;
   std::map<std::string, RetryWindow> retries;
 };
 
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -269,10 +269,69 @@
   health.AddSuccess(kStart);
   BOOST_TEST(!health.IsOut(kStart));
   EngineHealth unreachable;
-  unreachable.AddUnreachable(kStart);
+  unreachable.AddCertainFailure(kStart);
   BOOST_TEST(unreachable.IsOut(kStart));
 }
 
+BOOST_AUTO_TEST_CASE(TwoPeersWordsSetAnEngineAside) {
+  struct Case {
+    std::string name;
+    // What each peer has set aside, in the order in which they say it.
+    std::vector<std::pair<std::string, std::set<std::string>>> words;
+    bool suspected;
+  };
+  const std::vector<Case> cases = {
+      {"nobody", {}, false},
+      {"one peer", {{"a", {"e"}}}, false},
+      {"one peer twice", {{"a", {"e"}}, {"a", {"e"}}}, false},
+      {"two peers", {{"a", {"e"}}, {"b", {"e"}}}, true},
+      {"the first has taken it back", {{"a", {"e"}}, {"a", {}}, {"b", {"e"}}}, false},
+      {"one is in trouble itself", {{"a", {"e", "f", "g", "h"}}, {"b", {"e"}}}, false},
+      {"another engine", {{"a", {"f"}}, {"b", {"f"}}}, false},
+  };
+  for (const Case& one : cases) {
+    PeerSuspicion suspicion("us");
+    for (const auto& [peer, engines] : one.words) suspicion.Hear(peer, engines, 12, kStart);
+    BOOST_TEST_CONTEXT(one.name) { BOOST_TEST(suspicion.Suspects("e", kStart) == one.suspected); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BelieversComeBackOneAfterTheOther) {
+  std::set<Duration> returns;
+  for (int box = 0; box < 28; ++box) {
+    PeerSuspicion suspicion("box-" + std::to_string(box));
+    suspicion.Hear("a", {"e"}, 12, kStart);
+    suspicion.Hear("b", {"e"}, 12, kStart);
+    Duration away{};
+    while (suspicion.Suspects("e", kStart + away)) away += milliseconds(10);
+    BOOST_TEST((away >= PeerSuspicion::kWordLasts));
+    BOOST_TEST((away <= PeerSuspicion::kWordLasts + PeerSuspicion::kReturnSpread));
+    returns.insert(away);
+  }
+  BOOST_TEST(returns.size() > 14u);
+}
+
+BOOST_AUTO_TEST_CASE(AnEngineThatPeersAvoidIsAvoidedUnlessItAnsweredUs) {
+  Fleet fleet({}, "us", "hall");
+  for (int i = 0; i < 12; ++i) {
+    std::string id = "e" + std::to_string(i);
+    fleet.directory().Update({id, "apps", {"127.0.0.1", 1}, "hall", 8, false});
+  }
+  Service service;
+  service.name = "apps";
+  std::string first = fleet.Choose(service, {}, {}, kStart)->engine.id;
+  for (const char* peer : {"a", "b"}) fleet.HearSetAside(peer, {first}, kStart);
+  BOOST_TEST(fleet.Choose(service, {}, {}, kStart)->engine.id != first);
+  fleet.HealthOf(first).AddSuccess(kStart);
+  BOOST_TEST(fleet.Choose(service, {}, {}, kStart)->engine.id == first);
+  // One failure of our own is enough then.
+  fleet.NoteFailure(first, /*unreachable=*/false, kStart);
+  BOOST_TEST((fleet.SetAside(kStart) == std::set<std::string>{first}));
+  // A process that finds most engines dead says nothing of them.
+  for (int i = 0; i < 12; ++i) fleet.NoteFailure("e" + std::to_string(i), true, kStart);
+  BOOST_TEST(fleet.SetAside(kStart).empty());
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreTrustedFromTheSendingOfTheRead) {
   KeyFreshness freshness(seconds(5));
   BOOST_TEST(!freshness.IsFresh(kStart));
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -29,8 +29,13 @@
         builder, note.round, note.config_version, static_cast<uint64_t>(note.proved_ago.count()),
         note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation);
   }
+  std::vector<flatbuffers::Offset<flatbuffers::String>> set_aside;
+  for (const std::string& engine : digest.set_aside) {
+    set_aside.push_back(builder.CreateString(engine));
+  }
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
-                                      digest.sequence, builder.CreateVector(entries), freshness));
+                                      digest.sequence, builder.CreateVector(entries), freshness,
+                                      builder.CreateVector(set_aside)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -54,6 +59,11 @@
     told.echoed_incarnation = note->echoed_incarnation();
     digest.freshness = told;
   }
+  if (packed->set_aside() != nullptr) {
+    for (const flatbuffers::String* engine : *packed->set_aside()) {
+      digest.set_aside.insert(engine->str());
+    }
+  }
   for (const fb::EngineLoadEntry* entry : *packed->engines()) {
     if (entry->engine() == nullptr) return std::nullopt;
     EngineLoad load;
--- a/src/wire/load_digest.h
+++ b/src/wire/load_digest.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,8 @@
   std::map<std::string, EngineLoad> loads;
   // Only in a datagram to one peer.
   std::optional<FreshnessNote> freshness;
+  // Engines that the sender has set aside; serving/peer_suspicion.h.
+  std::set<std::string> set_aside;
 
   bool operator==(const LoadDigest&) const = default;
 };
