One proof that the configuration is current serves the whole fleet

Ruled out: a longer wait alone (a read proves the moment it was sent, so a long wait proves nothing), an appointed prover (nobody is appointed here). Change: a read without waiting proves; each process draws by lot when it asks, the first tells the others by the notes that exist (serving/proof_schedule, gateway/config_prover). The same read finds out that the follower's own hangs. The engines' list is gathered over 0.35 of the time within which leaving engines must be left alone (a setting now, from the platform's bounds). Tests: 28 processes and a slow obvious count of proofs and ages; retry pause.

--- /dev/null
+++ b/src/gateway/config_prover.cc
@@ -0,0 +1,63 @@
+// config_prover.h tells the method.
+
+#include "gateway/config_prover.h"
+
+#include <utility>
+
+namespace gullward {
+namespace {
+
+constexpr int kOk = 200;
+// The store answers in milliseconds, a slow one in a few hundred; a proof must come
+// well before trust in the last one runs out.
+constexpr Duration kAnswerPatience = milliseconds(1000);
+// The follower's read brings news within a fraction of a second, or it hangs.
+constexpr Duration kNewsShouldHaveCome = milliseconds(400);
+
+// Whether the topic holds nothing beyond a position, which an answer to a read from
+// there shows by its end.
+bool EndsAt(uint64_t position, const StoreAnswer& answer) {
+  if (answer.status != kOk) return false;
+  absl::StatusOr<platform::KeyedTail> tail = platform::DecodeTail(answer.body);
+  return tail.ok() && tail->records.empty() && tail->end == position;
+}
+
+}  // namespace
+
+ConfigProver::ConfigProver(EventLoop* event_loop, SocketAddress store, std::string config_topic,
+                           Duration key_trust, uint64_t seed, Hooks prover_hooks)
+    : loop(event_loop),
+      client(event_loop, std::move(store)),
+      topic(std::move(config_topic)),
+      schedule(key_trust, seed),
+      hooks(std::move(prover_hooks)) {}
+
+void ConfigProver::Tick(Time proved_at, Time now) {
+  std::optional<uint64_t> position = this->hooks.position();
+  if (position && this->schedule.IsDue(proved_at, now)) this->Ask(*position, now);
+}
+
+void ConfigProver::Ask(uint64_t position, Time now) {
+  this->schedule.NoteAsked();
+  this->client.Call(
+      platform::ReadFrom(this->topic, position, /*wait=*/Duration(0)), kAnswerPatience,
+      [this, position, now](const StoreAnswer& answer) { this->OnAnswer(answer, position, now); });
+}
+
+void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent) {
+  if (answer.status != kOk && answer.status != platform::kRecordsGone) {
+    this->schedule.NoteFailed(Now());
+    return;
+  }
+  if (!EndsAt(position, answer)) {
+    this->schedule.NoteFailed(Now());
+    this->loop->RunAfter(kNewsShouldHaveCome, [this, position] {
+      if (this->hooks.position() == position) this->hooks.behind();
+    });
+    return;
+  }
+  this->schedule.NoteProved();
+  this->hooks.proved(sent);
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/config_prover.h
@@ -0,0 +1,57 @@
+// Proves by small reads that the newest configuration is the one in force here.
+//
+// The follower's own read waits at the store for a change (topic_follower.h), so it
+// proves nothing until it comes back.  The prover asks at the follower's place in
+// the log without waiting: an answer without records proves that nothing newer had
+// been written when the question was sent.  An answer with records is news that the
+// follower's read should bring at once; if it does not, that read hangs on a dead
+// connection.
+//
+//   ConfigProver prover(&loop, store, topic, trust, seed, hooks);
+//   prover.Tick(proved_at, now);          // every few milliseconds
+
+#ifndef GULLWARD_GATEWAY_CONFIG_PROVER_H_
+#define GULLWARD_GATEWAY_CONFIG_PROVER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "gateway/store_client.h"
+#include "serving/proof_schedule.h"
+
+namespace gullward {
+
+class ConfigProver {
+ public:
+  struct Hooks {
+    // The offset up to which all records are in force; nothing before the first are.
+    std::function<std::optional<uint64_t>()> position;
+    // Nothing newer had been written at that time.
+    std::function<void(Time sent)> proved;
+    // There are records that the follower has not brought yet.
+    std::function<void()> behind;
+  };
+
+  ConfigProver(EventLoop* event_loop, SocketAddress store, std::string topic, Duration key_trust,
+               uint64_t seed, Hooks hooks);
+
+  // Asks if it is time, given when the configuration was last proved current.
+  void Tick(Time proved_at, Time now);
+
+  uint64_t calls() const { return this->client.calls(); }
+
+ private:
+  void Ask(uint64_t position, Time now);
+  void OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent);
+
+  EventLoop* loop;
+  StoreClient client;
+  std::string topic;
+  ProofSchedule schedule;
+  Hooks hooks;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_GATEWAY_CONFIG_PROVER_H_
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -23,13 +23,16 @@
 constexpr Duration kTick = milliseconds(25);
 // Connections and idle channels are looked at every so many ticks.
 constexpr uint64_t kSlowTicks = 20;
-// Changes of the configuration must be in force within two seconds, and engines
-// that leave be left alone within two; these take a tenth and a fifth of that.
+// Changes of the configuration must be in force within two seconds; this takes a
+// tenth of that.
 constexpr Duration kGatherConfigs = milliseconds(200);
-constexpr Duration kGatherEngines = milliseconds(400);
-// Engines' changes come at once; the wait only bounds how late a store that has
-// gone silent is noticed.
+// Share of the time within which a leaving engine must be left alone; each read of
+// its list costs a call in every gateway, and engines change all day.
+constexpr double kGatherEnginesShare = 0.35;
+// Changes come at once; the waits only bound how late a store that has gone silent
+// is noticed.  For the configuration the prover notices that sooner.
 constexpr Duration kEngineListWait = seconds(5);
+constexpr Duration kConfigWait = seconds(10);
 // A balancer takes a process out after two missed questions, one a second; until
 // then it sends new callers, and they are served.
 constexpr Duration kBalancerNotices = milliseconds(2600);
@@ -42,12 +45,6 @@
 constexpr uint64_t kOperatorBodyBytes = 64 << 10;
 constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
 
-// How long one read of the configuration may wait at the store.  A read proves
-// what was in force when it was sent, and the next proof comes only when the read
-// after it has come back: two waits must fit into the time for which keys may be
-// vouched for, with room for the way and for gathering.
-Duration ConfigWait(Duration key_trust) { return (key_trust - key_trust / 6) / 2; }
-
 AnswerHead TextAnswer(int status, std::string_view reason, std::string_view type) {
   AnswerHead head;
   head.status = status;
@@ -74,15 +71,17 @@
     : loop(event_loop),
       log(STDOUT_FILENO),
       state(event_loop, settings, &this->log, random_seed),
-      config_follower(
-          event_loop, settings.store,
-          {std::string(platform::kConfigTopic), ConfigWait(settings.key_trust), kGatherConfigs},
-          this->ConfigHooks()),
+      config_follower(event_loop, settings.store,
+                      {std::string(platform::kConfigTopic), kConfigWait, kGatherConfigs},
+                      this->ConfigHooks()),
       engine_follower(event_loop, settings.store,
-                      {std::string(platform::kEnginesTopic), kEngineListWait, kGatherEngines},
+                      {std::string(platform::kEnginesTopic), kEngineListWait,
+                       FromSeconds(kGatherEnginesShare * ToSeconds(settings.leaving_bound))},
                       this->EngineHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
-                    this->ConfigNotes()) {}
+                    this->ConfigNotes()),
+      config_prover(event_loop, settings.store, std::string(platform::kConfigTopic),
+                    settings.key_trust, random_seed, this->ProverHooks()) {}
 
 // What the followers of both topics have in common: the log.
 TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
@@ -129,6 +128,20 @@
   return hooks;
 }
 
+ConfigProver::Hooks GatewayServer::ProverHooks() {
+  ConfigProver::Hooks hooks;
+  hooks.position = [this] { return this->config_follower.position(); };
+  hooks.proved = [this](Time sent) {
+    this->state.keys.Confirm(sent);
+    this->load_exchange.TellFreshness(Now());
+  };
+  hooks.behind = [this] {
+    this->log.Write(LogLine("config_read_hangs"));
+    this->config_follower.ReadAgain();
+  };
+  return hooks;
+}
+
 // A peer has a version that our own read should have brought by now: the read may
 // hang on a connection that is dead.
 void GatewayServer::OnNewerVersion(uint64_t version) {
@@ -307,6 +320,7 @@
   }
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
   this->load_exchange.Tell(now);
+  this->config_prover.Tick(this->state.keys.confirmed_at(), now);
   bool fresh = this->state.keys.IsFresh(now);
   if (fresh != this->keys_were_fresh) {
     this->keys_were_fresh = fresh;
@@ -379,7 +393,7 @@
   figures.engine_connections = this->state.pool.opened();
   figures.log_lines_dropped = this->log.dropped();
   figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
-                        this->load_exchange.store_calls();
+                        this->load_exchange.store_calls() + this->config_prover.calls();
   figures.engines = this->state.fleet.directory().size();
   figures.peers = this->load_exchange.peers();
   figures.config_version = this->ConfigVersion();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "gateway/config_prover.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
@@ -70,6 +71,7 @@
   TopicFollower::Hooks EngineHooks();
   uint64_t ConfigVersion() const;
   LoadExchange::ConfigHooks ConfigNotes();
+  ConfigProver::Hooks ProverHooks();
   void OnNewerVersion(uint64_t version);
 
   void Tick();
@@ -85,6 +87,7 @@
   TopicFollower config_follower;
   TopicFollower engine_follower;
   LoadExchange load_exchange;
+  ConfigProver config_prover;
   TcpListener callers_listener;
   TcpListener ready_listener;
   TcpListener metrics_listener;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -106,7 +106,7 @@
   }
 }
 
-void LoadExchange::SendNotes(Time now) {
+void LoadExchange::TellFreshness(Time now) {
   uint64_t version = this->config.version();
   if (version == 0) return;
   this->freshness.BeginRound(now);
@@ -122,7 +122,7 @@
   bool refresh = now - this->refreshed >= kRefresh;
   if (refresh) {
     this->refreshed = now;
-    this->SendNotes(now);
+    this->TellFreshness(now);
   }
   std::map<std::string, EngineLoad> own = this->fleet->loads().Own(now);
   // What was told and is no more is told once as zero.
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -61,6 +61,9 @@
   // Sends what has changed since it was last told.
   void Tell(Time now);
 
+  // Tells how current our configuration is: at once after a proof of our own.
+  void TellFreshness(Time now);
+
   size_t peers() const { return this->peer_addresses.size(); }
   uint64_t store_calls() const { return this->follower.calls() + this->registrar.calls(); }
 
@@ -70,7 +73,6 @@
   void OnDatagram(std::string_view datagram);
   LoadDigest NewDigest(Time now);
   void Send(std::map<std::string, EngineLoad> loads, Time now);
-  void SendNotes(Time now);
   void HearNote(const LoadDigest& digest);
 
   EventLoop* loop;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -27,6 +27,8 @@
   SocketAddress store;
   // How long an API key may be vouched for after the configuration was read.
   Duration key_trust = seconds(5);
+  // How long after an engine's leaving was announced it may still get new work.
+  Duration leaving_bound = seconds(2);
   RetryBounds retry;
   // From the stop signal to the kill.
   Duration stop_grace = seconds(8);
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,9 @@
  public:
   struct Options {
     std::string topic;
-    // How long one read waits at the store.  Each read proves that we are up to
-    // date as of its sending, and each costs a call.
+    // How long one read waits at the store for a change, which comes at once.  The
+    // wait bounds how late a store that has gone silent is noticed; each read costs
+    // a call.
     Duration wait = seconds(2);
     // After a change, how long to wait for more of them before reading on: a
     // burst of changes then costs a few reads rather than one each.
@@ -58,6 +60,11 @@
   // When a call first succeeded after failures; in the past where none failed.
   Time regained_at() const { return this->regained; }
 
+  // The offset after the last record that was told; nothing before all pages were.
+  std::optional<uint64_t> position() const {
+    return this->loaded ? std::optional<uint64_t>(this->next_offset) : std::nullopt;
+  }
+
   uint64_t calls() const { return this->client.calls(); }
 
  private:
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -12,6 +12,7 @@
 #include "serving/fleet.h"
 #include "serving/freshness.h"
 #include "serving/peer_freshness.h"
+#include "serving/proof_schedule.h"
 #include "serving/retry_window.h"
 
 namespace gullward {
@@ -343,6 +344,67 @@
   BOOST_TEST(freshness.IsFresh(kStart + seconds(4)));
 }
 
+// Processes that hear of each other's proofs after `delay`, or never.
+struct ProofRun {
+  int proofs = 0;
+  Duration oldest{};
+};
+
+ProofRun RunSchedules(int processes, std::optional<Duration> delay) {
+  const Duration trust = seconds(5);
+  std::vector<ProofSchedule> schedules;
+  for (int i = 0; i < processes; ++i) schedules.emplace_back(trust, 100 + i);
+  std::vector<Time> proved(schedules.size(), kStart);
+  std::vector<std::pair<Time, Time>> told;  // When it is heard, and what it proves.
+  ProofRun run;
+  for (Time now = kStart; now < kStart + seconds(60); now += milliseconds(5)) {
+    for (const auto& [heard_at, proof] : told) {
+      if (heard_at > now) continue;
+      for (Time& own : proved) own = std::max(own, proof);
+    }
+    for (size_t i = 0; i < schedules.size(); ++i) {
+      run.oldest = std::max(run.oldest, now - proved[i]);
+      if (!schedules[i].IsDue(proved[i], now)) continue;
+      schedules[i].NoteAsked();
+      schedules[i].NoteProved();
+      proved[i] = now;
+      run.proofs += 1;
+      if (delay) told.emplace_back(now + *delay, now);
+    }
+  }
+  return run;
+}
+
+BOOST_AUTO_TEST_CASE(OneProofServesTheFleetAndNobodyRunsOutOfTrust) {
+  struct Case {
+    int processes;
+    std::optional<Duration> delay;
+    int most_proofs;
+  };
+  // Alone a process asks every 1.5 to 3 seconds; together about one does in 1.5.
+  const std::vector<Case> cases = {{1, std::nullopt, 40},
+                                   {28, milliseconds(5), 80},
+                                   {28, milliseconds(50), 120},
+                                   {28, std::nullopt, 28 * 40}};
+  for (const Case& one : cases) {
+    ProofRun run = RunSchedules(one.processes, one.delay);
+    BOOST_TEST(run.proofs >= 20);
+    BOOST_TEST(run.proofs <= one.most_proofs);
+    BOOST_TEST((run.oldest <= milliseconds(3010)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AStoreThatGivesNoProofIsAskedAgainAfterAPause) {
+  ProofSchedule schedule(seconds(5), 1);
+  Time late = kStart + seconds(4);
+  BOOST_TEST(schedule.IsDue(kStart, late));
+  schedule.NoteAsked();
+  BOOST_TEST(!schedule.IsDue(kStart, late));
+  schedule.NoteFailed(late);
+  BOOST_TEST(!schedule.IsDue(kStart, late));
+  BOOST_TEST(schedule.IsDue(kStart, late + ProofSchedule::kRetryPause));
+}
+
 BOOST_AUTO_TEST_CASE(PeersWorkIsCountedOnceAndForgottenWhenTheyFallSilent) {
   LoadBook book;
   EngineLoad three;
