Callers of a silent store wait together and try in turn

Ruled out: longer pauses alone (an outage's end would be noticed late). Change: store_recovery: one of those who wait tries after each pause, in turn; the first answer that anyone gets lets the others go on at once. Test: four who wait make six tries in two seconds, in turn, and all go on together.

--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -24,10 +24,12 @@
 
 }  // namespace
 
-ConfigProver::ConfigProver(EventLoop* event_loop, SocketAddress store, std::string config_topic,
+ConfigProver::ConfigProver(EventLoop* event_loop, SocketAddress store,
+                           StoreRecovery* store_recovery, std::string config_topic,
                            Duration key_trust, uint64_t seed, Hooks prover_hooks)
     : loop(event_loop),
       client(event_loop, std::move(store)),
+      recovery(store_recovery),
       topic(std::move(config_topic)),
       schedule(key_trust, seed),
       hooks(std::move(prover_hooks)) {}
@@ -46,11 +48,12 @@
 
 void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent) {
   if (answer.status != kOk && answer.status != platform::kRecordsGone) {
-    this->schedule.NoteFailed(Now());
+    this->recovery->Wait([this] { this->schedule.NoteRetry(); });
     return;
   }
+  this->recovery->NoteAnswer();
   if (!EndsAt(position, answer)) {
-    this->schedule.NoteFailed(Now());
+    this->schedule.NoteBehind(Now());
     this->loop->RunAfter(kNewsShouldHaveCome, [this, position] {
       if (this->hooks.position() == position) this->hooks.behind();
     });
--- a/src/gateway/config_prover.h
+++ b/src/gateway/config_prover.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "gateway/store_client.h"
+#include "gateway/store_recovery.h"
 #include "serving/proof_schedule.h"
 
 namespace gullward {
@@ -33,8 +34,8 @@
     std::function<void()> behind;
   };
 
-  ConfigProver(EventLoop* event_loop, SocketAddress store, std::string topic, Duration key_trust,
-               uint64_t seed, Hooks hooks);
+  ConfigProver(EventLoop* event_loop, SocketAddress store, StoreRecovery* store_recovery,
+               std::string topic, Duration key_trust, uint64_t seed, Hooks hooks);
 
   // Asks if it is time, given when the configuration was last proved current.
   void Tick(Time proved_at, Time now);
@@ -47,6 +48,7 @@
 
   EventLoop* loop;
   StoreClient client;
+  StoreRecovery* recovery;
   std::string topic;
   ProofSchedule schedule;
   Hooks hooks;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -71,17 +71,19 @@
     : loop(event_loop),
       log(STDOUT_FILENO),
       state(event_loop, settings, &this->log, random_seed),
-      config_follower(event_loop, settings.store,
+      store_recovery(event_loop),
+      config_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kConfigTopic), kConfigWait, kGatherConfigs},
                       this->ConfigHooks()),
-      engine_follower(event_loop, settings.store,
+      engine_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kEnginesTopic), kEngineListWait,
                        FromSeconds(kGatherEnginesShare * ToSeconds(settings.leaving_bound))},
                       this->EngineHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
-                    this->ConfigNotes()),
-      config_prover(event_loop, settings.store, std::string(platform::kConfigTopic),
-                    settings.key_trust, random_seed, this->ProverHooks()) {}
+                    &this->store_recovery, this->ConfigNotes()),
+      config_prover(event_loop, settings.store, &this->store_recovery,
+                    std::string(platform::kConfigTopic), settings.key_trust, random_seed,
+                    this->ProverHooks()) {}
 
 // What the followers of both topics have in common: the log.
 TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -84,6 +84,7 @@
   EventLoop* loop;
   EventLog log;
   GatewayState state;
+  StoreRecovery store_recovery;
   TopicFollower config_follower;
   TopicFollower engine_follower;
   LoadExchange load_exchange;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -13,7 +13,6 @@
 // Nothing depends on hearing of a peer at once.
 constexpr Duration kGatherPeers = milliseconds(500);
 constexpr Duration kRegisterPatience = seconds(1);
-constexpr Duration kRegisterPause = milliseconds(500);
 
 // Whether a peer would decide otherwise if it knew.
 bool WorthTelling(const EngineLoad& told, const EngineLoad& now) {
@@ -25,16 +24,17 @@
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
                            uint64_t own_incarnation, Fleet* shared_fleet, EventLog* event_log,
-                           ConfigHooks config_hooks)
+                           StoreRecovery* store_recovery, ConfigHooks config_hooks)
     : loop(event_loop),
       box(settings.box),
       own_address(settings.peers),
       incarnation(own_incarnation),
       fleet(shared_fleet),
       log(event_log),
+      recovery(store_recovery),
       registrar(event_loop, settings.store),
       follower(
-          event_loop, settings.store,
+          event_loop, settings.store, store_recovery,
           {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
           {.replace =
                [this](const std::vector<platform::KeyedRecord>& records) {
@@ -69,7 +69,7 @@
                          this->log->Write(LogLine("register_failed")
                                               .Number("status", answer.status)
                                               .Text("reason", answer.reason));
-                         this->loop->RunAfter(kRegisterPause, [this] { this->Register(); });
+                         this->recovery->Wait([this] { this->Register(); });
                        });
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -11,7 +11,7 @@
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
 //
-//   LoadExchange exchange(&loop, settings, incarnation, &fleet, &log, hooks);
+//   LoadExchange exchange(&loop, settings, incarnation, &fleet, &log, &recovery, hooks);
 //   absl::Status status = exchange.Start();
 //   exchange.Tell(now);              // every few milliseconds
 
@@ -54,7 +54,8 @@
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
-               Fleet* shared_fleet, EventLog* event_log, ConfigHooks config_hooks);
+               Fleet* shared_fleet, EventLog* event_log, StoreRecovery* store_recovery,
+               ConfigHooks config_hooks);
 
   absl::Status Start();
 
@@ -82,6 +83,7 @@
   Fleet* fleet;
   EventLog* log;
   UdpSocket socket;
+  StoreRecovery* recovery;
   StoreClient registrar;
   TopicFollower follower;
   std::map<std::string, SocketAddress> peer_addresses;
--- /dev/null
+++ b/src/gateway/store_recovery.cc
@@ -0,0 +1,40 @@
+// store_recovery.h tells the method.
+
+#include "gateway/store_recovery.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gullward {
+
+void StoreRecovery::Wait(std::function<void()> retry) {
+  this->waiting.push_back(std::move(retry));
+  this->StartPause();
+}
+
+void StoreRecovery::NoteAnswer() {
+  this->tries = 0;
+  std::deque<std::function<void()>> all = std::exchange(this->waiting, {});
+  for (const std::function<void()>& retry : all) retry();
+}
+
+void StoreRecovery::StartPause() {
+  if (this->pausing || this->waiting.empty()) return;
+  this->pausing = true;
+  Duration pause = std::min<Duration>(kFirstPause * (1 << std::min(this->tries, 3)), kLongestPause);
+  this->tries += 1;
+  this->loop->RunAfter(pause, [this] {
+    this->pausing = false;
+    this->TryNext();
+  });
+}
+
+void StoreRecovery::TryNext() {
+  if (this->waiting.empty()) return;
+  std::function<void()> retry = std::move(this->waiting.front());
+  this->waiting.pop_front();
+  retry();
+  this->StartPause();
+}
+
+}  // namespace gullward
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -260,6 +260,39 @@
   }
 }
 
+// Every call has its price, a refused one too.
+BOOST_AUTO_TEST_CASE(WhoWaitsForTheStoreTriesInTurnAndTheFirstAnswerFreesAll) {
+  EventLoop loop;
+  StoreRecovery recovery(&loop);
+  std::vector<int> tries(4, 0);
+  bool answering = false;
+  int freed = 0;
+  std::function<void(size_t)> try_once = [&](size_t who) {
+    if (answering) {
+      freed += 1;
+      return;
+    }
+    tries[who] += 1;
+    recovery.Wait([&try_once, who] { try_once(who); });
+  };
+  for (size_t who = 0; who < tries.size(); ++who) try_once(who);
+  std::fill(tries.begin(), tries.end(), 0);
+  loop.RunAfter(milliseconds(2000), [&] {
+    answering = true;
+    recovery.NoteAnswer();
+    loop.Stop();
+  });
+  loop.Run();
+  // 0.1, 0.3, 0.7, 1.1, 1.5 and 1.9 s: six tries among four, in turn.
+  int all = 0;
+  for (int count : tries) {
+    BOOST_TEST(count <= 2);
+    all += count;
+  }
+  BOOST_TEST(all <= 6);
+  BOOST_TEST(freed == 4);
+}
+
 BOOST_AUTO_TEST_CASE(AStoreThatDropsItsHistoryIsReadAnew) {
   auto world = StartedWorld();
   json config = world->DefaultConfig();
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -13,15 +13,6 @@
 constexpr int kOk = 200;
 // The store answers in milliseconds; slower than this and another try is due.
 constexpr Duration kAnswerPatience = milliseconds(1000);
-constexpr Duration kFirstPause = milliseconds(100);
-// A cut of seconds must be noticed as over within a fraction of a second.
-constexpr Duration kLongestPause = milliseconds(400);
-
-Duration PauseAfter(int failures) {
-  int doublings = std::min(failures - 1, 3);
-  return std::min<Duration>(kFirstPause * (1 << doublings), kLongestPause);
-}
-
 std::string ReasonOf(const StoreAnswer& answer) {
   return answer.status == 0 ? answer.reason : absl::StrCat("status ", answer.status);
 }
@@ -29,9 +20,11 @@
 }  // namespace
 
 TopicFollower::TopicFollower(EventLoop* event_loop, SocketAddress store_address,
-                             Options follower_options, Hooks follower_hooks)
+                             StoreRecovery* store_recovery, Options follower_options,
+                             Hooks follower_hooks)
     : loop(event_loop),
       client(event_loop, std::move(store_address)),
+      recovery(store_recovery),
       options(std::move(follower_options)),
       hooks(std::move(follower_hooks)) {}
 
@@ -104,6 +97,7 @@
 }
 
 void TopicFollower::Succeed() {
+  this->recovery->NoteAnswer();
   if (this->failures_in_row == 0) return;
   this->failures_in_row = 0;
   this->regained = Now();
@@ -114,7 +108,7 @@
   this->failures_in_row += 1;
   if (this->failures_in_row == 1 && this->hooks.lost) this->hooks.lost(reason);
   if (!this->loaded) this->pages.clear();
-  this->loop->RunAfter(PauseAfter(this->failures_in_row), [this] {
+  this->recovery->Wait([this] {
     if (this->loaded) {
       this->ReadTail();
     } else {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -1,8 +1,8 @@
 // Keeps up with one keyed topic of the platform's store.
 //
 // First the newest record of each key is read, page by page; then single reads
-// wait at the store for what comes next.  When a read fails, it is sent again
-// after a pause that grows; when the store has dropped the records that come
+// wait at the store for what comes next.  When a read fails, it is sent again when
+// store_recovery.h says so; when the store has dropped the records that come
 // next, the pages are read anew.
 //
 //   TopicFollower follower(&loop, store, {.topic = ..., .wait = seconds(2)}, hooks);
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "gateway/store_client.h"
+#include "gateway/store_recovery.h"
 #include "platform/store_calls.h"
 #include "transport/event_loop.h"
 
@@ -47,7 +48,8 @@
     std::function<void()> regained;
   };
 
-  TopicFollower(EventLoop* loop, SocketAddress store, Options options, Hooks hooks);
+  TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
+                Options options, Hooks hooks);
 
   void Start() { this->ReadPage(); }
 
@@ -77,6 +79,7 @@
 
   EventLoop* loop;
   StoreClient client;
+  StoreRecovery* recovery;
   Options options;
   Hooks hooks;
   std::vector<platform::KeyedRecord> pages;
--- a/src/serving/proof_schedule.h
+++ b/src/serving/proof_schedule.h
@@ -10,7 +10,7 @@
 //
 //   ProofSchedule schedule(trust, seed);
 //   if (schedule.IsDue(proved_at, now)) { schedule.NoteAsked(); ... }
-//   schedule.NoteFailed(now);        // the store gave no proof
+//   schedule.NoteBehind(now);        // there was news instead of a proof
 
 #ifndef GULLWARD_SERVING_PROOF_SCHEDULE_H_
 #define GULLWARD_SERVING_PROOF_SCHEDULE_H_
@@ -29,8 +29,8 @@
   // slow or silent at first.
   static constexpr double kQuietShare = 0.3;
   static constexpr double kLotShare = 0.3;
-  // Between two tries while the store gives no proof.
-  static constexpr Duration kRetryPause = milliseconds(500);
+  // After news: they are in force by then.
+  static constexpr Duration kNewsPause = milliseconds(500);
 
   ProofSchedule(Duration key_trust, uint64_t seed) : trust(key_trust), random(seed) {}
 
@@ -42,9 +42,11 @@
 
   void NoteAsked() { this->asking = true; }
   void NoteProved() { this->asking = false; }
-  void NoteFailed(Time now) {
+  // The store did not answer, and may be asked again.
+  void NoteRetry() { this->asking = false; }
+  void NoteBehind(Time now) {
     this->asking = false;
-    this->not_before = now + kRetryPause;
+    this->not_before = now + kNewsPause;
   }
 
  private:
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -394,15 +394,15 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(AStoreThatGivesNoProofIsAskedAgainAfterAPause) {
+BOOST_AUTO_TEST_CASE(AfterNewsAProofIsAskedForAgainAfterAPause) {
   ProofSchedule schedule(seconds(5), 1);
   Time late = kStart + seconds(4);
   BOOST_TEST(schedule.IsDue(kStart, late));
   schedule.NoteAsked();
   BOOST_TEST(!schedule.IsDue(kStart, late));
-  schedule.NoteFailed(late);
+  schedule.NoteBehind(late);
   BOOST_TEST(!schedule.IsDue(kStart, late));
-  BOOST_TEST(schedule.IsDue(kStart, late + ProofSchedule::kRetryPause));
+  BOOST_TEST(schedule.IsDue(kStart, late + ProofSchedule::kNewsPause));
 }
 
 BOOST_AUTO_TEST_CASE(PeersWorkIsCountedOnceAndForgottenWhenTheyFallSilent) {
