--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -97,6 +97,7 @@
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
   if (first_time && ShouldRefuse(choice->placement, demand)) {
+    this->LogOverload(choice->placement, demand);
     this->Refuse(ResultCode::kOverloaded);
     return;
   }
@@ -182,6 +183,19 @@
   return orders;
 }
 
+// What the refusal was decided by.
+void Exchange::LogOverload(const Placement& placement, const Demand& demand) {
+  this->state->log->Write(this->Line("overload_inputs")
+                              .Number("prompt_tokens", demand.prompt_tokens)
+                              .Number("came_back", demand.came_back ? 1 : 0)
+                              .Number("readers", static_cast<double>(placement.engines.size()))
+                              .Number("expected_first_ms", placement.first_event_ms)
+                              .Number("slot_wait_ms", placement.slot_wait_ms)
+                              .Number("harm", placement.harm)
+                              .Number("busy", placement.busy)
+                              .Number("engine_seconds", placement.engine_seconds));
+}
+
 // Second attempts always get their line, first ones a sample.
 void Exchange::LogAttempt(const FleetChoice& choice) {
   if (this->attempts <= 1 && !this->state->log->Sample()) return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,6 +67,7 @@
   void SendAttempt(const FleetChoice& choice, Time now);
   EngineOrders OrdersFor(const FleetChoice& choice, Time now) const;
   void LogAttempt(const FleetChoice& choice);
+  void LogOverload(const Placement& placement, const Demand& demand);
   RequestChannel::Hooks AttemptHooks();
   void BookLoad(const FleetChoice& choice, Time now);
   void OnHead(const ResponseHead& head);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -321,7 +321,7 @@
     if (caller.exchange) running.push_back(caller.exchange);
   }
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
-  this->load_exchange.Tell(now);
+  this->load_exchange.Tick(now);
   this->config_prover.Tick(this->state.keys.confirmed_at(), now);
   bool fresh = this->state.keys.IsFresh(now);
   if (fresh != this->keys_were_fresh) {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -117,8 +117,13 @@
   }
 }
 
+void LoadExchange::Tick(Time now) {
+  if (now - this->last_told >= kGatherChanges) this->Tell(now);
+}
+
 void LoadExchange::Tell(Time now) {
   if (this->peer_addresses.empty()) return;
+  this->last_told = now;
   bool refresh = now - this->refreshed >= kRefresh;
   if (refresh) {
     this->refreshed = now;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -13,7 +13,8 @@
 //
 //   LoadExchange exchange(&loop, settings, incarnation, &fleet, &log, &recovery, hooks);
 //   absl::Status status = exchange.Start();
-//   exchange.Tell(now);              // every few milliseconds
+//   exchange.Tell(now);              // after a dispatch
+//   exchange.Tick(now);              // every few milliseconds
 
 #ifndef GULLWARD_GATEWAY_LOAD_EXCHANGE_H_
 #define GULLWARD_GATEWAY_LOAD_EXCHANGE_H_
@@ -33,6 +34,10 @@
 
 class LoadExchange {
  public:
+  // How long changes that nobody waits for are gathered: a prompt has been read, an
+  // answer has ended.  Every datagram goes to every peer, and with 28 gateways they
+  // outnumbered the events that were passed on.
+  static constexpr Duration kGatherChanges = milliseconds(100);
   // How often everything is told, changed or not.
   static constexpr Duration kRefresh = milliseconds(500);
   // Entries that fit into one datagram with room to spare.
@@ -59,8 +64,11 @@
 
   absl::Status Start();
 
-  // Sends what has changed since it was last told.
+  // Sends what has changed since it was last told: at once, for new work that others
+  // must not plan over.
   void Tell(Time now);
+  // The same after changes have gathered for a while; to be called often.
+  void Tick(Time now);
 
   // Tells how current our configuration is: at once after a proof of our own.
   void TellFreshness(Time now);
@@ -91,6 +99,7 @@
   PeerFreshness freshness;
   std::map<std::string, EngineLoad> told;
   Time refreshed{};
+  Time last_told{};
   uint64_t sequence = 0;
 };
 
