Harm to streams counts once

Cause: refused binders and audit packs were the dearest price on the small sites and their class the worst served; harm to the streams of an engine was counted twice, a factor found when vast prompts still arrived at twice the predicted time. Change: the factor 2 goes.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -20,9 +20,6 @@
 // Callers give up a stream that pauses for two seconds, and come back with the
 // whole of it.
 constexpr double kCallersLeaveMs = 1700;
-// Streams that arrive while the prompt is read pause too, and those that turn to
-// other engines meet the next vast prompt there.
-constexpr double kHarmWeight = 2;
 // Small preferences, that decide among equals only: for an early first event, for a
 // place in the shared order, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -42,7 +39,7 @@
   double harm = 0;
   for (const PauseClass& streams : load.streams) {
     double mean_context = streams.context_tokens / streams.streams;
-    double worth = kHarmWeight * WorthOf(mean_context) * streams.streams;
+    double worth = WorthOf(mean_context) * streams.streams;
     double late = kLateLoss * Lateness(pause_ms, streams.pause_ms, kPauseSafety);
     harm += worth * (pause_ms > kCallersLeaveMs ? 1 : late);
   }
