The log tells of a store that answers slowly

Change: the prover's read never waits at the store, so its time is the store's own; store_slow and store_as_usual when it crosses 100 ms (25 times the usual 4 ms).

--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -46,12 +46,20 @@
       [this, position, now](const StoreAnswer& answer) { this->OnAnswer(answer, position, now); });
 }
 
+void ConfigProver::NotePace(Duration took) {
+  bool slow = took > kSlowAnswer;
+  if (slow == this->store_is_slow) return;
+  this->store_is_slow = slow;
+  this->hooks.pace_changed(slow, took);
+}
+
 void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent) {
   if (answer.status != kOk && answer.status != platform::kRecordsGone) {
     this->recovery->Wait([this] { this->schedule.NoteRetry(); });
     return;
   }
   this->recovery->NoteAnswer();
+  this->NotePace(Now() - sent);
   if (!EndsAt(position, answer)) {
     this->schedule.NoteBehind(Now());
     this->loop->RunAfter(kNewsShouldHaveCome, [this, position] {
--- a/src/gateway/config_prover.h
+++ b/src/gateway/config_prover.h
@@ -25,11 +25,17 @@
 
 class ConfigProver {
  public:
+  // An answer without waiting that takes longer than this is slow: the store's usual
+  // is 4 ms, and an outage is noticed after a second.
+  static constexpr Duration kSlowAnswer = milliseconds(100);
+
   struct Hooks {
     // The offset up to which all records are in force; nothing before the first are.
     std::function<std::optional<uint64_t>()> position;
     // Nothing newer had been written at that time.
     std::function<void(Time sent)> proved;
+    // The store has begun to answer slowly, or to answer as usual again.
+    std::function<void(bool is_slow, Duration took)> pace_changed;
     // There are records that the follower has not brought yet.
     std::function<void()> behind;
   };
@@ -44,6 +50,7 @@
 
  private:
   void Ask(uint64_t position, Time now);
+  void NotePace(Duration took);
   void OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent);
 
   EventLoop* loop;
@@ -52,6 +59,7 @@
   std::string topic;
   ProofSchedule schedule;
   Hooks hooks;
+  bool store_is_slow = false;
 };
 
 }  // namespace gullward
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -137,6 +137,10 @@
     this->state.keys.Confirm(sent);
     this->load_exchange.TellFreshness(Now());
   };
+  hooks.pace_changed = [this](bool is_slow, Duration took) {
+    this->log.Write(LogLine(is_slow ? "store_slow" : "store_as_usual")
+                        .Number("took_ms", ToSeconds(took) * 1000));
+  };
   hooks.behind = [this] {
     this->log.Write(LogLine("config_read_hangs"));
     this->config_follower.ReadAgain();
