Failure lines name the engine and how its connection ended

Change: engine, engine_status, silent_ms and connection stand on every failure line that follows an attempt.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -38,6 +38,22 @@
 // Sets of engines that are asked for memory before a request is refused.
 constexpr int kMostTicketRounds = 4;
 
+// How a connection to an engine ended, for the log; nothing if it had not.
+std::string_view NameOf(std::optional<ChannelResult> result) {
+  if (!result) return "open";
+  switch (*result) {
+    case ChannelResult::kWholeAnswer:
+      return "answered";
+    case ChannelResult::kNotSent:
+      return "not sent";
+    case ChannelResult::kClosedUnanswered:
+      return "closed unanswered";
+    case ChannelResult::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -352,6 +368,7 @@
 
 void Exchange::OnDone(ChannelResult channel_result) {
   if (!this->attempt) return;
+  this->attempt->ended = channel_result;
   AttemptResult result = this->ResultOf(channel_result);
   this->NoteHealth(result, channel_result);
   if (channel_result == ChannelResult::kWholeAnswer) {
@@ -471,10 +488,17 @@
 void Exchange::Refuse(ResultCode code) {
   const ResultCodeInfo& info = Info(code);
   this->state->counters.failures[code] += 1;
-  this->state->log->Write(this->Line(info.name)
-                              .Number("code", static_cast<double>(code))
-                              .Number("status", info.http_status)
-                              .Number("attempts", this->attempts));
+  LogLine line = this->Line(info.name);
+  line.Number("code", static_cast<double>(code))
+      .Number("status", info.http_status)
+      .Number("attempts", this->attempts);
+  if (this->attempt) {
+    line.Text("engine", this->attempt->engine.id)
+        .Number("engine_status", this->attempt->head.status)
+        .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
+        .Text("connection", NameOf(this->attempt->ended));
+  }
+  this->state->log->Write(line);
   AnswerHead head;
   head.status = info.http_status;
   head.reason = info.name;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,6 +54,8 @@
     Time last_progress;
     ResponseHead head;
     AttemptResult verdict = AttemptResult::kUnknown;
+    // How its connection ended; nothing while it is in use.
+    std::optional<ChannelResult> ended;
     std::string body;
     EventSplitter events;
     bool any_event = false;
