--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -159,8 +159,8 @@
 
 double EngineSeconds(const EngineSpeed& speed, const Demand& demand) {
   // A step is made for all who write, so one more costs only what it adds to each.
-  double added_per_step = speed.step_ms_per_request +
-                          speed.step_ms_per_thousand_context * demand.prompt_tokens / 1000;
+  double added_per_step =
+      speed.step_ms_per_request + speed.step_ms_per_thousand_context * demand.prompt_tokens / 1000;
   double writing_ms = speed.usual_answer_tokens * added_per_step;
   return (ReadingMs(speed, demand.prompt_tokens) + writing_ms) / 1000;
 }
