--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <utility>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "platform/headers.h"
@@ -52,6 +53,14 @@
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+// The beginning and the end of a body on one line, for the report.
+std::string Excerpt(const std::string& body) {
+  constexpr size_t kEnds = 120;
+  std::string text = absl::CEscape(body);
+  if (text.size() <= 2 * kEnds) return text;
+  return absl::StrCat(text.substr(0, kEnds), " ... ", text.substr(text.size() - kEnds));
+}
+
 }  // namespace
 
 Soak::Soak(const SoakOptions& soak_options)
@@ -362,8 +371,10 @@
   if (id != caller.id) this->Broken("own: " + caller.id + " got the answer of " + id);
   if (success && caller.kind == Kind::kStream) {
     bool is_beginning = whole_stream.compare(0, caller.body.size(), caller.body) == 0;
-    if (!is_beginning) this->Broken("order: " + caller.id + " got other events");
-    if (whole && caller.body != whole_stream) this->Broken("own: " + caller.id + " is not whole");
+    if (!is_beginning)
+      this->Broken("order: " + caller.id + " got other events: " + Excerpt(caller.body));
+    if (whole && caller.body != whole_stream)
+      this->Broken("own: " + caller.id + " is not whole: " + Excerpt(caller.body));
   } else if (success && whole && caller.body != kPlainBody) {
     this->Broken("own: " + caller.id + " has another body");
   }
