The soak's proxy keeps bytes in order

Bytes that came after a delay had ended were passed on at once and overtook those that were still delayed; a good end overtook both, and bytes held by a cut were dropped in front of a good end. No TCP connection does that. Ruled out: the gateway (one attempt, no retry, whole answer in its log; engine ran it once), a reused port, outputs of an earlier run. Change: one queue a direction; an end comes after what was delayed, and behind bytes that a cut holds it is a reset.

--- a/src/soak/loopback_proxy.cc
+++ b/src/soak/loopback_proxy.cc
@@ -24,15 +24,7 @@
   for (Direction from : {kFromClient, kFromServer}) {
     TcpStream::Hooks hooks;
     hooks.data = [this, weak, from](std::string_view bytes) {
-      auto self = weak.lock();
-      if (!self) return;
-      if (this->delay.count() == 0) {
-        this->Forward(self, from, std::string(bytes));
-        return;
-      }
-      this->loop->RunAfter(this->delay, [this, self, from, copy = std::string(bytes)] {
-        this->Forward(self, from, copy);
-      });
+      if (auto self = weak.lock()) this->OnBytes(self, from, bytes);
     };
     hooks.closed = [this, weak](StreamEnd end) {
       if (auto self = weak.lock()) this->CloseLink(self, end);
@@ -42,6 +34,32 @@
   this->links.push_back(link);
 }
 
+void LoopbackProxy::OnBytes(const std::shared_ptr<Link>& link, Direction from,
+                            std::string_view bytes) {
+  auto& queue = link->delayed[from];
+  Time now = Now();
+  if (queue.empty() && this->delay.count() == 0) {
+    this->Forward(link, from, std::string(bytes));
+    return;
+  }
+  Time due = now + this->delay;
+  if (!queue.empty()) due = std::max(due, queue.back().first);
+  queue.emplace_back(due, bytes);
+  this->loop->RunAfter(due - now, [this, link, from] { this->ForwardDue(link, from, Now()); });
+}
+
+void LoopbackProxy::ForwardDue(const std::shared_ptr<Link>& link, Direction from, Time now) {
+  auto& queue = link->delayed[from];
+  while (!queue.empty() && queue.front().first <= now) {
+    this->Forward(link, from, queue.front().second);
+    queue.pop_front();
+  }
+}
+
+void LoopbackProxy::ForwardAll(const std::shared_ptr<Link>& link) {
+  for (Direction from : {kFromClient, kFromServer}) this->ForwardDue(link, from, Time::max());
+}
+
 void LoopbackProxy::Forward(const std::shared_ptr<Link>& link, Direction from,
                             const std::string& bytes) {
   if (link->closed) return;
@@ -51,10 +69,13 @@
 }
 
 void LoopbackProxy::CloseLink(const std::shared_ptr<Link>& link, StreamEnd end) {
+  this->ForwardAll(link);
+  // An end must not overtake bytes that a cut still holds.
+  bool cut_off = !link->held[kFromClient].empty() || !link->held[kFromServer].empty();
   link->closed = true;
   for (auto& stream : link->ends) {
     // A good end passes on as such, after what was written; any other as a reset.
-    if (end == StreamEnd::kFinished) {
+    if (end == StreamEnd::kFinished && !cut_off) {
       stream->FinishAndClose();
     } else {
       stream->Reset();
--- a/src/soak/loopback_proxy.h
+++ b/src/soak/loopback_proxy.h
@@ -8,8 +8,10 @@
 #ifndef GULLWARD_SOAK_LOOPBACK_PROXY_H_
 #define GULLWARD_SOAK_LOOPBACK_PROXY_H_
 
+#include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "transport/tcp_listener.h"
@@ -28,7 +30,9 @@
   // Where new connections go from now on.
   void SetTarget(const SocketAddress& server) { this->target = server; }
 
-  // Bytes that come while it is set are passed on that much later, in order.
+  // Bytes that come while it is set are passed on that much later.  As on any TCP
+  // connection they keep their order: what comes after a delay has ended waits for
+  // what was delayed.
   void SetDelay(Duration wanted) { this->delay = wanted; }
 
   // Bytes of a silent direction are held until it speaks again.
@@ -40,11 +44,16 @@
  private:
   struct Link {
     std::shared_ptr<TcpStream> ends[2];
+    // Bytes that are delayed, and when each lot is due.
+    std::deque<std::pair<Time, std::string>> delayed[2];
     std::string held[2];
     bool closed = false;
   };
 
   void OnClient(int fd);
+  void OnBytes(const std::shared_ptr<Link>& link, Direction from, std::string_view bytes);
+  void ForwardDue(const std::shared_ptr<Link>& link, Direction from, Time now);
+  void ForwardAll(const std::shared_ptr<Link>& link);
   void Forward(const std::shared_ptr<Link>& link, Direction from, const std::string& bytes);
   void CloseLink(const std::shared_ptr<Link>& link, StreamEnd end);
 
