--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -319,37 +319,54 @@
 void GatewayServer::Tick() {
   Time now = Now();
   this->ticks += 1;
+  this->TickExchanges(now);
+  this->load_exchange.Tick(now);
+  this->config_prover.Tick(this->state.keys.confirmed_at(), now);
+  this->NoteFreshness(now);
+  if (this->stopping) this->StopWhenIdle(now);
+  if (this->ticks % kSlowTicks == 0) {
+    this->TickConnections(now);
+    this->TickFleet(now);
+  }
+  this->log.Flush();
+}
+
+// An exchange that ends may take its caller off the list, so those that run are
+// gathered first.
+void GatewayServer::TickExchanges(Time now) {
   std::vector<std::shared_ptr<Exchange>> running;
   for (auto& [id, caller] : this->callers) {
     if (caller.exchange && caller.exchange->finished()) caller.exchange.reset();
     if (caller.exchange) running.push_back(caller.exchange);
   }
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
-  this->load_exchange.Tick(now);
-  this->config_prover.Tick(this->state.keys.confirmed_at(), now);
+}
+
+// Tells the log when keys begin or cease to be accepted.
+void GatewayServer::NoteFreshness(Time now) {
   bool fresh = this->state.keys.IsFresh(now);
-  if (fresh != this->keys_were_fresh) {
-    this->keys_were_fresh = fresh;
-    double age_ms = ToSeconds(now - this->state.keys.confirmed_at()) * 1000;
-    this->log.Write(LogLine(fresh ? "keys_fresh" : "keys_stale").Number("age_ms", age_ms));
+  if (fresh == this->keys_were_fresh) return;
+  this->keys_were_fresh = fresh;
+  double age_ms = ToSeconds(now - this->state.keys.confirmed_at()) * 1000;
+  this->log.Write(LogLine(fresh ? "keys_fresh" : "keys_stale").Number("age_ms", age_ms));
+}
+
+void GatewayServer::TickConnections(Time now) {
+  for (auto it = this->callers.begin(); it != this->callers.end();) {
+    it->second.channel->Tick(now);
+    it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
   }
-  if (this->stopping) this->StopWhenIdle(now);
-  if (this->ticks % kSlowTicks == 0) {
-    for (auto it = this->callers.begin(); it != this->callers.end();) {
-      it->second.channel->Tick(now);
-      it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
-    }
-    for (auto it = this->operators.begin(); it != this->operators.end();) {
-      (*it)->Tick(now);
-      it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
-    }
-    if (this->load_exchange.peers() > 0) {
-      this->state.fleet.SetProcesses(this->load_exchange.peers() + 1);
-    }
-    this->state.pool.Tick(now);
-    this->state.fleet.ForgetUnlisted(now);
+  for (auto it = this->operators.begin(); it != this->operators.end();) {
+    (*it)->Tick(now);
+    it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
   }
-  this->log.Flush();
+}
+
+void GatewayServer::TickFleet(Time now) {
+  size_t peers = this->load_exchange.peers();
+  if (peers > 0) this->state.fleet.SetProcesses(peers + 1);
+  this->state.pool.Tick(now);
+  this->state.fleet.ForgetUnlisted(now);
 }
 
 bool GatewayServer::IsReady() const {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -74,7 +74,13 @@
   ConfigProver::Hooks ProverHooks();
   void OnNewerVersion(uint64_t version);
 
+  // Looks at every clock.  The steps are in the order in which it takes them, the
+  // last two only now and then.
   void Tick();
+  void TickExchanges(Time now);
+  void NoteFreshness(Time now);
+  void TickConnections(Time now);
+  void TickFleet(Time now);
   void TakeNoMore();
   void StopWhenIdle(Time now);
   // The pages that operators read: metrics as text, the process's state as JSON.
