--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -92,19 +92,26 @@
   this->StartAttempt(now);
 }
 
+// What the choice of engines must know of the request.
+Demand Exchange::DemandOfRequest() const {
+  const Route& route = *this->admission.route;
+  Demand demand;
+  demand.prompt_tokens = this->facts.prompt_tokens;
+  demand.answer_tokens = this->facts.answer_tokens;
+  demand.objective_ms = ToSeconds(route.objective) * 1000;
+  demand.pause_ms = ToSeconds(route.longest_pause) * 1000;
+  Duration patience = this->admission.caller_waits_until - this->request.arrived;
+  demand.came_back = patience < kFirstTryShare * route.timeout;
+  return demand;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool keys_hold = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!keys_hold) {
     this->FollowUnsent(now);
     return;
   }
-  Demand demand;
-  demand.prompt_tokens = this->facts.prompt_tokens;
-  demand.answer_tokens = this->facts.answer_tokens;
-  demand.objective_ms = ToSeconds(this->admission.route->objective) * 1000;
-  demand.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
-  Duration patience = this->admission.caller_waits_until - this->request.arrived;
-  demand.came_back = patience < kFirstTryShare * this->admission.route->timeout;
+  Demand demand = this->DemandOfRequest();
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -486,8 +493,17 @@
 
 // Answers with a failure of our own.
 void Exchange::Refuse(ResultCode code) {
-  const ResultCodeInfo& info = Info(code);
   this->state->counters.failures[code] += 1;
+  this->LogFailure(code);
+  AnswerHead head = this->FailureHead(code);
+  std::shared_ptr<CallerChannel> channel = this->caller;
+  this->Finish();
+  channel->Answer(head, FailureBody(code));
+}
+
+// Which engine had the request, and how far it had come with it.
+void Exchange::LogFailure(ResultCode code) {
+  const ResultCodeInfo& info = Info(code);
   LogLine line = this->Line(info.name);
   line.Number("code", static_cast<double>(code))
       .Number("status", info.http_status)
@@ -499,6 +515,10 @@
         .Text("connection", NameOf(this->attempt->ended));
   }
   this->state->log->Write(line);
+}
+
+AnswerHead Exchange::FailureHead(ResultCode code) const {
+  const ResultCodeInfo& info = Info(code);
   AnswerHead head;
   head.status = info.http_status;
   head.reason = info.name;
@@ -510,9 +530,7 @@
   if (come_back) {
     head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
   }
-  std::shared_ptr<CallerChannel> channel = this->caller;
-  this->Finish();
-  channel->Answer(head, FailureBody(code));
+  return head;
 }
 
 Duration Exchange::PatienceWithEngine() const {
@@ -539,13 +557,26 @@
     this->GiveUp();
     return;
   }
+  if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
+}
+
+bool Exchange::IsTooSilent(Time now) const {
   Duration silent = now - this->attempt->last_progress;
-  if (silent < this->PatienceWithEngine()) return;
-  if (silent < kLongestPatience && this->SilenceIsExplained(silent, now)) return;
+  if (silent < this->PatienceWithEngine()) return false;
+  return silent >= kLongestPatience || !this->SilenceIsExplained(silent, now);
+}
+
+// Whether the request could be sent again if the attempt under way ended now, perhaps
+// after it ran.
+bool Exchange::MayTryAnother(Time now) const {
   RequestState decision = this->StateForDecision(now);
   decision.attempts_run += 1;
-  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return;
-  if (this->state->fleet.RetriesOf(this->service->name).Left(now) < 1) return;
+  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return false;
+  return this->state->fleet.RetriesOf(this->service->name).Left(now) >= 1;
+}
+
+void Exchange::LeaveSilentEngine(Time now) {
+  Duration silent = now - this->attempt->last_progress;
   this->state->log->Write(this->Line("engine_silent")
                               .Text("engine", this->attempt->engine.id)
                               .Number("silent_ms", ToSeconds(silent) * 1000));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,7 @@
     double expected_first_ms = 0;
   };
 
+  Demand DemandOfRequest() const;
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
@@ -88,12 +89,17 @@
   AnswerHead TakeAnswerHead();
   void DeliverWhole();
   void Refuse(ResultCode code);
+  void LogFailure(ResultCode code);
+  AnswerHead FailureHead(ResultCode code) const;
   double ComeBackSeconds() const;
   void GiveUp();
   void CancelAttempt();
   void Finish();
   Duration PatienceWithEngine() const;
   bool SilenceIsExplained(Duration silent, Time now) const;
+  bool IsTooSilent(Time now) const;
+  bool MayTryAnother(Time now) const;
+  void LeaveSilentEngine(Time now);
   RequestState StateForDecision(Time now) const;
   LogLine Line(std::string_view event) const;
 
