--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -129,25 +129,35 @@
     this->refreshed = now;
     this->TellFreshness(now);
   }
+  this->SendInParts(this->TakeUntold(refresh, now), now);
+}
+
+// The loads that the others must hear of now, or all of them; they count as told.
+std::map<std::string, EngineLoad> LoadExchange::TakeUntold(bool all, Time now) {
   std::map<std::string, EngineLoad> own = this->fleet->loads().Own(now);
   // What was told and is no more is told once as zero.
   for (const auto& [engine, load] : this->told) own.try_emplace(engine);
-  std::map<std::string, EngineLoad> changed;
+  std::map<std::string, EngineLoad> untold;
   for (const auto& [engine, load] : own) {
     auto before = this->told.find(engine);
     bool is_new = before == this->told.end() || WorthTelling(before->second, load);
-    if (!is_new && !refresh) continue;
-    changed[engine] = load;
+    if (!is_new && !all) continue;
+    untold[engine] = load;
     if (load.requests == 0 && load.reading_ms == 0) {
       this->told.erase(engine);
     } else {
       this->told[engine] = load;
     }
   }
-  while (!changed.empty()) {
+  return untold;
+}
+
+// Datagrams are small: a long list takes several.
+void LoadExchange::SendInParts(std::map<std::string, EngineLoad> loads, Time now) {
+  while (!loads.empty()) {
     std::map<std::string, EngineLoad> part;
-    while (!changed.empty() && part.size() < kEntriesPerDatagram) {
-      part.insert(changed.extract(changed.begin()));
+    while (!loads.empty() && part.size() < kEntriesPerDatagram) {
+      part.insert(loads.extract(loads.begin()));
     }
     this->Send(std::move(part), now);
   }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -81,7 +81,9 @@
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
   LoadDigest NewDigest(Time now);
-  void Send(std::map<std::string, EngineLoad> loads, Time now);
+  std::map<std::string, EngineLoad> TakeUntold(bool all, Time now);
+  void SendInParts(std::map<std::string, EngineLoad> loads, Time now);
+  void Send(std::map<std::string, EngineLoad> part, Time now);
   void HearNote(const LoadDigest& digest);
 
   EventLoop* loop;
