--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -13,6 +13,7 @@
 constexpr int kOk = 200;
 // The store answers in milliseconds; slower than this and another try is due.
 constexpr Duration kAnswerPatience = milliseconds(1000);
+
 std::string ReasonOf(const StoreAnswer& answer) {
   return answer.status == 0 ? answer.reason : absl::StrCat("status ", answer.status);
 }
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -1,7 +1,7 @@
 // Everything an entry process knows of the engines, and the choice among them:
 // the list, its own experience, the load, and the budget of second attempts.
 //
-//   Fleet fleet(retry_bounds, "hall-1");
+//   Fleet fleet(retry_bounds, "box-1", "hall-1");
 //   std::optional<FleetChoice> choice = fleet.Choose(service, demand, tried, now);
 
 #ifndef GULLWARD_SERVING_FLEET_H_
