Patience with a silent engine is a decision of its own

How long silence is borne and what excuses it stood among the I/O of an exchange; they are pure functions with their constants now (serving/engine_patience.h).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -10,6 +10,7 @@
 #include "gateway/failure_body.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
+#include "serving/engine_patience.h"
 
 namespace gullward {
 namespace {
@@ -19,15 +20,6 @@
 constexpr size_t kHeldAnswerBytes = 256 << 10;
 // A caller with more unread bytes than this is not read for any further.
 constexpr size_t kMostUnreadBytes = 256 << 10;
-// The shortest silence that makes us try another engine.  Callers give a stream
-// up after two seconds, so there must be time for the other one.
-constexpr Duration kLeastPatience = milliseconds(900);
-// A first event may take this much longer than expected, and so may a pause.
-constexpr double kPatienceFactor = 3;
-// An engine that is known to read may be silent for this much longer than that
-// reading should take, but no longer than callers wait.
-constexpr double kReadingFactor = 1.5;
-constexpr Duration kLongestPatience = milliseconds(1700);
 // After this a caller that was refused may come back: an engine's pass and the
 // news of it take about as long.
 constexpr double kComeBackSeconds = 0.3;
@@ -533,20 +525,12 @@
   return head;
 }
 
-Duration Exchange::PatienceWithEngine() const {
-  double ms = this->attempt->any_event ? ToSeconds(this->admission.route->longest_pause) * 1000
-                                       : this->attempt->expected_first_ms;
-  if (!this->service->runs_models) ms = ToSeconds(this->admission.route->objective) * 1000;
-  return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
-}
-
-// Whether the engine has reading to do, or more requests than slots, which
-// explains its silence.
-bool Exchange::SilenceIsExplained(Duration silent, Time now) const {
-  EngineLoad load = this->state->fleet.loads().Of(this->attempt->engine.id, now);
-  double silent_ms = ToSeconds(silent) * 1000;
-  bool full = load.requests > this->attempt->engine.slots;
-  return full || silent_ms < kReadingFactor * load.reading_ms;
+// Within how long the engine should send its next event; a plain service, its answer.
+double Exchange::ExpectedSilenceMs() const {
+  const Route& route = *this->admission.route;
+  if (!this->service->runs_models) return ToSeconds(route.objective) * 1000;
+  if (this->attempt->any_event) return ToSeconds(route.longest_pause) * 1000;
+  return this->attempt->expected_first_ms;
 }
 
 void Exchange::Tick(Time now) {
@@ -562,8 +546,10 @@
 
 bool Exchange::IsTooSilent(Time now) const {
   Duration silent = now - this->attempt->last_progress;
-  if (silent < this->PatienceWithEngine()) return false;
-  return silent >= kLongestPatience || !this->SilenceIsExplained(silent, now);
+  if (silent < PatienceWith(this->ExpectedSilenceMs())) return false;
+  const EngineRecord& engine = this->attempt->engine;
+  EngineLoad load = this->state->fleet.loads().Of(engine.id, now);
+  return !ExcusesSilence(load, engine.slots, silent);
 }
 
 // Whether the request could be sent again if the attempt under way ended now, perhaps
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,8 +95,7 @@
   void GiveUp();
   void CancelAttempt();
   void Finish();
-  Duration PatienceWithEngine() const;
-  bool SilenceIsExplained(Duration silent, Time now) const;
+  double ExpectedSilenceMs() const;
   bool IsTooSilent(Time now) const;
   bool MayTryAnother(Time now) const;
   void LeaveSilentEngine(Time now);
--- /dev/null
+++ b/src/serving/engine_patience.h
@@ -0,0 +1,45 @@
+// How long an engine may be silent before its request is tried elsewhere.
+//
+// An engine that has died without closing its connections looks like one that is
+// busy.  So the time for which its next event was expected is taken a few times over,
+// and after that its known load is asked: work to read, or more requests than slots,
+// is reason enough to go on waiting, up to a limit that callers set by leaving.
+//
+//   if (silent < PatienceWith(expected_ms)) return;          // nothing to wonder at
+//   if (ExcusesSilence(load, engine.slots, silent)) return;  // busy, by all we know
+
+#ifndef GULLWARD_SERVING_ENGINE_PATIENCE_H_
+#define GULLWARD_SERVING_ENGINE_PATIENCE_H_
+
+#include <algorithm>
+
+#include "base/clock.h"
+#include "serving/engine_load.h"
+
+namespace gullward {
+
+// The shortest silence that makes us try another engine.  Callers give a stream
+// up after two seconds, so there must be time for the other one.
+inline constexpr Duration kLeastPatience = milliseconds(900);
+// A first event may take this much longer than expected, and so may a pause.
+inline constexpr double kPatienceFactor = 3;
+// An engine that is known to read may be silent for this much longer than that
+// reading should take, but no longer than callers wait.
+inline constexpr double kReadingFactor = 1.5;
+inline constexpr Duration kLongestPatience = milliseconds(1700);
+
+// The silence that needs no excuse where the next event was expected within so long.
+inline Duration PatienceWith(double expected_ms) {
+  return std::max<Duration>(FromSeconds(kPatienceFactor * expected_ms / 1000), kLeastPatience);
+}
+
+// Whether what is known to be on an engine with so many slots explains its silence.
+inline bool ExcusesSilence(const EngineLoad& load, int slots, Duration silent) {
+  if (silent >= kLongestPatience) return false;
+  bool full = load.requests > slots;
+  return full || ToSeconds(silent) * 1000 < kReadingFactor * load.reading_ms;
+}
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_ENGINE_PATIENCE_H_
