--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -7,7 +7,6 @@
 namespace gullward {
 namespace {
 
-constexpr int kOk = 200;
 // The store answers in milliseconds, a slow one in a few hundred; a proof must come
 // well before trust in the last one runs out.
 constexpr Duration kAnswerPatience = milliseconds(1000);
@@ -17,7 +16,7 @@
 // Whether the topic holds nothing beyond a position, which an answer to a read from
 // there shows by its end.
 bool EndsAt(uint64_t position, const StoreAnswer& answer) {
-  if (answer.status != kOk) return false;
+  if (!answer.ok()) return false;
   absl::StatusOr<platform::KeyedTail> tail = platform::DecodeTail(answer.body);
   return tail.ok() && tail->records.empty() && tail->end == position;
 }
@@ -54,7 +53,7 @@
 }
 
 void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent) {
-  if (answer.status != kOk && answer.status != platform::kRecordsGone) {
+  if (!answer.ok() && answer.status != platform::kRecordsGone) {
     this->recovery->Wait([this] { this->schedule.NoteRetry(); });
     return;
   }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -7,7 +7,6 @@
 namespace gullward {
 namespace {
 
-constexpr int kOk = 200;
 // Peers come and go rarely; the longest wait that the store allows costs least.
 constexpr Duration kPeersWait = seconds(30);
 // Nothing depends on hearing of a peer at once.
@@ -62,7 +61,7 @@
   platform::KeyedRecord record{this->box, this->own_address.ToString()};
   this->registrar.Call(platform::AppendKeyed(platform::kPeersTopic, record), kRegisterPatience,
                        [this](const StoreAnswer& answer) {
-                         if (answer.status == kOk) {
+                         if (answer.ok()) {
                            this->follower.Start();
                            return;
                          }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -25,6 +25,9 @@
   std::string body;
   std::string reason;
 
+  // Whether the store did what was asked.
+  bool ok() const { return this->status == 200; }
+
   bool operator==(const StoreAnswer&) const = default;
 };
 
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -10,7 +10,6 @@
 namespace gullward {
 namespace {
 
-constexpr int kOk = 200;
 // The store answers in milliseconds; slower than this and another try is due.
 constexpr Duration kAnswerPatience = milliseconds(1000);
 
@@ -38,7 +37,7 @@
 }
 
 void TopicFollower::OnPage(const StoreAnswer& answer) {
-  if (answer.status != kOk) {
+  if (!answer.ok()) {
     this->Fail(ReasonOf(answer));
     return;
   }
@@ -76,7 +75,7 @@
     this->ReadPage();
     return;
   }
-  if (answer.status != kOk) {
+  if (!answer.ok()) {
     this->Fail(ReasonOf(answer));
     return;
   }
