The answer of failure has a file; hook builders say whose hooks they make

Head, time to come back and body of the gateway's own failures stand together (failure_answer, formerly failure_body with the body only). ConfigNotes() made the load exchange's hooks and ConfigHooks() a follower's: LoadExchangeHooks(), ConfigFollowerHooks() and EngineFollowerHooks() say so.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "gateway/failure_body.h"
+#include "gateway/failure_answer.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
 #include "serving/engine_patience.h"
@@ -20,10 +20,6 @@
 constexpr size_t kHeldAnswerBytes = 256 << 10;
 // A caller with more unread bytes than this is not read for any further.
 constexpr size_t kMostUnreadBytes = 256 << 10;
-// After this a caller that was refused may come back: an engine's pass and the
-// news of it take about as long.
-constexpr double kComeBackSeconds = 0.3;
-constexpr double kComeBackShare = 0.3;
 // A caller that waits for less than this share of the route's time has spent the
 // rest on earlier tries.
 constexpr double kFirstTryShare = 0.95;
@@ -476,18 +472,11 @@
   channel->Answer(head, body);
 }
 
-// When a caller that was refused should come back: in time for its objective
-// still, but not before engines can have got anywhere.
-double Exchange::ComeBackSeconds() const {
-  if (this->admission.route == nullptr) return kComeBackSeconds;
-  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->admission.route->objective));
-}
-
 // Answers with a failure of our own.
 void Exchange::Refuse(ResultCode code) {
   this->state->counters.failures[code] += 1;
   this->LogFailure(code);
-  AnswerHead head = this->FailureHead(code);
+  AnswerHead head = FailureHead(code, this->facts.attempt_id, this->admission.route);
   std::shared_ptr<CallerChannel> channel = this->caller;
   this->Finish();
   channel->Answer(head, FailureBody(code));
@@ -509,22 +498,6 @@
   this->state->log->Write(line);
 }
 
-AnswerHead Exchange::FailureHead(ResultCode code) const {
-  const ResultCodeInfo& info = Info(code);
-  AnswerHead head;
-  head.status = info.http_status;
-  head.reason = info.name;
-  if (!this->facts.attempt_id.empty()) {
-    head.headers.emplace_back(platform::kAttemptId, this->facts.attempt_id);
-  }
-  head.headers.emplace_back("Content-Type", "application/json");
-  bool come_back = info.http_status == 503 || info.http_status == 429;
-  if (come_back) {
-    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
-  }
-  return head;
-}
-
 // Within how long the engine should send its next event; a plain service, its answer.
 double Exchange::ExpectedSilenceMs() const {
   const Route& route = *this->admission.route;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,8 +90,6 @@
   void DeliverWhole();
   void Refuse(ResultCode code);
   void LogFailure(ResultCode code);
-  AnswerHead FailureHead(ResultCode code) const;
-  double ComeBackSeconds() const;
   void GiveUp();
   void CancelAttempt();
   void Finish();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "base/absl_view.h"
-#include "gateway/failure_body.h"
+#include "gateway/failure_answer.h"
 #include "gateway/metrics_page.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
@@ -74,13 +74,13 @@
       store_recovery(event_loop),
       config_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kConfigTopic), kConfigWait, kGatherConfigs},
-                      this->ConfigHooks()),
+                      this->ConfigFollowerHooks()),
       engine_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kEnginesTopic), kEngineListWait,
                        FromSeconds(kGatherEnginesShare * ToSeconds(settings.leaving_bound))},
-                      this->EngineHooks()),
+                      this->EngineFollowerHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
-                    &this->store_recovery, this->ConfigNotes()),
+                    &this->store_recovery, this->LoadExchangeHooks()),
       config_prover(event_loop, settings.store, &this->store_recovery,
                     std::string(platform::kConfigTopic), settings.key_trust, random_seed,
                     this->ProverHooks()) {}
@@ -97,7 +97,7 @@
   return hooks;
 }
 
-TopicFollower::Hooks GatewayServer::ConfigHooks() {
+TopicFollower::Hooks GatewayServer::ConfigFollowerHooks() {
   TopicFollower::Hooks hooks = this->LoggingHooks("config");
   hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
     for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
@@ -107,7 +107,7 @@
   return hooks;
 }
 
-TopicFollower::Hooks GatewayServer::EngineHooks() {
+TopicFollower::Hooks GatewayServer::EngineFollowerHooks() {
   TopicFollower::Hooks hooks = this->LoggingHooks("engines");
   hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
     this->OnEngineRecords(records);
@@ -121,7 +121,7 @@
   return this->state.config ? this->state.config->config().version : 0;
 }
 
-LoadExchange::ConfigHooks GatewayServer::ConfigNotes() {
+LoadExchange::ConfigHooks GatewayServer::LoadExchangeHooks() {
   LoadExchange::ConfigHooks hooks;
   hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -67,10 +67,10 @@
   void OnEngineRecord(const platform::KeyedRecord& record);
   Time KeepLapsedUntil() const;
   TopicFollower::Hooks LoggingHooks(const std::string& topic);
-  TopicFollower::Hooks ConfigHooks();
-  TopicFollower::Hooks EngineHooks();
+  TopicFollower::Hooks ConfigFollowerHooks();
+  TopicFollower::Hooks EngineFollowerHooks();
   uint64_t ConfigVersion() const;
-  LoadExchange::ConfigHooks ConfigNotes();
+  LoadExchange::ConfigHooks LoadExchangeHooks();
   ConfigProver::Hooks ProverHooks();
   void OnNewerVersion(uint64_t version);
 
