The store's pause doubles where it is kept

A count of tries, a shift and a bound without a name stood for the next pause: 100, 200, 400 ms and on, as before.

--- a/src/gateway/store_recovery.cc
+++ b/src/gateway/store_recovery.cc
@@ -13,7 +13,7 @@
 }
 
 void StoreRecovery::NoteAnswer() {
-  this->tries = 0;
+  this->next_pause = kFirstPause;
   std::deque<std::function<void()>> all = std::exchange(this->waiting, {});
   for (const std::function<void()>& retry : all) retry();
 }
@@ -21,8 +21,8 @@
 void StoreRecovery::StartPause() {
   if (this->pausing || this->waiting.empty()) return;
   this->pausing = true;
-  Duration pause = std::min<Duration>(kFirstPause * (1 << std::min(this->tries, 3)), kLongestPause);
-  this->tries += 1;
+  Duration pause = this->next_pause;
+  this->next_pause = std::min(2 * pause, kLongestPause);
   this->loop->RunAfter(pause, [this] {
     this->pausing = false;
     this->TryNext();
--- a/src/gateway/store_recovery.h
+++ b/src/gateway/store_recovery.h
@@ -31,7 +31,10 @@
 
   explicit StoreRecovery(EventLoop* event_loop) : loop(event_loop) {}
 
+  // The caller's own call has failed: it may try again when `retry` is called.
   void Wait(std::function<void()> retry);
+
+  // A call has worked: all who wait try at once.
   void NoteAnswer();
 
  private:
@@ -40,8 +43,8 @@
 
   EventLoop* loop;
   std::deque<std::function<void()>> waiting;
-  // Tries since the store last answered.
-  int tries = 0;
+  // The first again once the store has answered.
+  Duration next_pause = kFirstPause;
   bool pausing = false;
 };
 
