--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -46,8 +46,7 @@
   for (const auto& [engine, record] : this->health) {
     if (record.IsOut(now)) set_aside.insert(engine);
   }
-  double most = PeerSuspicion::kMostSetAside * static_cast<double>(this->engines.size());
-  if (static_cast<double>(set_aside.size()) > most) set_aside.clear();
+  if (PeerSuspicion::IsInTrouble(set_aside.size(), this->engines.size())) return {};
   return set_aside;
 }
 
--- a/src/serving/peer_suspicion.cc
+++ b/src/serving/peer_suspicion.cc
@@ -27,8 +27,7 @@
   for (auto& [engine, peers] : this->words) {
     if (engines.count(engine) == 0) peers.erase(peer);
   }
-  double most = kMostSetAside * static_cast<double>(engines_listed);
-  if (static_cast<double>(engines.size()) > most) return;
+  if (IsInTrouble(engines.size(), engines_listed)) return;
   for (const std::string& engine : engines) {
     std::map<std::string, Time>& peers = this->words[engine];
     peers[peer] = now;
--- a/src/serving/peer_suspicion.h
+++ b/src/serving/peer_suspicion.h
@@ -44,6 +44,13 @@
   void Hear(const std::string& peer, const std::set<std::string>& engines, size_t engines_listed,
             Time now);
 
+  // Whether a process that has set aside so many of the engines listed must look for
+  // the fault in itself.
+  static bool IsInTrouble(size_t engines_set_aside, size_t engines_listed) {
+    double most = kMostSetAside * static_cast<double>(engines_listed);
+    return static_cast<double>(engines_set_aside) > most;
+  }
+
   bool Suspects(const std::string& engine, Time now) const;
 
   // Forgets what is over.
