The safeties of waiting stand where they are used

Only the cost of waiting uses them, so they need not be in the header. Values and behaviour unchanged. serving_test, placement_test and gateway_test green.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -20,6 +20,14 @@
 // Callers give up a stream that pauses for two seconds, and come back with the
 // whole of it.
 constexpr double kCallersLeaveMs = 1700;
+// Share of the aim from which a first event is taken for late: it has more to wait
+// for than is known, such as work that others sent in the same instant.
+constexpr double kWaitSafety = 0.6;
+// The same for prompts that take longer to read than one pass: others that come right
+// after are read first.  Under bursts of vast prompts their first event came at twice
+// the predicted time (quiet-1 of the grown sites: 2,300 ms predicted, 4,000 to 5,000
+// seen).  More engines then read each of them.
+constexpr double kLongReadSafety = 0.3;
 // Small preferences, that decide among equals only: for an early first event, for a
 // place in the shared order, for each reader.
 constexpr double kWaitWeight = 0.05;
@@ -117,7 +125,8 @@
 }
 
 double CostOfWaiting(const EngineSpeed& speed, const Demand& demand, double first_event_ms) {
-  double safety = UsefulReaders(speed, demand) > 1 ? kLongReadSafety : kWaitSafety;
+  bool long_read = UsefulReaders(speed, demand) > 1;
+  double safety = long_read ? kLongReadSafety : kWaitSafety;
   double late = Lateness(first_event_ms, demand.objective_ms, safety);
   double small = kWaitWeight * first_event_ms / std::max(demand.objective_ms, 1.0);
   return kLateLoss * WorthOf(demand.prompt_tokens) * late + small;
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -18,14 +18,6 @@
 
 // Share of the worth that a late answer loses (both users' sheets: three quarters).
 inline constexpr double kLateLoss = 0.75;
-// Share of the aim from which a first event is taken for late: it has more to wait
-// for than is known, such as work that others sent in the same instant.
-inline constexpr double kWaitSafety = 0.6;
-// The same for prompts that take longer to read than one pass: others that come right
-// after are read first.  Under bursts of vast prompts their first event came at twice
-// the predicted time (quiet-1 of the grown sites: 2,300 ms predicted, 4,000 to 5,000
-// seen).  More engines then read each of them.
-inline constexpr double kLongReadSafety = 0.3;
 // Small preferences, that decide among equals only: here, for the own data centre.
 inline constexpr double kOtherDataCentreCost = 0.01;
 // An engine that always fails costs as much as the request is worth, and more.
