--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -3,7 +3,6 @@
 
 #include "gateway/exchange.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,7 +3,8 @@
 // An exchange admits the request (admission.h), has it run by one
 // engine after another until one answers or nothing more may be tried, and
 // passes the answer on.  What follows an attempt is decided by
-// serving/attempt_result.h; where it runs, by serving/fleet.h.
+// serving/attempt_result.h; where it runs, by serving/fleet.h; when a silent engine
+// is left for another, by serving/engine_patience.h.
 //
 //   auto exchange = std::make_shared<Exchange>(state, id, caller, request);
 //   exchange->Start(now);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -5,9 +5,11 @@
 // sends the others what has changed of its own work, and now and then all of it.
 // Each datagram also names the engines that the sender has set aside
 // (serving/peer_suspicion.h).
-// Every half second each also gets a note on how current the sender's
-// configuration is (serving/peer_freshness.h), so that a gateway that is cut off
-// from the store can go on accepting keys.
+//
+// Every half second, and after each proof of the sender's own, each peer also gets a
+// note on how current the sender's configuration is (serving/peer_freshness.h), so
+// that a gateway that is cut off from the store can go on accepting keys.
+//
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
 //
@@ -80,11 +82,11 @@
   void Register();
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
+  void HearNote(const LoadDigest& digest);
   LoadDigest NewDigest(Time now);
   std::map<std::string, EngineLoad> TakeUntold(bool all, Time now);
   void SendInParts(std::map<std::string, EngineLoad> loads, Time now);
   void Send(std::map<std::string, EngineLoad> part, Time now);
-  void HearNote(const LoadDigest& digest);
 
   EventLoop* loop;
   std::string box;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -2,7 +2,6 @@
 
 #include "gateway/topic_follower.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
