The operators' pages have a file of their own

The server held their connections and answered them besides its own work; it now gives the pages what they show as hooks.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -41,18 +41,6 @@
 // A newer version that a peer has is with us within a fraction of a second, or
 // something is wrong with our own read.
 constexpr Duration kReadShouldHaveCome = milliseconds(400);
-// Operators' requests have no body worth keeping.
-constexpr uint64_t kOperatorBodyBytes = 64 << 10;
-constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
-
-AnswerHead TextAnswer(int status, std::string_view reason, std::string_view type) {
-  AnswerHead head;
-  head.status = status;
-  head.reason = std::string(reason);
-  head.headers.emplace_back("Content-Type", std::string(type));
-  return head;
-}
-
 // An engine's entry on the list; nothing, and a line in the log, if it cannot be
 // read.
 std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
@@ -83,7 +71,8 @@
                     &this->store_recovery, this->LoadExchangeHooks()),
       config_prover(event_loop, settings.store, &this->store_recovery,
                     std::string(platform::kConfigTopic), settings.key_trust, random_seed,
-                    this->ProverHooks()) {}
+                    this->ProverHooks()),
+      operator_pages(event_loop, this->PageHooks()) {}
 
 // What the followers of both topics have in common: the log.
 TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
@@ -148,6 +137,14 @@
   return hooks;
 }
 
+OperatorPages::Hooks GatewayServer::PageHooks() const {
+  OperatorPages::Hooks hooks;
+  hooks.metrics = [this] { return this->Metrics(); };
+  hooks.state = [this] { return this->StateDump(); };
+  hooks.is_ready = [this] { return this->IsReady(); };
+  return hooks;
+}
+
 // A peer has a version that our own read should have brought by now: the read may
 // hang on a connection that is dead.
 void GatewayServer::OnNewerVersion(uint64_t version) {
@@ -168,7 +165,7 @@
   absl::Status status = this->callers_listener.Listen(this->loop, settings.callers,
                                                       [this](int fd) { this->OnCaller(fd); });
   if (!status.ok()) return status;
-  auto operators_hook = [this](int fd) { this->OnOperator(fd); };
+  auto operators_hook = [this](int fd) { this->operator_pages.Adopt(fd); };
   status = this->ready_listener.Listen(this->loop, settings.ready, operators_hook);
   if (!status.ok()) return status;
   status = this->metrics_listener.Listen(this->loop, settings.metrics, operators_hook);
@@ -220,8 +217,11 @@
   const ResultCodeInfo& info = Info(code);
   this->state.counters.failures[code] += 1;
   this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
-  found->second.channel->Answer(TextAnswer(info.http_status, info.name, "application/json"),
-                                FailureBody(code));
+  AnswerHead head;
+  head.status = info.http_status;
+  head.reason = info.name;
+  head.headers.emplace_back("Content-Type", "application/json");
+  found->second.channel->Answer(head, FailureBody(code));
 }
 
 void GatewayServer::OnGone(uint64_t caller_id) {
@@ -232,40 +232,6 @@
   if (exchange) exchange->CallerGone();
 }
 
-void GatewayServer::OnOperator(int fd) {
-  CallerLimits limits;
-  limits.body_bytes = kOperatorBodyBytes;
-  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
-  std::weak_ptr<CallerChannel> weak = channel;
-  channel->SetHooks({.request =
-                         [this, weak](const CallerRequest& request) {
-                           if (auto self = weak.lock()) this->AnswerOperator(self, request);
-                         },
-                     .malformed =
-                         [weak](ResultCode code) {
-                           auto self = weak.lock();
-                           if (self) self->Answer(TextAnswer(400, Info(code).name, kTextPlain), "");
-                         },
-                     .gone = {},
-                     .drained = {}});
-  this->operators.push_back(channel);
-}
-
-void GatewayServer::AnswerOperator(const std::shared_ptr<CallerChannel>& channel,
-                                   const CallerRequest& request) {
-  const std::string& path = request.head.target;
-  if (path == "/metrics") {
-    channel->Answer(TextAnswer(200, "OK", kTextPlain), this->Metrics());
-  } else if (path == "/state") {
-    channel->Answer(TextAnswer(200, "OK", "application/json"), this->StateDump());
-  } else if (path == platform::kReadyPath || path == "/readyz") {
-    bool ready = this->IsReady();
-    channel->Answer(TextAnswer(ready ? 200 : 503, ready ? "OK" : "Not Ready", kTextPlain), "");
-  } else {
-    channel->Answer(TextAnswer(404, "Not Found", kTextPlain), "no such page\n");
-  }
-}
-
 void GatewayServer::OnConfigRecord(const platform::KeyedRecord& record) {
   if (record.key != platform::kConfigKey || record.value.empty()) return;
   absl::StatusOr<ServingConfig> config = platform::DecodeConfig(record.value);
@@ -356,10 +322,7 @@
     it->second.channel->Tick(now);
     it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
   }
-  for (auto it = this->operators.begin(); it != this->operators.end();) {
-    (*it)->Tick(now);
-    it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
-  }
+  this->operator_pages.Tick(now);
 }
 
 void GatewayServer::TickFleet(Time now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -21,6 +21,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
+#include "gateway/operator_pages.h"
 #include "gateway/topic_follower.h"
 #include "transport/tcp_listener.h"
 
@@ -59,8 +60,6 @@
   void OnRequest(uint64_t caller_id, CallerRequest request);
   void OnMalformed(uint64_t caller_id, ResultCode code);
   void OnGone(uint64_t caller_id);
-  void OnOperator(int fd);
-  void AnswerOperator(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
 
   void OnConfigRecord(const platform::KeyedRecord& record);
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
@@ -72,6 +71,7 @@
   uint64_t ConfigVersion() const;
   LoadExchange::ConfigHooks LoadExchangeHooks();
   ConfigProver::Hooks ProverHooks();
+  OperatorPages::Hooks PageHooks() const;
   void OnNewerVersion(uint64_t version);
 
   // Looks at every clock.  The steps are in the order in which it takes them, the
@@ -99,7 +99,7 @@
   TcpListener ready_listener;
   TcpListener metrics_listener;
   std::map<uint64_t, Caller> callers;
-  std::vector<std::shared_ptr<CallerChannel>> operators;
+  OperatorPages operator_pages;
   uint64_t next_id = 1;
   uint64_t ticks = 0;
   bool engines_known = false;
