A comment tells why running exchanges are held; an include that nothing used

An exchange's end can let a waiting request of the same caller in. Behaviour unchanged. serving_test, placement_test and gateway_test green.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -14,7 +14,6 @@
 #include "gateway/failure_answer.h"
 #include "gateway/metrics_page.h"
 #include "platform/documents.h"
-#include "platform/headers.h"
 
 namespace gullward {
 namespace {
@@ -297,8 +296,8 @@
   this->log.Flush();
 }
 
-// An exchange that ends may take its caller off the list, so those that run are
-// gathered first.
+// An exchange that ends may give its place at once to one for the caller's next
+// request, so those that run are held first.
 void GatewayServer::TickExchanges(Time now) {
   std::vector<std::shared_ptr<Exchange>> running;
   for (auto& [id, caller] : this->callers) {
