--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -3,13 +3,13 @@
 
 #include "gateway/exchange.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "gateway/failure_body.h"
+#include "gateway/failure_answer.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
+#include "serving/engine_patience.h"
 
 namespace gullward {
 namespace {
@@ -19,19 +19,6 @@
 constexpr size_t kHeldAnswerBytes = 256 << 10;
 // A caller with more unread bytes than this is not read for any further.
 constexpr size_t kMostUnreadBytes = 256 << 10;
-// The shortest silence that makes us try another engine.  Callers give a stream
-// up after two seconds, so there must be time for the other one.
-constexpr Duration kLeastPatience = milliseconds(900);
-// A first event may take this much longer than expected, and so may a pause.
-constexpr double kPatienceFactor = 3;
-// An engine that is known to read may be silent for this much longer than that
-// reading should take, but no longer than callers wait.
-constexpr double kReadingFactor = 1.5;
-constexpr Duration kLongestPatience = milliseconds(1700);
-// After this a caller that was refused may come back: an engine's pass and the
-// news of it take about as long.
-constexpr double kComeBackSeconds = 0.3;
-constexpr double kComeBackShare = 0.3;
 // A caller that waits for less than this share of the route's time has spent the
 // rest on earlier tries.
 constexpr double kFirstTryShare = 0.95;
@@ -92,19 +79,26 @@
   this->StartAttempt(now);
 }
 
+// What the choice of engines must know of the request.
+Demand Exchange::DemandOfRequest() const {
+  const Route& route = *this->admission.route;
+  Demand demand;
+  demand.prompt_tokens = this->facts.prompt_tokens;
+  demand.answer_tokens = this->facts.answer_tokens;
+  demand.objective_ms = ToSeconds(route.objective) * 1000;
+  demand.pause_ms = ToSeconds(route.longest_pause) * 1000;
+  Duration patience = this->admission.caller_waits_until - this->request.arrived;
+  demand.came_back = patience < kFirstTryShare * route.timeout;
+  return demand;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool keys_hold = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!keys_hold) {
     this->FollowUnsent(now);
     return;
   }
-  Demand demand;
-  demand.prompt_tokens = this->facts.prompt_tokens;
-  demand.answer_tokens = this->facts.answer_tokens;
-  demand.objective_ms = ToSeconds(this->admission.route->objective) * 1000;
-  demand.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
-  Duration patience = this->admission.caller_waits_until - this->request.arrived;
-  demand.came_back = patience < kFirstTryShare * this->admission.route->timeout;
+  Demand demand = this->DemandOfRequest();
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -477,17 +471,19 @@
   channel->Answer(head, body);
 }
 
-// When a caller that was refused should come back: in time for its objective
-// still, but not before engines can have got anywhere.
-double Exchange::ComeBackSeconds() const {
-  if (this->admission.route == nullptr) return kComeBackSeconds;
-  return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(this->admission.route->objective));
-}
-
 // Answers with a failure of our own.
 void Exchange::Refuse(ResultCode code) {
-  const ResultCodeInfo& info = Info(code);
   this->state->counters.failures[code] += 1;
+  this->LogFailure(code);
+  AnswerHead head = FailureHead(code, this->facts.attempt_id, this->admission.route);
+  std::shared_ptr<CallerChannel> channel = this->caller;
+  this->Finish();
+  channel->Answer(head, FailureBody(code));
+}
+
+// Which engine had the request, and how far it had come with it.
+void Exchange::LogFailure(ResultCode code) {
+  const ResultCodeInfo& info = Info(code);
   LogLine line = this->Line(info.name);
   line.Number("code", static_cast<double>(code))
       .Number("status", info.http_status)
@@ -499,36 +495,14 @@
         .Text("connection", NameOf(this->attempt->ended));
   }
   this->state->log->Write(line);
-  AnswerHead head;
-  head.status = info.http_status;
-  head.reason = info.name;
-  if (!this->facts.attempt_id.empty()) {
-    head.headers.emplace_back(platform::kAttemptId, this->facts.attempt_id);
-  }
-  head.headers.emplace_back("Content-Type", "application/json");
-  bool come_back = info.http_status == 503 || info.http_status == 429;
-  if (come_back) {
-    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(this->ComeBackSeconds()));
-  }
-  std::shared_ptr<CallerChannel> channel = this->caller;
-  this->Finish();
-  channel->Answer(head, FailureBody(code));
 }
 
-Duration Exchange::PatienceWithEngine() const {
-  double ms = this->attempt->any_event ? ToSeconds(this->admission.route->longest_pause) * 1000
-                                       : this->attempt->expected_first_ms;
-  if (!this->service->runs_models) ms = ToSeconds(this->admission.route->objective) * 1000;
-  return std::max<Duration>(FromSeconds(kPatienceFactor * ms / 1000), kLeastPatience);
-}
-
-// Whether the engine has reading to do, or more requests than slots, which
-// explains its silence.
-bool Exchange::SilenceIsExplained(Duration silent, Time now) const {
-  EngineLoad load = this->state->fleet.loads().Of(this->attempt->engine.id, now);
-  double silent_ms = ToSeconds(silent) * 1000;
-  bool full = load.requests > this->attempt->engine.slots;
-  return full || silent_ms < kReadingFactor * load.reading_ms;
+// Within how long the engine should send its next event; a plain service, its answer.
+double Exchange::ExpectedSilenceMs() const {
+  const Route& route = *this->admission.route;
+  if (!this->service->runs_models) return ToSeconds(route.objective) * 1000;
+  if (this->attempt->any_event) return ToSeconds(route.longest_pause) * 1000;
+  return this->attempt->expected_first_ms;
 }
 
 void Exchange::Tick(Time now) {
@@ -539,13 +513,28 @@
     this->GiveUp();
     return;
   }
+  if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
+}
+
+bool Exchange::IsTooSilent(Time now) const {
   Duration silent = now - this->attempt->last_progress;
-  if (silent < this->PatienceWithEngine()) return;
-  if (silent < kLongestPatience && this->SilenceIsExplained(silent, now)) return;
+  if (silent < PatienceWith(this->ExpectedSilenceMs())) return false;
+  const EngineRecord& engine = this->attempt->engine;
+  EngineLoad load = this->state->fleet.loads().Of(engine.id, now);
+  return !ExcusesSilence(load, engine.slots, silent);
+}
+
+// Whether the request could be sent again if the attempt under way ended now, perhaps
+// after it ran.
+bool Exchange::MayTryAnother(Time now) const {
   RequestState decision = this->StateForDecision(now);
   decision.attempts_run += 1;
-  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return;
-  if (this->state->fleet.RetriesOf(this->service->name).Left(now) < 1) return;
+  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return false;
+  return this->state->fleet.RetriesOf(this->service->name).Left(now) >= 1;
+}
+
+void Exchange::LeaveSilentEngine(Time now) {
+  Duration silent = now - this->attempt->last_progress;
   this->state->log->Write(this->Line("engine_silent")
                               .Text("engine", this->attempt->engine.id)
                               .Number("silent_ms", ToSeconds(silent) * 1000));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,7 +3,8 @@
 // An exchange admits the request (admission.h), has it run by one
 // engine after another until one answers or nothing more may be tried, and
 // passes the answer on.  What follows an attempt is decided by
-// serving/attempt_result.h; where it runs, by serving/fleet.h.
+// serving/attempt_result.h; where it runs, by serving/fleet.h; when a silent engine
+// is left for another, by serving/engine_patience.h.
 //
 //   auto exchange = std::make_shared<Exchange>(state, id, caller, request);
 //   exchange->Start(now);
@@ -62,6 +63,7 @@
     double expected_first_ms = 0;
   };
 
+  Demand DemandOfRequest() const;
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
@@ -88,12 +90,14 @@
   AnswerHead TakeAnswerHead();
   void DeliverWhole();
   void Refuse(ResultCode code);
-  double ComeBackSeconds() const;
+  void LogFailure(ResultCode code);
   void GiveUp();
   void CancelAttempt();
   void Finish();
-  Duration PatienceWithEngine() const;
-  bool SilenceIsExplained(Duration silent, Time now) const;
+  double ExpectedSilenceMs() const;
+  bool IsTooSilent(Time now) const;
+  bool MayTryAnother(Time now) const;
+  void LeaveSilentEngine(Time now);
   RequestState StateForDecision(Time now) const;
   LogLine Line(std::string_view event) const;
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -11,10 +11,9 @@
 #include <utility>
 
 #include "base/absl_view.h"
-#include "gateway/failure_body.h"
+#include "gateway/failure_answer.h"
 #include "gateway/metrics_page.h"
 #include "platform/documents.h"
-#include "platform/headers.h"
 
 namespace gullward {
 namespace {
@@ -41,18 +40,6 @@
 // A newer version that a peer has is with us within a fraction of a second, or
 // something is wrong with our own read.
 constexpr Duration kReadShouldHaveCome = milliseconds(400);
-// Operators' requests have no body worth keeping.
-constexpr uint64_t kOperatorBodyBytes = 64 << 10;
-constexpr std::string_view kTextPlain = "text/plain; charset=utf-8";
-
-AnswerHead TextAnswer(int status, std::string_view reason, std::string_view type) {
-  AnswerHead head;
-  head.status = status;
-  head.reason = std::string(reason);
-  head.headers.emplace_back("Content-Type", std::string(type));
-  return head;
-}
-
 // An engine's entry on the list; nothing, and a line in the log, if it cannot be
 // read.
 std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
@@ -74,16 +61,17 @@
       store_recovery(event_loop),
       config_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kConfigTopic), kConfigWait, kGatherConfigs},
-                      this->ConfigHooks()),
+                      this->ConfigFollowerHooks()),
       engine_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kEnginesTopic), kEngineListWait,
                        FromSeconds(kGatherEnginesShare * ToSeconds(settings.leaving_bound))},
-                      this->EngineHooks()),
+                      this->EngineFollowerHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
-                    &this->store_recovery, this->ConfigNotes()),
+                    &this->store_recovery, this->LoadExchangeHooks()),
       config_prover(event_loop, settings.store, &this->store_recovery,
                     std::string(platform::kConfigTopic), settings.key_trust, random_seed,
-                    this->ProverHooks()) {}
+                    this->ProverHooks()),
+      operator_pages(event_loop, this->PageHooks()) {}
 
 // What the followers of both topics have in common: the log.
 TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
@@ -97,7 +85,7 @@
   return hooks;
 }
 
-TopicFollower::Hooks GatewayServer::ConfigHooks() {
+TopicFollower::Hooks GatewayServer::ConfigFollowerHooks() {
   TopicFollower::Hooks hooks = this->LoggingHooks("config");
   hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
     for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
@@ -107,7 +95,7 @@
   return hooks;
 }
 
-TopicFollower::Hooks GatewayServer::EngineHooks() {
+TopicFollower::Hooks GatewayServer::EngineFollowerHooks() {
   TopicFollower::Hooks hooks = this->LoggingHooks("engines");
   hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
     this->OnEngineRecords(records);
@@ -121,7 +109,7 @@
   return this->state.config ? this->state.config->config().version : 0;
 }
 
-LoadExchange::ConfigHooks GatewayServer::ConfigNotes() {
+LoadExchange::ConfigHooks GatewayServer::LoadExchangeHooks() {
   LoadExchange::ConfigHooks hooks;
   hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
@@ -148,6 +136,14 @@
   return hooks;
 }
 
+OperatorPages::Hooks GatewayServer::PageHooks() const {
+  OperatorPages::Hooks hooks;
+  hooks.metrics = [this] { return this->Metrics(); };
+  hooks.state = [this] { return this->StateDump(); };
+  hooks.is_ready = [this] { return this->IsReady(); };
+  return hooks;
+}
+
 // A peer has a version that our own read should have brought by now: the read may
 // hang on a connection that is dead.
 void GatewayServer::OnNewerVersion(uint64_t version) {
@@ -168,7 +164,7 @@
   absl::Status status = this->callers_listener.Listen(this->loop, settings.callers,
                                                       [this](int fd) { this->OnCaller(fd); });
   if (!status.ok()) return status;
-  auto operators_hook = [this](int fd) { this->OnOperator(fd); };
+  auto operators_hook = [this](int fd) { this->operator_pages.Adopt(fd); };
   status = this->ready_listener.Listen(this->loop, settings.ready, operators_hook);
   if (!status.ok()) return status;
   status = this->metrics_listener.Listen(this->loop, settings.metrics, operators_hook);
@@ -220,8 +216,11 @@
   const ResultCodeInfo& info = Info(code);
   this->state.counters.failures[code] += 1;
   this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
-  found->second.channel->Answer(TextAnswer(info.http_status, info.name, "application/json"),
-                                FailureBody(code));
+  AnswerHead head;
+  head.status = info.http_status;
+  head.reason = info.name;
+  head.headers.emplace_back("Content-Type", "application/json");
+  found->second.channel->Answer(head, FailureBody(code));
 }
 
 void GatewayServer::OnGone(uint64_t caller_id) {
@@ -232,40 +231,6 @@
   if (exchange) exchange->CallerGone();
 }
 
-void GatewayServer::OnOperator(int fd) {
-  CallerLimits limits;
-  limits.body_bytes = kOperatorBodyBytes;
-  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
-  std::weak_ptr<CallerChannel> weak = channel;
-  channel->SetHooks({.request =
-                         [this, weak](const CallerRequest& request) {
-                           if (auto self = weak.lock()) this->AnswerOperator(self, request);
-                         },
-                     .malformed =
-                         [weak](ResultCode code) {
-                           auto self = weak.lock();
-                           if (self) self->Answer(TextAnswer(400, Info(code).name, kTextPlain), "");
-                         },
-                     .gone = {},
-                     .drained = {}});
-  this->operators.push_back(channel);
-}
-
-void GatewayServer::AnswerOperator(const std::shared_ptr<CallerChannel>& channel,
-                                   const CallerRequest& request) {
-  const std::string& path = request.head.target;
-  if (path == "/metrics") {
-    channel->Answer(TextAnswer(200, "OK", kTextPlain), this->Metrics());
-  } else if (path == "/state") {
-    channel->Answer(TextAnswer(200, "OK", "application/json"), this->StateDump());
-  } else if (path == platform::kReadyPath || path == "/readyz") {
-    bool ready = this->IsReady();
-    channel->Answer(TextAnswer(ready ? 200 : 503, ready ? "OK" : "Not Ready", kTextPlain), "");
-  } else {
-    channel->Answer(TextAnswer(404, "Not Found", kTextPlain), "no such page\n");
-  }
-}
-
 void GatewayServer::OnConfigRecord(const platform::KeyedRecord& record) {
   if (record.key != platform::kConfigKey || record.value.empty()) return;
   absl::StatusOr<ServingConfig> config = platform::DecodeConfig(record.value);
@@ -319,37 +284,51 @@
 void GatewayServer::Tick() {
   Time now = Now();
   this->ticks += 1;
+  this->TickExchanges(now);
+  this->load_exchange.Tick(now);
+  this->config_prover.Tick(this->state.keys.confirmed_at(), now);
+  this->NoteFreshness(now);
+  if (this->stopping) this->StopWhenIdle(now);
+  if (this->ticks % kSlowTicks == 0) {
+    this->TickConnections(now);
+    this->TickFleet(now);
+  }
+  this->log.Flush();
+}
+
+// An exchange that ends may give its place at once to one for the caller's next
+// request, so those that run are held first.
+void GatewayServer::TickExchanges(Time now) {
   std::vector<std::shared_ptr<Exchange>> running;
   for (auto& [id, caller] : this->callers) {
     if (caller.exchange && caller.exchange->finished()) caller.exchange.reset();
     if (caller.exchange) running.push_back(caller.exchange);
   }
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
-  this->load_exchange.Tick(now);
-  this->config_prover.Tick(this->state.keys.confirmed_at(), now);
+}
+
+// Tells the log when keys begin or cease to be accepted.
+void GatewayServer::NoteFreshness(Time now) {
   bool fresh = this->state.keys.IsFresh(now);
-  if (fresh != this->keys_were_fresh) {
-    this->keys_were_fresh = fresh;
-    double age_ms = ToSeconds(now - this->state.keys.confirmed_at()) * 1000;
-    this->log.Write(LogLine(fresh ? "keys_fresh" : "keys_stale").Number("age_ms", age_ms));
-  }
-  if (this->stopping) this->StopWhenIdle(now);
-  if (this->ticks % kSlowTicks == 0) {
-    for (auto it = this->callers.begin(); it != this->callers.end();) {
-      it->second.channel->Tick(now);
-      it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
-    }
-    for (auto it = this->operators.begin(); it != this->operators.end();) {
-      (*it)->Tick(now);
-      it = (*it)->is_closed() ? this->operators.erase(it) : std::next(it);
-    }
-    if (this->load_exchange.peers() > 0) {
-      this->state.fleet.SetProcesses(this->load_exchange.peers() + 1);
-    }
-    this->state.pool.Tick(now);
-    this->state.fleet.ForgetUnlisted(now);
+  if (fresh == this->keys_were_fresh) return;
+  this->keys_were_fresh = fresh;
+  double age_ms = ToSeconds(now - this->state.keys.confirmed_at()) * 1000;
+  this->log.Write(LogLine(fresh ? "keys_fresh" : "keys_stale").Number("age_ms", age_ms));
+}
+
+void GatewayServer::TickConnections(Time now) {
+  for (auto it = this->callers.begin(); it != this->callers.end();) {
+    it->second.channel->Tick(now);
+    it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
   }
-  this->log.Flush();
+  this->operator_pages.Tick(now);
+}
+
+void GatewayServer::TickFleet(Time now) {
+  size_t peers = this->load_exchange.peers();
+  if (peers > 0) this->state.fleet.SetProcesses(peers + 1);
+  this->state.pool.Tick(now);
+  this->state.fleet.ForgetUnlisted(now);
 }
 
 bool GatewayServer::IsReady() const {
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -2,7 +2,6 @@
 
 #include "gateway/topic_follower.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -10,9 +9,9 @@
 namespace gullward {
 namespace {
 
-constexpr int kOk = 200;
 // The store answers in milliseconds; slower than this and another try is due.
 constexpr Duration kAnswerPatience = milliseconds(1000);
+
 std::string ReasonOf(const StoreAnswer& answer) {
   return answer.status == 0 ? answer.reason : absl::StrCat("status ", answer.status);
 }
@@ -37,7 +36,7 @@
 }
 
 void TopicFollower::OnPage(const StoreAnswer& answer) {
-  if (answer.status != kOk) {
+  if (!answer.ok()) {
     this->Fail(ReasonOf(answer));
     return;
   }
@@ -75,7 +74,7 @@
     this->ReadPage();
     return;
   }
-  if (answer.status != kOk) {
+  if (!answer.ok()) {
     this->Fail(ReasonOf(answer));
     return;
   }
