One copy of the store's patience and of the wait for news; patience has a table

The figures stood twice (1,000 ms in two readers of the store, 400 ms in two places). The test of callers who wait for the store also wants them to try (it would have passed if nobody did). The rule on a silent engine, a pure decision now, has a table.

--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -7,12 +7,6 @@
 namespace gullward {
 namespace {
 
-// The store answers in milliseconds, a slow one in a few hundred; a proof must come
-// well before trust in the last one runs out.
-constexpr Duration kAnswerPatience = milliseconds(1000);
-// The follower's read brings news within a fraction of a second, or it hangs.
-constexpr Duration kNewsShouldHaveCome = milliseconds(400);
-
 // Whether the topic holds nothing beyond a position, which an answer to a read from
 // there shows by its end.
 bool EndsAt(uint64_t position, const StoreAnswer& answer) {
@@ -41,7 +35,7 @@
 void ConfigProver::Ask(uint64_t position, Time now) {
   this->schedule.NoteAsked();
   this->client.Call(
-      platform::ReadFrom(this->topic, position, /*wait=*/Duration(0)), kAnswerPatience,
+      platform::ReadFrom(this->topic, position, /*wait=*/Duration(0)), StoreClient::kAnswerPatience,
       [this, position, now](const StoreAnswer& answer) { this->OnAnswer(answer, position, now); });
 }
 
@@ -61,7 +55,7 @@
   this->NotePace(Now() - sent);
   if (!EndsAt(position, answer)) {
     this->schedule.NoteBehind(Now());
-    this->loop->RunAfter(kNewsShouldHaveCome, [this, position] {
+    this->loop->RunAfter(TopicFollower::kNewsShouldHaveCome, [this, position] {
       if (this->hooks.position() == position) this->hooks.behind();
     });
     return;
--- a/src/gateway/config_prover.h
+++ b/src/gateway/config_prover.h
@@ -19,6 +19,7 @@
 
 #include "gateway/store_client.h"
 #include "gateway/store_recovery.h"
+#include "gateway/topic_follower.h"
 #include "serving/proof_schedule.h"
 
 namespace gullward {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -37,9 +37,6 @@
 constexpr Duration kBalancerNotices = milliseconds(2600);
 // Kept back from the stop's grace for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
-// A newer version that a peer has is with us within a fraction of a second, or
-// something is wrong with our own read.
-constexpr Duration kReadShouldHaveCome = milliseconds(400);
 // An engine's entry on the list; nothing, and a line in the log, if it cannot be
 // read.
 std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
@@ -153,7 +150,7 @@
     this->behind_since = now;
     return;
   }
-  if (now - this->behind_since < kReadShouldHaveCome) return;
+  if (now - this->behind_since < TopicFollower::kNewsShouldHaveCome) return;
   this->behind_since = now;
   this->log.Write(LogLine("config_behind").Number("peer_version", static_cast<double>(version)));
   this->config_follower.ReadAgain();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -33,6 +33,10 @@
 
 class StoreClient {
  public:
+  // The store answers in milliseconds, a slow one in a few hundred; after this long a
+  // call counts as lost and another try is due.  Waiting on purpose comes on top.
+  static constexpr Duration kAnswerPatience = milliseconds(1000);
+
   using Done = std::function<void(const StoreAnswer&)>;
 
   StoreClient(EventLoop* event_loop, SocketAddress store_address)
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -290,6 +290,8 @@
     all += count;
   }
   BOOST_TEST(all <= 6);
+  // A busy machine fires late, but they do try.
+  BOOST_TEST(all >= 4);
   BOOST_TEST(freed == 4);
 }
 
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -9,9 +9,6 @@
 namespace gullward {
 namespace {
 
-// The store answers in milliseconds; slower than this and another try is due.
-constexpr Duration kAnswerPatience = milliseconds(1000);
-
 std::string ReasonOf(const StoreAnswer& answer) {
   return answer.status == 0 ? answer.reason : absl::StrCat("status ", answer.status);
 }
@@ -31,7 +28,8 @@
   std::string after = this->pages.empty() ? "" : this->pages.back().key;
   this->call_sent = Now();
   if (after.empty()) this->pages_sent = this->call_sent;
-  this->client.Call(platform::NewestOfEachKey(this->options.topic, after), kAnswerPatience,
+  this->client.Call(platform::NewestOfEachKey(this->options.topic, after),
+                    StoreClient::kAnswerPatience,
                     [this](const StoreAnswer& answer) { this->OnPage(answer); });
 }
 
@@ -63,7 +61,7 @@
 void TopicFollower::ReadTail() {
   this->call_sent = Now();
   this->client.Call(platform::ReadFrom(this->options.topic, this->next_offset, this->options.wait),
-                    this->options.wait + kAnswerPatience,
+                    this->options.wait + StoreClient::kAnswerPatience,
                     [this](const StoreAnswer& answer) { this->OnTail(answer); });
 }
 
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -26,6 +26,10 @@
 
 class TopicFollower {
  public:
+  // News that somebody else has seen comes by our own read within a fraction of a
+  // second, or that read hangs.
+  static constexpr Duration kNewsShouldHaveCome = milliseconds(400);
+
   struct Options {
     std::string topic;
     // How long one read waits at the store for a change, which comes at once.  The
--- a/src/serving/engine_health.h
+++ b/src/serving/engine_health.h
@@ -26,6 +26,8 @@
   static constexpr Duration kFirstPause = milliseconds(600);
   // Engines come back from crashes within seconds; waiting longer loses them.
   static constexpr Duration kLongestPause = seconds(5);
+  // The pause doubles so many times at the most: from 0.6 s past the longest.
+  static constexpr int kMostDoublings = 4;
   // In which the failure rate halves without any answer.
   static constexpr Duration kHalfLife = seconds(2);
   // How long a success of our own outweighs the others' word: about as long as
@@ -48,7 +50,7 @@
     this->failure_rate = rate + kNewestWeight * (1 - rate);
     this->rated_at = now;
     if (this->failures_in_row < kFailuresToSetAside) return;
-    int doublings = std::min(this->failures_in_row - kFailuresToSetAside, 4);
+    int doublings = std::min(this->failures_in_row - kFailuresToSetAside, kMostDoublings);
     this->out_until = now + std::min(kFirstPause * (1 << doublings), kLongestPause);
   }
 
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -8,6 +8,7 @@
 #include "serving/config_index.h"
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
+#include "serving/engine_patience.h"
 #include "serving/event_splitter.h"
 #include "serving/fleet.h"
 #include "serving/freshness.h"
@@ -274,6 +275,34 @@
   BOOST_TEST(unreachable.IsOut(kStart));
 }
 
+BOOST_AUTO_TEST_CASE(SilenceIsBorneAsLongAsItIsExpectedOrExplained) {
+  BOOST_TEST((PatienceWith(100) == kLeastPatience));
+  BOOST_TEST((PatienceWith(1000) == milliseconds(3000)));
+  struct Case {
+    const char* what;
+    int requests;
+    double reading_ms;
+    Duration silent;
+    bool excused;
+  };
+  const std::vector<Case> cases = {
+      {"nothing to do", 1, 0, milliseconds(950), false},
+      {"a prompt to read", 1, 700, milliseconds(1000), true},
+      {"it should have been read by now", 1, 700, milliseconds(1100), false},
+      {"more requests than slots", 9, 0, milliseconds(1000), true},
+      {"all slots taken", 8, 0, milliseconds(1000), false},
+      {"callers leave", 9, 5000, kLongestPatience, false},
+  };
+  for (const Case& one : cases) {
+    EngineLoad load;
+    load.requests = one.requests;
+    load.reading_ms = one.reading_ms;
+    BOOST_TEST_CONTEXT(one.what) {
+      BOOST_TEST(ExcusesSilence(load, /*slots=*/8, one.silent) == one.excused);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TwoPeersWordsSetAnEngineAside) {
   struct Case {
     std::string name;
