One listener, one failure head, one sum of own work; leftovers out

Cause, found by reading the whole change once more: FrameServer accepted by itself what TcpListener accepts; a malformed request's answer built the head that FailureHead builds; LoadBook summed a process's own work in two loops; the engines set aside were worked out anew for each of up to 32 peers in every round of notes, and for each part of a long list; a follower counted failures where only "lost or not" was asked, since the pauses moved to StoreRecovery; DropRest, inside_message and a public is_lost had no caller. Ruled out: FrameConnection on TcpStream (the same socket work twice, but TcpStream brings time-outs and probes, so the frames' behaviour would change); one RunServer for the gateway too (SIGHUP must be blocked before the server is made). Change: each of these is called where it stands; no bound, log field, format or decision changes, no test touched.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -37,6 +37,7 @@
 constexpr Duration kBalancerNotices = milliseconds(2600);
 // Kept back from the stop's grace for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
+
 // An engine's entry on the list; nothing, and a line in the log, if it cannot be
 // read.
 std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
@@ -213,10 +214,7 @@
   const ResultCodeInfo& info = Info(code);
   this->state.counters.failures[code] += 1;
   this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
-  AnswerHead head;
-  head.status = info.http_status;
-  head.reason = info.name;
-  head.headers.emplace_back("Content-Type", "application/json");
+  AnswerHead head = FailureHead(code, /*attempt_id=*/"", /*route=*/nullptr);
   found->second.channel->Answer(head, FailureBody(code));
 }
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -109,8 +109,9 @@
   uint64_t version = this->config.version();
   if (version == 0) return;
   this->freshness.BeginRound(now);
+  LoadDigest digest = this->NewDigest(now);
   for (const auto& [peer, address] : this->peer_addresses) {
-    LoadDigest digest = this->NewDigest(now);
+    digest.sequence = ++this->sequence;
     digest.freshness = this->freshness.NoteFor(peer, version, this->config.proved(), now);
     this->socket.Send(address, EncodeDigest(digest));
   }
@@ -153,32 +154,28 @@
 
 // Datagrams are small: a long list takes several.
 void LoadExchange::SendInParts(std::map<std::string, EngineLoad> loads, Time now) {
+  if (loads.empty()) return;
+  LoadDigest digest = this->NewDigest(now);
   while (!loads.empty()) {
-    std::map<std::string, EngineLoad> part;
-    while (!loads.empty() && part.size() < kEntriesPerDatagram) {
-      part.insert(loads.extract(loads.begin()));
+    digest.sequence = ++this->sequence;
+    digest.loads.clear();
+    while (!loads.empty() && digest.loads.size() < kEntriesPerDatagram) {
+      digest.loads.insert(loads.extract(loads.begin()));
     }
-    this->Send(std::move(part), now);
+    std::string datagram = EncodeDigest(digest);
+    for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
   }
 }
 
-// With all but what it is about.
+// What all datagrams of a round have in common; each takes a sequence of its own.
 LoadDigest LoadExchange::NewDigest(Time now) {
   LoadDigest digest;
   digest.box = this->box;
   digest.incarnation = this->incarnation;
-  digest.sequence = ++this->sequence;
   for (const std::string& engine : this->fleet->SetAside(now)) {
     if (digest.set_aside.size() < kMostSetAsideTold) digest.set_aside.insert(engine);
   }
   return digest;
 }
 
-void LoadExchange::Send(std::map<std::string, EngineLoad> part, Time now) {
-  LoadDigest digest = this->NewDigest(now);
-  digest.loads = std::move(part);
-  std::string datagram = EncodeDigest(digest);
-  for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
-}
-
 }  // namespace gullward
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -86,7 +86,6 @@
   LoadDigest NewDigest(Time now);
   std::map<std::string, EngineLoad> TakeUntold(bool all, Time now);
   void SendInParts(std::map<std::string, EngineLoad> loads, Time now);
-  void Send(std::map<std::string, EngineLoad> part, Time now);
 
   EventLoop* loop;
   std::string box;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -95,15 +95,15 @@
 
 void TopicFollower::Succeed() {
   this->recovery->NoteAnswer();
-  if (this->failures_in_row == 0) return;
-  this->failures_in_row = 0;
+  if (!this->is_lost) return;
+  this->is_lost = false;
   this->regained = Now();
   if (this->hooks.regained) this->hooks.regained();
 }
 
 void TopicFollower::Fail(const std::string& reason) {
-  this->failures_in_row += 1;
-  if (this->failures_in_row == 1 && this->hooks.lost) this->hooks.lost(reason);
+  bool first = !std::exchange(this->is_lost, true);
+  if (first && this->hooks.lost) this->hooks.lost(reason);
   if (!this->loaded) this->pages.clear();
   this->recovery->Wait([this] {
     if (this->loaded) {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -60,9 +60,6 @@
   // Gives up the read that waits, and reads on a new connection.
   void ReadAgain() { this->client.GiveUp(); }
 
-  // Whether the last call failed and none has succeeded since.
-  bool is_lost() const { return this->failures_in_row > 0; }
-
   // When a call first succeeded after failures; in the past where none failed.
   Time regained_at() const { return this->regained; }
 
@@ -91,7 +88,8 @@
   bool loaded = false;
   uint64_t next_offset = 0;
   Time call_sent{};
-  int failures_in_row = 0;
+  // Whether the last call failed and none has succeeded since.
+  bool is_lost = false;
   Time regained{};
 };
 
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -159,11 +159,6 @@
 
 void RequestParser::Next() { this->impl->Next(); }
 
-bool RequestParser::inside_message() const {
-  return this->impl->parser->got_some() ? !this->impl->parser->is_done()
-                                        : !this->impl->unread.empty();
-}
-
 bool RequestParser::has_surplus() const { return !this->impl->unread.empty(); }
 
 class ResponseParser::Impl {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -4,7 +4,7 @@
 // It keeps what has come in but not been read yet, and calls its hooks while
 // it reads:
 //
-//   RequestParser parser({.head = ..., .body = ..., .end = ...}, limits);
+//   RequestParser parser({.head = ..., .body = ...}, limits);
 //   ParseState state = parser.Feed(bytes);
 //   if (state == ParseState::kComplete) { ...; parser.Next(); parser.Feed(""); }
 //
@@ -83,8 +83,6 @@
   // Makes ready for the next message.
   void Next();
 
-  // Whether bytes of a message have come whose end has not.
-  bool inside_message() const;
   // Whether bytes wait behind the end of a complete message.
   bool has_surplus() const;
 
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -84,15 +84,19 @@
   return load;
 }
 
+EngineLoad LoadBook::SumOf(const PartsOfEngine& parts, Time now) const {
+  EngineLoad sum;
+  for (const auto& [work, place] : parts) {
+    const Work& entry = this->works.at(work);
+    sum = Sum(sum, LoadOf(entry, entry.parts[place], now));
+  }
+  return sum;
+}
+
 EngineLoad LoadBook::Of(const std::string& engine, Time now) const {
   EngineLoad sum;
   auto own = this->by_engine.find(engine);
-  if (own != this->by_engine.end()) {
-    for (const auto& [work, place] : own->second) {
-      const Work& entry = this->works.at(work);
-      sum = Sum(sum, LoadOf(entry, entry.parts[place], now));
-    }
-  }
+  if (own != this->by_engine.end()) sum = this->SumOf(own->second, now);
   for (const auto& [name, peer] : this->peers) {
     auto found = peer.engines.find(engine);
     if (found == peer.engines.end()) continue;
@@ -107,14 +111,7 @@
 
 std::map<std::string, EngineLoad> LoadBook::Own(Time now) const {
   std::map<std::string, EngineLoad> loads;
-  for (const auto& [engine, parts] : this->by_engine) {
-    EngineLoad sum;
-    for (const auto& [work, place] : parts) {
-      const Work& entry = this->works.at(work);
-      sum = Sum(sum, LoadOf(entry, entry.parts[place], now));
-    }
-    loads[engine] = sum;
-  }
+  for (const auto& [engine, parts] : this->by_engine) loads[engine] = this->SumOf(parts, now);
   return loads;
 }
 
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -106,11 +106,15 @@
     std::map<std::string, Told> engines;
   };
 
+  // The works that have a part on one engine, and which part.
+  using PartsOfEngine = std::map<uint64_t, size_t>;
+
   static EngineLoad LoadOf(const Work& work, const WorkPart& part, Time now);
 
+  EngineLoad SumOf(const PartsOfEngine& parts, Time now) const;
+
   std::map<uint64_t, Work> works;
-  // The works that have a part on an engine.
-  std::map<std::string, std::map<uint64_t, size_t>> by_engine;
+  std::map<std::string, PartsOfEngine> by_engine;
   std::map<std::string, Peer> peers;
 };
 
--- a/src/serving/event_splitter.h
+++ b/src/serving/event_splitter.h
@@ -35,9 +35,6 @@
   // Whether an unfinished event waits.
   bool has_rest() const { return !this->rest.empty(); }
 
-  // Forgets the unfinished event: its stream has broken off.
-  void DropRest() { this->rest.clear(); }
-
  private:
   std::string rest;
 };
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -191,12 +191,12 @@
   this->store->Call(this->store_calls.front().first, seconds(1), [this](const StoreAnswer& answer) {
     this->store_busy = false;
     // A record written twice says the same.
-    if (answer.status == 200) {
+    if (answer.ok()) {
       std::function<void()> acknowledged = this->store_calls.front().second;
       this->store_calls.pop_front();
       if (acknowledged) acknowledged();
     }
-    this->Later(milliseconds(answer.status == 200 ? 0 : 100), [this] { this->NextStoreCall(); });
+    this->Later(milliseconds(answer.ok() ? 0 : 100), [this] { this->NextStoreCall(); });
   });
 }
 
--- a/src/transport/frame_server.h
+++ b/src/transport/frame_server.h
@@ -11,13 +11,13 @@
 #include "transport/event_loop.h"
 #include "transport/frame_connection.h"
 #include "transport/socket_address.h"
+#include "transport/tcp_listener.h"
 
 namespace gullward {
 
 class FrameServer {
  public:
-  explicit FrameServer(EventLoop* loop);
-  ~FrameServer();
+  explicit FrameServer(EventLoop* event_loop) : loop(event_loop) {}
   FrameServer(const FrameServer&) = delete;
   FrameServer& operator=(const FrameServer&) = delete;
 
@@ -25,12 +25,11 @@
   absl::Status Listen(const SocketAddress& address, const FrameConnection::Hooks& hooks);
 
   // The port listened on; the kernel's choice where the address had port 0.
-  uint16_t port() const { return this->bound_port; }
+  uint16_t port() const { return this->listener.port(); }
 
  private:
   EventLoop* loop;
-  int fd = -1;
-  uint16_t bound_port = 0;
+  TcpListener listener;
 };
 
 }  // namespace gullward
