The platform's documents are written in one place, in platform/

Cause: the soak and the tests' world each wrote the operator's document and the engines' entries in the platform's own names; the soak's stood outside platform/, where those names have no place. Ruled out: a writer in documents.h (the product never writes them). Change: platform/testing/document_writer writes both from our types, and the soak and gateway_world call it. Test: what the writer writes decodes to what it was given, every field off its default.

--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "platform/headers.h"
+#include "platform/testing/document_writer.h"
 
 namespace gullward {
 namespace {
@@ -15,13 +16,31 @@
 constexpr char kModels[] = "models";
 constexpr char kApp[] = "app";
 
-json RouteJson(const std::string& name, const std::string& prefix, const std::string& kind,
-               const std::string& service) {
-  return {{"name", name},     {"host", "test.example"}, {"pathPrefix", prefix},
-          {"kind", kind},     {"timeoutMs", 10000},     {"targetLatencyMs", 300},
-          {"priority", 1},    {"service", service},     {"maxAttempts", 2},
-          {"public", false},  {"sticky", false},        {"resumable", kind == "streaming"},
-          {"gap_aim_ms", 200}};
+Route RouteTo(const std::string& service, const std::string& name, const std::string& prefix,
+              Repeat repeat) {
+  Route route;
+  route.name = name;
+  route.host = "test.example";
+  route.path_prefix = prefix;
+  route.repeat = repeat;
+  route.streaming = repeat == Repeat::kResumeStream;
+  route.longest_pause = milliseconds(200);
+  route.max_attempts = 2;
+  route.priority = 1;
+  route.services = {{service, 1}};
+  return route;
+}
+
+EngineSpeed SpeedOfModels() {
+  EngineSpeed speed;
+  speed.slots = 16;
+  speed.memory_tokens = 450'000;
+  speed.step_ms = 0.925;
+  speed.step_ms_per_request = 0.005;
+  speed.step_ms_per_thousand_context = 0.0025;
+  speed.prefill_ms_per_million_pairs = 0.0917;
+  speed.steps_per_pass = 46;
+  return speed;
 }
 
 }  // namespace
@@ -48,23 +67,16 @@
 }
 
 json GatewayWorld::DefaultConfig() const {
-  json engine = {{"slots", 16},           {"kvCapacity", 450000},    {"step_ms", 0.925},
-                 {"per_seq_ms", 0.005},   {"context_per_k", 0.0025}, {"read_per_s", 256000},
-                 {"pairs_per_m", 0.0917}, {"chunk", 2048},           {"stride", 46}};
-  return {{"version", 1},
-          {"routes",
-           {RouteJson("chat", "/chat/", "streaming", kModels),
-            RouteJson("look", "/app/look/", "safe", kApp),
-            RouteJson("order", "/app/order/", "unsafe", kApp)}},
-          {"services",
-           {{{"name", kModels}, {"healthPath", "/healthz"}, {"maxConns", 400}, {"engine", engine}},
-            {{"name", kApp}, {"healthPath", "/healthz"}, {"maxConns", 100}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16384},
-            {"maxBodyBytes", 1 << 20},
-            {"headerTimeoutMs", 3000},
-            {"idleTimeoutMs", 15000}}},
-          {"tenants", {{{"name", "shop"}, {"apiKeys", {"key-1", "key-2"}}}}}};
+  ServingConfig config;
+  config.version = 1;
+  config.routes = {RouteTo(kModels, "chat", "/chat/", Repeat::kResumeStream),
+                   RouteTo(kApp, "look", "/app/look/", Repeat::kAllowed),
+                   RouteTo(kApp, "order", "/app/order/", Repeat::kNever)};
+  config.services = {{kModels, "/healthz", 400, true, SpeedOfModels()},
+                     {kApp, "/healthz", 100, false, {}}};
+  config.limits.body_bytes = 1 << 20;
+  config.accounts = {{"shop", {"key-1", "key-2"}, -1}};
+  return platform::ConfigDocument(config);
 }
 
 void GatewayWorld::Publish(const json& config) {
@@ -73,12 +85,8 @@
 
 void GatewayWorld::ListEngine(const EngineStandin& engine, const std::string& service,
                               bool draining) {
-  json record = {{"service", service},
-                 {"address", engine.address().ToString()},
-                 {"zone", "hall-1"},
-                 {"slots", 16},
-                 {"state", draining ? "draining" : "ready"}};
-  this->store.Put("keyed.servers", engine.id(), record.dump());
+  EngineRecord record{engine.id(), service, engine.address(), "hall-1", 16, draining};
+  this->store.Put("keyed.servers", engine.id(), platform::EngineDocument(record));
 }
 
 void GatewayWorld::StartGateway() {
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -5,7 +5,6 @@
 #include <signal.h>
 
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
@@ -13,13 +12,13 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "platform/headers.h"
+#include "platform/testing/document_writer.h"
 
 namespace gullward {
 namespace {
 
-using nlohmann::json;
-
 constexpr int kEvents = 20;
+constexpr int kSlots = 16;
 constexpr uint64_t kDeadlineMs = 3000;
 // Time for an answer to come back after the deadline, on a busy machine.
 constexpr Duration kAnswerSlack = milliseconds(1500);
@@ -42,11 +41,26 @@
   return text;
 }
 
-json RouteJson(const std::string& prefix, const std::string& kind, const std::string& service) {
-  return {{"name", prefix},     {"host", "soak.example"}, {"pathPrefix", prefix},
-          {"kind", kind},       {"timeoutMs", 10000},     {"targetLatencyMs", 300},
-          {"service", service}, {"maxAttempts", 2},       {"resumable", kind == "streaming"},
-          {"gap_aim_ms", 200}};
+Route RouteTo(const std::string& service, const std::string& prefix, Repeat repeat) {
+  Route route;
+  route.name = prefix;
+  route.host = "soak.example";
+  route.path_prefix = prefix;
+  route.repeat = repeat;
+  route.streaming = repeat == Repeat::kResumeStream;
+  route.longest_pause = milliseconds(200);
+  route.max_attempts = 2;
+  route.services = {{service, 1}};
+  return route;
+}
+
+EngineSpeed SpeedOfModels() {
+  EngineSpeed speed;
+  speed.slots = kSlots;
+  speed.memory_tokens = 450'000;
+  speed.step_ms = 0.9;
+  speed.steps_per_pass = 46;
+  return speed;
 }
 
 bool PromisesNotRun(int status) {
@@ -148,12 +162,8 @@
   } else {
     engine.proxy = std::make_unique<LoopbackProxy>(&this->loop, *address);
   }
-  json record = {{"service", engine.service},
-                 {"address", engine.proxy->address().ToString()},
-                 {"zone", "hall"},
-                 {"slots", 16},
-                 {"state", "ready"}};
-  this->PutRecord(platform::kEnginesTopic, name, record.dump());
+  EngineRecord record{name, engine.service, engine.proxy->address(), "hall", kSlots, false};
+  this->PutRecord(platform::kEnginesTopic, name, platform::EngineDocument(record));
 }
 
 void Soak::StartGateway(size_t place) {
@@ -209,14 +219,14 @@
     dropped = this->keys.front();
     this->keys.pop_front();
   }
-  json engine = {{"slots", 16}, {"kvCapacity", 450000}, {"step_ms", 0.9}, {"stride", 46}};
-  json config = {{"version", this->config_version},
-                 {"routes",
-                  {RouteJson("/chat/", "streaming", kModels), RouteJson("/app/look/", "safe", kApp),
-                   RouteJson("/app/order/", "unsafe", kApp)}},
-                 {"services", {{{"name", kModels}, {"engine", engine}}, {{"name", kApp}}}},
-                 {"tenants", {{{"name", "shop"}, {"apiKeys", this->keys}}}}};
-  std::string text = config.dump();
+  ServingConfig config;
+  config.version = this->config_version;
+  config.routes = {RouteTo(kModels, "/chat/", Repeat::kResumeStream),
+                   RouteTo(kApp, "/app/look/", Repeat::kAllowed),
+                   RouteTo(kApp, "/app/order/", Repeat::kNever)};
+  config.services = {{kModels, "", 0, true, SpeedOfModels()}, {kApp, "", 0, false, {}}};
+  config.accounts = {{"shop", {this->keys.begin(), this->keys.end()}, -1}};
+  std::string text = platform::ConfigDocument(config).dump();
   this->store_calls.emplace_back(
       platform::AppendKeyed(platform::kConfigTopic, {std::string(platform::kConfigKey), text}),
       [this, dropped] {
