Keys hold until changed where the operator does not bound revocation

The gateways' logs show 528 keys_not_vouched refusals (503): 69 at 11-16 s on the two boxes that node_cut left without the store, 459 at 22-26 s on all boxes while the store was down (platform_down 18-26 s), once the 5 s bound on trust had passed. This site's bounds say strictRevoke false: no rule asks that a key which was taken away stops within revokeMs.

Change: KeyFreshness takes a KeyTrust; kUntilChanged vouches for the keys of the newest configuration read until a newer one changes them. Tests: serving_test KeysHoldUntilChanged... and gateway_test WhereTakingKeysAwayIsNotBounded... (neither built before the change).

--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -53,7 +53,7 @@
       : loop(event_loop),
         settings(gateway_settings),
         log(event_log),
-        keys(gateway_settings.key_trust),
+        keys(gateway_settings.key_trust, gateway_settings.key_trust_mode),
         fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre),
         pool(event_loop),
         random(random_seed) {}
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -9,6 +9,18 @@
 
 constexpr double kDaySeconds = 86400;
 
+// "true" or empty: keys are vouched for within the bound only; "false": until the
+// configuration changes them.  A string, so that a template whose platform does
+// not state the bound still gives a valid file, and the strict meaning.
+KeyTrust ReadKeyTrust(TomlReader& reader) {
+  std::string strict = reader.String("strict_revoke", "true");
+  if (strict == "false") return KeyTrust::kUntilChanged;
+  if (strict != "true" && !strict.empty()) {
+    reader.Error("strict_revoke", "must be \"true\", \"false\" or empty");
+  }
+  return KeyTrust::kBounded;
+}
+
 }  // namespace
 
 GatewaySettings ReadGatewaySettings(const toml::table& table, const std::string& file,
@@ -23,6 +35,7 @@
   settings.peers = ReadAddress(reader, "peers", std::nullopt);
   settings.store = ReadAddress(reader, "store", std::nullopt);
   settings.key_trust = FromSeconds(reader.Number("key_trust_ms", 5000, 200, 1e7) / 1000);
+  settings.key_trust_mode = ReadKeyTrust(reader);
   settings.leaving_bound = FromSeconds(reader.Number("leaving_bound_ms", 2000, 100, 1e7) / 1000);
   settings.retry.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
   settings.retry.slack = reader.Number("retry_slack", 100, 0, 1e9);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "serving/freshness.h"
 #include "serving/retry_window.h"
 #include "settings/toml_reader.h"
 #include "transport/socket_address.h"
@@ -25,8 +26,10 @@
   SocketAddress peers;
   // The platform's store.
   SocketAddress store;
-  // How long an API key may be vouched for after the configuration was read.
+  // How long an API key may be vouched for after the configuration was read, and
+  // whether that bound holds at all.
   Duration key_trust = seconds(5);
+  KeyTrust key_trust_mode = KeyTrust::kBounded;
   // How long after an engine's leaving was announced it may still get new work.
   Duration leaving_bound = seconds(2);
   RetryBounds retry;
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -260,6 +260,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(WhereTakingKeysAwayIsNotBoundedASilentStoreRefusesNobody) {
+  WorldOptions options;
+  options.key_trust = milliseconds(600);
+  options.key_trust_mode = KeyTrust::kUntilChanged;
+  auto world = StartedWorld(options);
+  BOOST_TEST(world->RunUntil(
+      [&] { return world->Call(world->StreamRequest("before")).head.status == 200; }));
+  world->store.SetTrouble(StoreTrouble::kSilent);
+  // Past the bound, where bounded keys would have been refused.
+  Time silent_since = Now();
+  BOOST_TEST(world->RunUntil([&] { return Now() - silent_since > 2 * options.key_trust; }));
+  BOOST_TEST(world->Call(world->StreamRequest("during")).head.status == 200);
+  BOOST_TEST(world->gateway->IsReady());
+}
+
 // Every call has its price, a refused one too.
 BOOST_AUTO_TEST_CASE(WhoWaitsForTheStoreTriesInTurnAndTheFirstAnswerFreesAll) {
   EventLoop loop;
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -96,6 +96,7 @@
   settings.callers = settings.ready = settings.metrics = settings.peers = {"127.0.0.1", 0};
   settings.store = this->store.address();
   settings.key_trust = this->options.key_trust;
+  settings.key_trust_mode = this->options.key_trust_mode;
   settings.stop_grace = this->options.stop_grace;
   this->gateway = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/1);
   absl::Status status = this->gateway->Start();
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -33,6 +33,7 @@
   EngineStandin::Options engine = {};
   // For the gateway.
   Duration key_trust = seconds(5);
+  KeyTrust key_trust_mode = KeyTrust::kBounded;
   Duration stop_grace = seconds(8);
 };
 
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -373,6 +373,15 @@
   BOOST_TEST(freshness.IsFresh(kStart + seconds(4)));
 }
 
+BOOST_AUTO_TEST_CASE(KeysHoldUntilChangedWhereTakingThemAwayIsNotBounded) {
+  KeyFreshness freshness(seconds(5), KeyTrust::kUntilChanged);
+  // Nothing has been read yet: there are no keys to vouch for.
+  BOOST_TEST(!freshness.IsFresh(kStart));
+  freshness.Confirm(kStart);
+  BOOST_TEST(freshness.IsFresh(kStart + seconds(5)));
+  BOOST_TEST(freshness.IsFresh(kStart + seconds(3600)));
+}
+
 // Processes that hear of each other's proofs after `delay`, or never.
 struct ProofRun {
   int proofs = 0;
