Every mechanism of the gateway's choice has a setting that switches it off

Cause: the ablation needs each mechanism switched off alone, by a checked setting and not by an edit of the code.

Change: serving/mechanisms.h, a value type of seven switches, each on by default: refusal_by_cost, spread_reading, shared_order, peer_loads, peer_set_aside, own_set_aside, leave_silent_engines. The gateway's settings read them as use_<name> (booleans; a wrong type is an error with its key). The Fleet holds them; placement's Choose takes spread_reading; the exchange asks for refusal_by_cost and leave_silent_engines; the load exchange for peer_loads. Key trust has its own setting already (strict_revoke).

Tests: placement_test WithoutSpreadingAPromptIsReadByOneEngine, serving_test EachSetAsideCanBeSwitchedOffAlone, gateway_test SettingsSwitchMechanismsOffAndSayWhatIsWrong (none compiled before).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -106,7 +106,8 @@
     return;
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
-  if (first_time && ShouldRefuse(choice->placement, demand)) {
+  bool by_cost = this->state->fleet.mechanisms().refusal_by_cost;
+  if (first_time && by_cost && ShouldRefuse(choice->placement, demand)) {
     this->LogOverload(choice->placement, demand);
     this->Refuse(ResultCode::kOverloaded);
     return;
@@ -513,6 +514,7 @@
     this->GiveUp();
     return;
   }
+  if (!this->state->fleet.mechanisms().leave_silent_engines) return;
   if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,7 +54,8 @@
         settings(gateway_settings),
         log(event_log),
         keys(gateway_settings.key_trust, gateway_settings.key_trust_mode),
-        fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre),
+        fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre,
+              gateway_settings.mechanisms),
         pool(event_loop),
         random(random_seed) {}
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -91,6 +91,7 @@
   if (digest->freshness) this->HearNote(*digest);
   Time now = Now();
   this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+  if (!this->fleet->mechanisms().peer_loads) return;
   this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
                                  now);
 }
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -21,6 +21,18 @@
   return KeyTrust::kBounded;
 }
 
+Mechanisms ReadMechanisms(TomlReader& reader) {
+  Mechanisms on;
+  on.refusal_by_cost = reader.Boolean("use_refusal_by_cost", true);
+  on.spread_reading = reader.Boolean("use_spread_reading", true);
+  on.shared_order = reader.Boolean("use_shared_order", true);
+  on.peer_loads = reader.Boolean("use_peer_loads", true);
+  on.peer_set_aside = reader.Boolean("use_peer_set_aside", true);
+  on.own_set_aside = reader.Boolean("use_own_set_aside", true);
+  on.leave_silent_engines = reader.Boolean("use_leave_silent_engines", true);
+  return on;
+}
+
 }  // namespace
 
 GatewaySettings ReadGatewaySettings(const toml::table& table, const std::string& file,
@@ -41,6 +53,7 @@
   settings.retry.slack = reader.Number("retry_slack", 100, 0, 1e9);
   settings.retry.window = FromSeconds(reader.Number("retry_window_seconds", 10, 0.1, kDaySeconds));
   settings.stop_grace = FromSeconds(reader.Number("stop_grace_seconds", 8, 0, kDaySeconds));
+  settings.mechanisms = ReadMechanisms(reader);
   reader.Finish();
   return settings;
 }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "serving/freshness.h"
+#include "serving/mechanisms.h"
 #include "serving/retry_window.h"
 #include "settings/toml_reader.h"
 #include "transport/socket_address.h"
@@ -33,6 +34,8 @@
   // How long after an engine's leaving was announced it may still get new work.
   Duration leaving_bound = seconds(2);
   RetryBounds retry;
+  // Each on unless the file switches it off: `use_` and the field's name.
+  Mechanisms mechanisms;
   // From the stop signal to the kill.
   Duration stop_grace = seconds(8);
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "gateway/settings.h"
 #include "gateway/testing/gateway_world.h"
 #include "platform/headers.h"
 
@@ -260,6 +261,45 @@
   }
 }
 
+// Settings that switch mechanisms off, and what the gateway makes of them.
+BOOST_AUTO_TEST_CASE(SettingsSwitchMechanismsOffAndSayWhatIsWrong) {
+  struct Case {
+    std::string lines;
+    size_t errors;
+    Mechanisms mechanisms;
+    KeyTrust trust;
+  };
+  Mechanisms no_spread;
+  no_spread.spread_reading = false;
+  Mechanisms none{false, false, false, false, false, false, false};
+  const std::vector<Case> cases = {
+      {"", 0, {}, KeyTrust::kBounded},
+      {"strict_revoke = \"\"\n", 0, {}, KeyTrust::kBounded},
+      {"strict_revoke = \"false\"\n", 0, {}, KeyTrust::kUntilChanged},
+      {"strict_revoke = \"maybe\"\n", 1, {}, KeyTrust::kBounded},
+      {"use_spread_reading = false\n", 0, no_spread, KeyTrust::kBounded},
+      {"use_spread_reading = 0\n", 1, {}, KeyTrust::kBounded},
+      {"use_refusal_by_cost = false\nuse_spread_reading = false\nuse_shared_order = false\n"
+       "use_peer_loads = false\nuse_peer_set_aside = false\nuse_own_set_aside = false\n"
+       "use_leave_silent_engines = false\n",
+       0, none, KeyTrust::kBounded},
+  };
+  const std::string required =
+      "box = \"b\"\ndata_centre = \"d\"\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n"
+      "peers = \"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\n";
+  for (const Case& one : cases) {
+    std::vector<ConfigError> errors;
+    std::optional<toml::table> table = ParseToml(required + one.lines, "gateway.toml", &errors);
+    BOOST_TEST_REQUIRE(table.has_value());
+    GatewaySettings settings = ReadGatewaySettings(*table, "gateway.toml", &errors);
+    BOOST_TEST_CONTEXT(one.lines) {
+      BOOST_TEST(errors.size() == one.errors);
+      BOOST_TEST((settings.mechanisms == one.mechanisms));
+      BOOST_TEST((settings.key_trust_mode == one.trust));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(WhereTakingKeysAwayIsNotBoundedASilentStoreRefusesNobody) {
   WorldOptions options;
   options.key_trust = milliseconds(600);
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -16,8 +16,10 @@
 
 }  // namespace
 
-Fleet::Fleet(const RetryBounds& bounds, std::string own_box, std::string own_data_centre)
+Fleet::Fleet(const RetryBounds& bounds, std::string own_box, std::string own_data_centre,
+             const Mechanisms& mechanisms)
     : retry_bounds(bounds),
+      switches(mechanisms),
       data_centre(std::move(own_data_centre)),
       suspicion(std::move(own_box)) {}
 
@@ -52,13 +54,14 @@
 
 void Fleet::HearSetAside(const std::string& peer, const std::set<std::string>& set_aside,
                          Time now) {
+  if (!this->switches.peer_set_aside) return;
   this->suspicion.Hear(peer, set_aside, this->engines.size(), now);
 }
 
 // Whether an engine gets no work while there are others.
 bool Fleet::Avoids(const std::string& engine, Time now) {
   const EngineHealth& record = this->health[engine];
-  if (record.IsOut(now)) return true;
+  if (this->switches.own_set_aside && record.IsOut(now)) return true;
   return this->suspicion.Suspects(engine, now) && !record.SucceededLately(now);
 }
 
@@ -95,11 +98,12 @@
     candidate.slots = engine.slots;
     candidate.same_data_centre = engine.data_centre == this->data_centre;
     candidate.failure_rate = this->health[engine.id].FailureRate(now);
-    candidate.rank = static_cast<double>(i) / last;
+    candidate.rank = this->switches.shared_order ? static_cast<double>(i) / last : 0;
     candidates.push_back(std::move(candidate));
   }
   FleetChoice choice;
-  choice.placement = service.runs_models ? gullward::Choose(candidates, service.speed, demand)
+  choice.placement = service.runs_models ? gullward::Choose(candidates, service.speed, demand,
+                                                            this->switches.spread_reading)
                                          : ChooseLeastLoaded(candidates);
   choice.candidates = candidates.size();
   const std::vector<size_t>& chosen = choice.placement.engines;
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -16,6 +16,7 @@
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
 #include "serving/engine_load.h"
+#include "serving/mechanisms.h"
 #include "serving/peer_suspicion.h"
 #include "serving/placement.h"
 #include "serving/retry_window.h"
@@ -38,7 +39,11 @@
 
 class Fleet {
  public:
-  Fleet(const RetryBounds& retry_bounds, std::string own_box, std::string own_data_centre);
+  Fleet(const RetryBounds& retry_bounds, std::string own_box, std::string own_data_centre,
+        const Mechanisms& mechanisms = Mechanisms{});
+
+  // Which mechanisms are switched on.
+  const Mechanisms& mechanisms() const { return this->switches; }
 
   EngineDirectory& directory() { return this->engines; }
   const EngineDirectory& directory() const { return this->engines; }
@@ -77,6 +82,7 @@
                                             const std::set<std::string>& tried, Time now);
 
   RetryBounds retry_bounds;
+  Mechanisms switches;
   std::optional<size_t> processes;
   std::string data_centre;
   EngineDirectory engines;
--- /dev/null
+++ b/src/serving/mechanisms.h
@@ -0,0 +1,48 @@
+// Switches for the mechanisms by which a gateway chooses engines and refuses
+// work, each on by default.
+//
+// Every mechanism can be switched off alone, so that what it is worth can be
+// measured: play the same day with and without it, and compare.  Switched off,
+// a mechanism falls back to the plainest choice that still serves (see each
+// field); no switch lets a rule be broken.  docs/WORTH.md holds the table of
+// what each was worth when it was last measured.
+//
+//   Mechanisms mechanisms;
+//   mechanisms.refusal_by_cost = false;     // refuse only what cannot be run
+//   Fleet fleet(bounds, "box-1", "hall-1", mechanisms);
+
+#ifndef GULLWARD_SERVING_MECHANISMS_H_
+#define GULLWARD_SERVING_MECHANISMS_H_
+
+namespace gullward {
+
+struct Mechanisms {
+  // A first try whose cost to others is over what it earns is refused at once,
+  // with when to come back.  Off: it is sent to the cheapest engine anyway.
+  bool refusal_by_cost = true;
+  // A long prompt is read by several engines in parts.  Off: by one engine,
+  // so a prompt over one engine's memory finds no engine.
+  bool spread_reading = true;
+  // Shorts fill engines in one order that all gateways share, vast prompts
+  // from its other end.  Off: all engines rank alike.
+  bool shared_order = true;
+  // The work that peers have sent to each engine is counted in its load.  Off:
+  // each gateway knows its own work only (it still tells its own).
+  bool peer_loads = true;
+  // Two peers' words set an engine aside here too.  Off: only this gateway's
+  // own failures do.
+  bool peer_set_aside = true;
+  // Engines that failed of late get no work while there are others.  Off:
+  // their failure rate still weighs in their price.
+  bool own_set_aside = true;
+  // An attempt whose engine is silent for longer than expected is left for
+  // another engine where the request may run again.  Off: it waits until the
+  // engine answers or the request's time is over.
+  bool leave_silent_engines = true;
+
+  bool operator==(const Mechanisms&) const = default;
+};
+
+}  // namespace gullward
+
+#endif  // GULLWARD_SERVING_MECHANISMS_H_
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -116,11 +116,12 @@
 }  // namespace
 
 Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
-                 const Demand& demand) {
+                 const Demand& demand, bool spread_reading) {
   Placement best;
   if (candidates.empty()) return best;
   best.cost = std::numeric_limits<double>::infinity();
-  int most = std::min(UsefulReaders(speed, demand), static_cast<int>(candidates.size()));
+  int useful = spread_reading ? UsefulReaders(speed, demand) : 1;
+  int most = std::min(useful, static_cast<int>(candidates.size()));
   for (int readers = 1; readers <= most; ++readers) {
     Placement placement = ChooseWithReaders(candidates, speed, demand, readers);
     if (!placement.engines.empty() && placement.cost < best.cost) best = placement;
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -99,7 +99,7 @@
 
 // For engines that run models.
 Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
-                 const Demand& demand);
+                 const Demand& demand, bool spread_reading = true);
 
 // Whether a request is better refused at once and told when to come back: what it
 // would cost others (pauses of their streams, and engine time that busy engines
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -103,6 +103,15 @@
   BOOST_TEST(other.engines.front() != 3u);
 }
 
+BOOST_AUTO_TEST_CASE(WithoutSpreadingAPromptIsReadByOneEngine) {
+  std::vector<Candidate> engines = Engines(4);
+  BOOST_TEST(Choose(engines, Speed(), Vast(250'000)).engines.size() > 1u);
+  BOOST_TEST(Choose(engines, Speed(), Vast(250'000), /*spread_reading=*/false).engines.size() ==
+             1u);
+  // What no one engine can hold finds none.
+  BOOST_TEST(Choose(engines, Speed(), Vast(900'000), false).engines.empty());
+}
+
 BOOST_AUTO_TEST_CASE(AnEngineThatFailsIsAvoided) {
   std::vector<Candidate> engines = Engines(3);
   engines[0].failure_rate = 0.6;
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -362,6 +362,45 @@
   BOOST_TEST(fleet.SetAside(kStart).empty());
 }
 
+// Twelve engines: e0 could not be reached once, the others run forty requests each.
+// Whether a request gets e0, and what one failure of e1 does once two peers have
+// named it, with each switch.
+BOOST_AUTO_TEST_CASE(EachSetAsideCanBeSwitchedOffAlone) {
+  struct Case {
+    std::string name;
+    Mechanisms mechanisms;
+    bool gets_e0;
+    std::set<std::string> set_aside_after_named;
+  };
+  Mechanisms no_own;
+  no_own.own_set_aside = false;
+  Mechanisms no_peers;
+  no_peers.peer_set_aside = false;
+  const std::vector<Case> cases = {
+      {"all on", {}, false, {"e0", "e1"}},
+      {"own set-aside off", no_own, true, {"e0", "e1"}},
+      {"peers' words off", no_peers, false, {"e0"}},
+  };
+  for (const Case& one : cases) {
+    Fleet fleet({}, "us", "hall", one.mechanisms);
+    uint64_t work = 0;
+    for (int i = 0; i < 12; ++i) {
+      std::string id = "e" + std::to_string(i);
+      fleet.directory().Update({id, "apps", {"127.0.0.1", 1}, "hall", 8, false});
+      for (int k = 0; i > 0 && k < 40; ++k) fleet.loads().Begin(work++, {{id}}, kStart);
+    }
+    fleet.NoteFailure("e0", /*unreachable=*/true, kStart);
+    Service service;
+    service.name = "apps";
+    BOOST_TEST_CONTEXT(one.name) {
+      BOOST_TEST((fleet.Choose(service, {}, {}, kStart)->engine.id == "e0") == one.gets_e0);
+      for (const char* peer : {"a", "b"}) fleet.HearSetAside(peer, {"e1"}, kStart);
+      fleet.NoteFailure("e1", /*unreachable=*/false, kStart);
+      BOOST_TEST((fleet.SetAside(kStart) == one.set_aside_after_named));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreTrustedFromTheSendingOfTheRead) {
   KeyFreshness freshness(seconds(5));
   BOOST_TEST(!freshness.IsFresh(kStart));
