--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -109,7 +109,7 @@
   bool by_cost = this->state->fleet.mechanisms().refusal_by_cost;
   if (first_time && by_cost && ShouldRefuse(choice->placement, demand)) {
     this->LogOverload(choice->placement, demand);
-    this->Refuse(ResultCode::kOverloaded, this->ComeBackMs(choice->placement, demand));
+    this->Refuse(ResultCode::kOverloaded);
     return;
   }
   if (choice->placement.spreads_memory) {
@@ -204,8 +204,7 @@
                               .Number("slot_wait_ms", placement.slot_wait_ms)
                               .Number("harm", placement.harm)
                               .Number("busy", placement.busy)
-                              .Number("engine_seconds", placement.engine_seconds)
-                              .Number("come_back_ms", this->ComeBackMs(placement, demand)));
+                              .Number("engine_seconds", placement.engine_seconds));
 }
 
 // Second attempts always get their line, first ones a sample.
@@ -473,18 +472,11 @@
   channel->Answer(head, body);
 }
 
-// When a caller refused for its cost is told to come back, in milliseconds.
-double Exchange::ComeBackMs(const Placement& placement, const Demand& demand) const {
-  if (!this->state->fleet.mechanisms().come_back_after_work_ahead) return 0;
-  double timeout_ms = ToSeconds(this->admission.route->timeout) * 1000;
-  return gullward::ComeBackMs(placement, demand, timeout_ms);
-}
-
 // Answers with a failure of our own.
-void Exchange::Refuse(ResultCode code, double come_back_ms) {
+void Exchange::Refuse(ResultCode code) {
   this->state->counters.failures[code] += 1;
   this->LogFailure(code);
-  AnswerHead head = FailureHead(code, this->facts.attempt_id, this->admission.route, come_back_ms);
+  AnswerHead head = FailureHead(code, this->facts.attempt_id, this->admission.route);
   std::shared_ptr<CallerChannel> channel = this->caller;
   this->Finish();
   channel->Answer(head, FailureBody(code));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,10 +89,7 @@
   void BeginAnswer(std::optional<uint64_t> length);
   AnswerHead TakeAnswerHead();
   void DeliverWhole();
-  double ComeBackMs(const Placement& placement, const Demand& demand) const;
-  // Answers with a failure of our own; a refusal for now says to come back after
-  // `come_back_ms` at the earliest.
-  void Refuse(ResultCode code, double come_back_ms = 0);
+  void Refuse(ResultCode code);
   void LogFailure(ResultCode code);
   void GiveUp();
   void CancelAttempt();
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -23,8 +23,7 @@
 
 }  // namespace
 
-AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
-                       double come_back_ms) {
+AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route) {
   const ResultCodeInfo& info = Info(code);
   AnswerHead head;
   head.status = info.http_status;
@@ -33,8 +32,7 @@
   head.headers.emplace_back("Content-Type", "application/json");
   bool come_back = info.http_status == 503 || info.http_status == 429;
   if (come_back) {
-    head.headers.emplace_back(platform::kRetryAfter,
-                              absl::StrCat(std::max(ComeBackSeconds(route), come_back_ms / 1000)));
+    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(ComeBackSeconds(route)));
   }
   return head;
 }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -17,11 +17,9 @@
 
 // The status and the fields of the answer.  A caller that was refused for now is told
 // when to come back: in time for the route's objective still, but not before engines
-// can have got anywhere, and not before `come_back_ms` where the refusal knows how
-// long the work ahead lasts.  The attempt's id may be empty, and the route null where
-// none was found.
-AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
-                       double come_back_ms = 0);
+// can have got anywhere.  The attempt's id may be empty, and the route null where none
+// was found.
+AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route);
 
 // The code's row of the table of result codes, as JSON.
 std::string FailureBody(ResultCode code);
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -30,7 +30,6 @@
   on.peer_set_aside = reader.Boolean("use_peer_set_aside", true);
   on.own_set_aside = reader.Boolean("use_own_set_aside", true);
   on.leave_silent_engines = reader.Boolean("use_leave_silent_engines", true);
-  on.come_back_after_work_ahead = reader.Boolean("use_come_back_after_work_ahead", true);
   return on;
 }
 
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -39,9 +39,6 @@
   // another engine where the request may run again.  Off: it waits until the
   // engine answers or the request's time is over.
   bool leave_silent_engines = true;
-  // A caller refused for the cost of its request is told to come back when the
-  // work ahead of it is expected to be done.  Off: after the route's usual pause.
-  bool come_back_after_work_ahead = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -142,12 +142,6 @@
   return slots_bind && placement.first_event_ms > demand.objective_ms;
 }
 
-double ComeBackMs(const Placement& placement, const Demand& demand, double timeout_ms) {
-  double ahead_ms = placement.first_event_ms - demand.objective_ms;
-  double latest_ms = (timeout_ms - demand.objective_ms) / 2;
-  return std::clamp(ahead_ms, 0.0, std::max(latest_ms, 0.0));
-}
-
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates) {
   Placement best;
   best.cost = std::numeric_limits<double>::infinity();
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -107,14 +107,6 @@
 // one alone makes its answer late.  Never on engines that are idle.
 bool ShouldRefuse(const Placement& placement, const Demand& demand);
 
-// Milliseconds after which a caller that ShouldRefuse turned away had best come
-// back: when the work ahead of it on the engines chosen is expected to be done,
-// that is by as much as its first event would have come later than its objective.
-// Worth counts from the first try, so coming back sooner only meets the same work
-// and a second refusal.  At most half of what the route's timeout leaves after the
-// objective, so that a late answer is still possible; 0 where nothing is ahead.
-double ComeBackMs(const Placement& placement, const Demand& demand, double timeout_ms);
-
 // For plain services: the least loaded for its slots.
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates);
 
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -112,30 +112,6 @@
   BOOST_TEST(Choose(engines, Speed(), Vast(900'000), false).engines.empty());
 }
 
-BOOST_AUTO_TEST_CASE(ARefusedCallerIsToldToComeBackWhenTheWorkAheadIsDone) {
-  struct Case {
-    double first_event_ms;
-    double objective_ms;
-    double timeout_ms;
-    double come_back_ms;
-  };
-  const std::vector<Case> cases = {
-      {200, 300, 10'000, 0},           // in time: nothing ahead to wait for
-      {900, 300, 10'000, 600},         // the work ahead takes 600 ms more than allowed
-      {6'900, 3'000, 15'000, 3'900},   // a vast prompt behind others' reading
-      {40'000, 3'000, 15'000, 6'000},  // never later than half of what is left after the aim
-  };
-  for (const Case& one : cases) {
-    Placement placement;
-    placement.first_event_ms = one.first_event_ms;
-    Demand demand;
-    demand.objective_ms = one.objective_ms;
-    BOOST_TEST_CONTEXT(one.first_event_ms) {
-      BOOST_TEST(ComeBackMs(placement, demand, one.timeout_ms) == one.come_back_ms);
-    }
-  }
-}
-
 BOOST_AUTO_TEST_CASE(AnEngineThatFailsIsAvoided) {
   std::vector<Candidate> engines = Engines(3);
   engines[0].failure_rate = 0.6;
