--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,5 +1,6 @@
 // In the order of a request's course: admitted, an engine chosen, an attempt sent,
-// its answer passed on, and what follows when it ends, or the clock runs out.
+// its answer passed on, and what follows when it ends.  What it writes to the log is
+// in exchange_log.cc; when it stops waiting, in exchange_timeouts.cc.
 
 #include "gateway/exchange.h"
 
@@ -9,7 +10,6 @@
 #include "gateway/failure_answer.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
-#include "serving/engine_patience.h"
 
 namespace gullward {
 namespace {
@@ -25,22 +25,6 @@
 // Sets of engines that are asked for memory before a request is refused.
 constexpr int kMostTicketRounds = 4;
 
-// How a connection to an engine ended, for the log; nothing if it had not.
-std::string_view NameOf(std::optional<ChannelResult> result) {
-  if (!result) return "open";
-  switch (*result) {
-    case ChannelResult::kWholeAnswer:
-      return "answered";
-    case ChannelResult::kNotSent:
-      return "not sent";
-    case ChannelResult::kClosedUnanswered:
-      return "closed unanswered";
-    case ChannelResult::kBroken:
-      return "broken";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -53,14 +37,6 @@
       config(gateway_state->config),
       times(this->request.arrived) {}
 
-LogLine Exchange::Line(std::string_view event) const {
-  LogLine line(event);
-  line.Text("request", this->facts.attempt_id);
-  if (this->admission.route != nullptr) line.Text("route", this->admission.route->name);
-  line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
-  return line;
-}
-
 void Exchange::Start(Time now) {
   this->state->counters.requests += 1;
   ResultCode admitted =
@@ -194,35 +170,6 @@
   return orders;
 }
 
-// What the refusal was decided by.
-void Exchange::LogOverload(const Placement& placement, const Demand& demand) {
-  this->state->log->Write(this->Line("overload_inputs")
-                              .Number("prompt_tokens", demand.prompt_tokens)
-                              .Number("came_back", demand.came_back ? 1 : 0)
-                              .Number("readers", static_cast<double>(placement.engines.size()))
-                              .Number("expected_first_ms", placement.first_event_ms)
-                              .Number("slot_wait_ms", placement.slot_wait_ms)
-                              .Number("harm", placement.harm)
-                              .Number("busy", placement.busy)
-                              .Number("engine_seconds", placement.engine_seconds));
-}
-
-// Second attempts always get their line, first ones a sample.
-void Exchange::LogAttempt(const FleetChoice& choice) {
-  if (this->attempts <= 1 && !this->state->log->Sample()) return;
-  this->state->log->Write(
-      this->Line("attempt")
-          .Text("engine", choice.engine.id)
-          .Number("attempt", this->attempts)
-          .Number("candidates", static_cast<double>(choice.candidates))
-          .Number("readers", static_cast<double>(choice.readers.size() + 1))
-          .Number("prompt_tokens", this->facts.prompt_tokens)
-          .Number("engine_requests", choice.load.requests)
-          .Number("engine_reading_ms", choice.load.ToReadMs())
-          .Number("expected_first_ms", choice.placement.first_event_ms)
-          .Number("config", static_cast<double>(this->config->config().version)));
-}
-
 // The exchange may be gone by the time an engine answers.
 RequestChannel::Hooks Exchange::AttemptHooks() {
   std::weak_ptr<Exchange> weak = this->weak_from_this();
@@ -307,23 +254,6 @@
   this->state->fleet.loads().FirstEvent(this->id);
 }
 
-// A late answer always gets its line: someone may ask why.
-void Exchange::LogAnswered() {
-  const Route& on = *this->admission.route;
-  Duration first = this->times.FirstAfter(on, Now());
-  this->times.Count(on, this->facts.prompt_tokens, first, &this->state->counters);
-  bool late = this->times.IsLate(on, first);
-  if (!late && !this->state->log->Sample()) return;
-  LogLine line = this->Line(late ? "answered_late" : "answered");
-  line.Text("engine", this->attempt->engine.id)
-      .Number("status", this->attempt->head.status)
-      .Number("attempts", this->attempts)
-      .Number("prompt_tokens", this->facts.prompt_tokens)
-      .Number("expected_first_ms", this->attempt->expected_first_ms);
-  this->times.Describe(on, first, &line);
-  this->state->log->Write(line);
-}
-
 void Exchange::PassBody(std::string_view bytes) {
   if (this->answer_begun) {
     this->caller->WritePart(bytes);
@@ -482,78 +412,6 @@
   channel->Answer(head, FailureBody(code));
 }
 
-// Which engine had the request, and how far it had come with it.
-void Exchange::LogFailure(ResultCode code) {
-  const ResultCodeInfo& info = Info(code);
-  LogLine line = this->Line(info.name);
-  line.Number("code", static_cast<double>(code))
-      .Number("status", info.http_status)
-      .Number("attempts", this->attempts);
-  if (this->attempt) {
-    line.Text("engine", this->attempt->engine.id)
-        .Number("engine_status", this->attempt->head.status)
-        .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
-        .Text("connection", NameOf(this->attempt->ended));
-  }
-  this->state->log->Write(line);
-}
-
-// Within how long the engine should send its next event; a plain service, its answer.
-double Exchange::ExpectedSilenceMs() const {
-  const Route& route = *this->admission.route;
-  if (!this->service->runs_models) return ToSeconds(route.objective) * 1000;
-  if (this->attempt->any_event) return ToSeconds(route.longest_pause) * 1000;
-  return this->attempt->expected_first_ms;
-}
-
-void Exchange::Tick(Time now) {
-  if (this->is_finished) return;
-  if (this->tickets) this->tickets->Tick(now);
-  if (!this->attempt) return;
-  if (now >= this->admission.answer_by) {
-    this->GiveUp();
-    return;
-  }
-  if (!this->state->fleet.mechanisms().leave_silent_engines) return;
-  if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
-}
-
-bool Exchange::IsTooSilent(Time now) const {
-  Duration silent = now - this->attempt->last_progress;
-  if (silent < PatienceWith(this->ExpectedSilenceMs())) return false;
-  const EngineRecord& engine = this->attempt->engine;
-  EngineLoad load = this->state->fleet.loads().Of(engine.id, now);
-  return !ExcusesSilence(load, engine.slots, silent);
-}
-
-// Whether the request could be sent again if the attempt under way ended now, perhaps
-// after it ran.
-bool Exchange::MayTryAnother(Time now) const {
-  RequestState decision = this->StateForDecision(now);
-  decision.attempts_run += 1;
-  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return false;
-  return this->state->fleet.RetriesOf(this->service->name).Left(now) >= 1;
-}
-
-void Exchange::LeaveSilentEngine(Time now) {
-  Duration silent = now - this->attempt->last_progress;
-  this->state->log->Write(this->Line("engine_silent")
-                              .Text("engine", this->attempt->engine.id)
-                              .Number("silent_ms", ToSeconds(silent) * 1000));
-  this->state->fleet.NoteFailure(this->attempt->engine.id, /*unreachable=*/false, now);
-  this->attempt->channel->Close();
-  this->AfterAttempt(AttemptResult::kUnknown);
-}
-
-void Exchange::GiveUp() {
-  this->CancelAttempt();
-  if (this->answer_begun) {
-    this->Follow(NextStep::kBreakOff, AttemptResult::kUnknown);
-  } else {
-    this->Refuse(ResultCode::kDeadlineExceeded);
-  }
-}
-
 void Exchange::CancelAttempt() {
   if (this->attempt) this->attempt->channel->Close();
   this->DropTickets();
--- /dev/null
+++ b/src/gateway/exchange_log.cc
@@ -0,0 +1,100 @@
+// What an exchange writes to the log: one line an event, with the request, its
+// route and its age, and the figures that the decision was taken by.  Lines of
+// success are sampled; refusals, retries, late answers and failures always get one.
+
+#include <string>
+
+#include "gateway/exchange.h"
+
+namespace gullward {
+namespace {
+
+// How a connection to an engine ended, for the log; nothing if it had not.
+std::string_view NameOf(std::optional<ChannelResult> result) {
+  if (!result) return "open";
+  switch (*result) {
+    case ChannelResult::kWholeAnswer:
+      return "answered";
+    case ChannelResult::kNotSent:
+      return "not sent";
+    case ChannelResult::kClosedUnanswered:
+      return "closed unanswered";
+    case ChannelResult::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+LogLine Exchange::Line(std::string_view event) const {
+  LogLine line(event);
+  line.Text("request", this->facts.attempt_id);
+  if (this->admission.route != nullptr) line.Text("route", this->admission.route->name);
+  line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
+  return line;
+}
+
+// What the refusal was decided by.
+void Exchange::LogOverload(const Placement& placement, const Demand& demand) {
+  this->state->log->Write(this->Line("overload_inputs")
+                              .Number("prompt_tokens", demand.prompt_tokens)
+                              .Number("came_back", demand.came_back ? 1 : 0)
+                              .Number("readers", static_cast<double>(placement.engines.size()))
+                              .Number("expected_first_ms", placement.first_event_ms)
+                              .Number("slot_wait_ms", placement.slot_wait_ms)
+                              .Number("harm", placement.harm)
+                              .Number("busy", placement.busy)
+                              .Number("engine_seconds", placement.engine_seconds));
+}
+
+// Second attempts always get their line, first ones a sample.
+void Exchange::LogAttempt(const FleetChoice& choice) {
+  if (this->attempts <= 1 && !this->state->log->Sample()) return;
+  this->state->log->Write(
+      this->Line("attempt")
+          .Text("engine", choice.engine.id)
+          .Number("attempt", this->attempts)
+          .Number("candidates", static_cast<double>(choice.candidates))
+          .Number("readers", static_cast<double>(choice.readers.size() + 1))
+          .Number("prompt_tokens", this->facts.prompt_tokens)
+          .Number("engine_requests", choice.load.requests)
+          .Number("engine_reading_ms", choice.load.ToReadMs())
+          .Number("expected_first_ms", choice.placement.first_event_ms)
+          .Number("config", static_cast<double>(this->config->config().version)));
+}
+
+// A late answer always gets its line: someone may ask why.
+void Exchange::LogAnswered() {
+  const Route& on = *this->admission.route;
+  Duration first = this->times.FirstAfter(on, Now());
+  this->times.Count(on, this->facts.prompt_tokens, first, &this->state->counters);
+  bool late = this->times.IsLate(on, first);
+  if (!late && !this->state->log->Sample()) return;
+  LogLine line = this->Line(late ? "answered_late" : "answered");
+  line.Text("engine", this->attempt->engine.id)
+      .Number("status", this->attempt->head.status)
+      .Number("attempts", this->attempts)
+      .Number("prompt_tokens", this->facts.prompt_tokens)
+      .Number("expected_first_ms", this->attempt->expected_first_ms);
+  this->times.Describe(on, first, &line);
+  this->state->log->Write(line);
+}
+
+// Which engine had the request, and how far it had come with it.
+void Exchange::LogFailure(ResultCode code) {
+  const ResultCodeInfo& info = Info(code);
+  LogLine line = this->Line(info.name);
+  line.Number("code", static_cast<double>(code))
+      .Number("status", info.http_status)
+      .Number("attempts", this->attempts);
+  if (this->attempt) {
+    line.Text("engine", this->attempt->engine.id)
+        .Number("engine_status", this->attempt->head.status)
+        .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
+        .Text("connection", NameOf(this->attempt->ended));
+  }
+  this->state->log->Write(line);
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/gateway/exchange_timeouts.cc
@@ -0,0 +1,68 @@
+// When an exchange stops waiting.  Each tick asks whether the request's time is
+// over (then it is given up: broken off where an answer has begun, else refused
+// with a code that promises nothing), and whether its engine has been silent for
+// longer than its expected next event and its load can explain (then the attempt
+// is left for another engine, where the request may run again).
+
+#include "gateway/exchange.h"
+#include "serving/engine_patience.h"
+
+namespace gullward {
+
+// Within how long the engine should send its next event; a plain service, its answer.
+double Exchange::ExpectedSilenceMs() const {
+  const Route& route = *this->admission.route;
+  if (!this->service->runs_models) return ToSeconds(route.objective) * 1000;
+  if (this->attempt->any_event) return ToSeconds(route.longest_pause) * 1000;
+  return this->attempt->expected_first_ms;
+}
+
+void Exchange::Tick(Time now) {
+  if (this->is_finished) return;
+  if (this->tickets) this->tickets->Tick(now);
+  if (!this->attempt) return;
+  if (now >= this->admission.answer_by) {
+    this->GiveUp();
+    return;
+  }
+  if (!this->state->fleet.mechanisms().leave_silent_engines) return;
+  if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
+}
+
+bool Exchange::IsTooSilent(Time now) const {
+  Duration silent = now - this->attempt->last_progress;
+  if (silent < PatienceWith(this->ExpectedSilenceMs())) return false;
+  const EngineRecord& engine = this->attempt->engine;
+  EngineLoad load = this->state->fleet.loads().Of(engine.id, now);
+  return !ExcusesSilence(load, engine.slots, silent);
+}
+
+// Whether the request could be sent again if the attempt under way ended now, perhaps
+// after it ran.
+bool Exchange::MayTryAnother(Time now) const {
+  RequestState decision = this->StateForDecision(now);
+  decision.attempts_run += 1;
+  if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return false;
+  return this->state->fleet.RetriesOf(this->service->name).Left(now) >= 1;
+}
+
+void Exchange::LeaveSilentEngine(Time now) {
+  Duration silent = now - this->attempt->last_progress;
+  this->state->log->Write(this->Line("engine_silent")
+                              .Text("engine", this->attempt->engine.id)
+                              .Number("silent_ms", ToSeconds(silent) * 1000));
+  this->state->fleet.NoteFailure(this->attempt->engine.id, /*unreachable=*/false, now);
+  this->attempt->channel->Close();
+  this->AfterAttempt(AttemptResult::kUnknown);
+}
+
+void Exchange::GiveUp() {
+  this->CancelAttempt();
+  if (this->answer_begun) {
+    this->Follow(NextStep::kBreakOff, AttemptResult::kUnknown);
+  } else {
+    this->Refuse(ResultCode::kDeadlineExceeded);
+  }
+}
+
+}  // namespace gullward
