--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -13,12 +13,6 @@
 constexpr Duration kGatherPeers = milliseconds(500);
 constexpr Duration kRegisterPatience = seconds(1);
 
-// Whether a peer would decide otherwise if it knew.
-bool WorthTelling(const EngineLoad& told, const EngineLoad& now) {
-  return told.requests != now.requests || told.writers != now.writers ||
-         (told.reading_ms == 0) != (now.reading_ms == 0);
-}
-
 }  // namespace
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
@@ -139,9 +133,10 @@
   // What was told and is no more is told once as zero.
   for (const auto& [engine, load] : this->told) own.try_emplace(engine);
   std::map<std::string, EngineLoad> untold;
+  bool count_reading = this->fleet->mechanisms().tell_reading;
   for (const auto& [engine, load] : own) {
     auto before = this->told.find(engine);
-    bool is_new = before == this->told.end() || WorthTelling(before->second, load);
+    bool is_new = before == this->told.end() || IsNews(before->second, load, count_reading);
     if (!is_new && !all) continue;
     untold[engine] = load;
     if (load.requests == 0 && load.reading_ms == 0) {
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -31,6 +31,7 @@
   on.own_set_aside = reader.Boolean("use_own_set_aside", true);
   on.leave_silent_engines = reader.Boolean("use_leave_silent_engines", true);
   on.blame_named_reader = reader.Boolean("use_blame_named_reader", true);
+  on.tell_reading = reader.Boolean("use_tell_reading", true);
   return on;
 }
 
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -3,6 +3,7 @@
 #include "serving/engine_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gullward {
@@ -36,6 +37,12 @@
   return sum;
 }
 
+bool IsNews(const EngineLoad& told, const EngineLoad& now, bool count_reading) {
+  if (told.requests != now.requests || told.writers != now.writers) return true;
+  if ((told.reading_ms == 0) != (now.reading_ms == 0)) return true;
+  return count_reading && std::abs(told.reading_ms - now.reading_ms) >= kReadingNewsMs;
+}
+
 void LoadBook::Begin(uint64_t work, std::vector<WorkPart> parts, Time now) {
   this->End(work);
   for (size_t i = 0; i < parts.size(); ++i) this->by_engine[parts[i].engine][work] = i;
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -53,6 +53,14 @@
 // Adds two loads of the same engine.
 EngineLoad Sum(const EngineLoad& left, const EngineLoad& right);
 
+// A change of the reading on an engine that peers must hear of: a tenth of a long
+// prompt's share when sixteen engines read it (200 to 300 ms each).
+inline constexpr double kReadingNewsMs = 20;
+
+// Whether peers would choose otherwise if they knew the load of now instead of the one
+// that they were told.  `count_reading` off: only whether there is any reading counts.
+bool IsNews(const EngineLoad& told, const EngineLoad& now, bool count_reading = true);
+
 // A request's part on one engine.
 struct WorkPart {
   std::string engine;
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -44,6 +44,10 @@
   // in use.  Off: the engine that answered is blamed, and the next attempt may ask the
   // same helper again.
   bool blame_named_reader = true;
+  // A helper's share of a prompt is told to peers though the engine was reading
+  // already.  Off: they hear of it with the next full round, half a second later, and
+  // meanwhile give the same engine more to read.
+  bool tell_reading = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -502,6 +502,45 @@
   BOOST_TEST((book.Of("e", kStart) == EngineLoad{}));
 }
 
+BOOST_AUTO_TEST_CASE(PeersAreToldOfWhatWouldChangeTheirChoice) {
+  struct Case {
+    const char* change;
+    EngineLoad told;
+    EngineLoad now;
+    bool news;
+    bool news_without_reading;
+  };
+  EngineLoad reading;
+  reading.requests = 2;
+  reading.writers = 1;
+  reading.reading_ms = 300;
+  EngineLoad one_more = reading;
+  one_more.requests = 3;
+  EngineLoad writes = reading;
+  writes.writers = 2;
+  EngineLoad helps = reading;
+  helps.reading_ms = 520;
+  EngineLoad a_little = reading;
+  a_little.reading_ms = 310;
+  EngineLoad none = reading;
+  none.reading_ms = 0;
+  const std::vector<Case> cases = {
+      {"nothing", reading, reading, false, false},
+      {"a request more", reading, one_more, true, true},
+      {"a prompt was read", reading, writes, true, true},
+      {"a helper's share more", reading, helps, true, false},
+      {"a helper's share less", helps, reading, true, false},
+      {"the reading of a short more", reading, a_little, false, false},
+      {"the last reading done", reading, none, true, true},
+  };
+  for (const Case& one : cases) {
+    BOOST_TEST_CONTEXT(one.change) {
+      BOOST_TEST(IsNews(one.told, one.now) == one.news);
+      BOOST_TEST(IsNews(one.told, one.now, /*count_reading=*/false) == one.news_without_reading);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheOldestPromptIsBeingRead) {
   LoadBook book;
   book.Begin(1, {{"e", 50'000, 300, true, 200}}, kStart);
