A read of the store that is coming in is not given up however often peers remind

Each reminder of a peer, and each proof that finds news, gave the read under way up and began it anew; on its thin link, beside its callers' streams and the prover's own reads of the same record, a whole read takes longer than 400 ms. So it never finished one: a livelock.

Ruled out: the store (it served the other 25 gateways by 22.8 s, and this one's other topics from 25.5 s), the decoder (config_invalid never logged).

Change: TopicFollower::ReadAgain gives a read up only if it has brought nothing for as long as this read is given: 0.4 s, then twice that each time up to 1.6 s, until one succeeds. StoreClient ends a call as overdue only if no bytes are coming in. The log lines are written when a read is given up.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -128,8 +128,7 @@
                         .Number("took_ms", ToSeconds(took) * 1000));
   };
   hooks.behind = [this] {
-    this->log.Write(LogLine("config_read_hangs"));
-    this->config_follower.ReadAgain();
+    if (this->config_follower.ReadAgain()) this->log.Write(LogLine("config_read_hangs"));
   };
   return hooks;
 }
@@ -153,8 +152,8 @@
   }
   if (now - this->behind_since < TopicFollower::kNewsShouldHaveCome) return;
   this->behind_since = now;
+  if (!this->config_follower.ReadAgain()) return;
   this->log.Write(LogLine("config_behind").Number("peer_version", static_cast<double>(version)));
-  this->config_follower.ReadAgain();
 }
 
 absl::Status GatewayServer::Start() {
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -12,6 +12,7 @@
   bool usable = this->channel && this->channel->reusable();
   if (!usable) this->channel = RequestChannel::Open(this->loop, this->address);
   this->incoming = {};
+  this->heard_at = Now();
   this->waiting = std::move(done);
   uint64_t number = ++this->call_count;
 
@@ -23,8 +24,14 @@
   request += call.body;
 
   RequestChannel::Hooks hooks;
-  hooks.head = [this](const ResponseHead& head) { this->incoming.status = head.status; };
-  hooks.body = [this](std::string_view bytes) { this->incoming.body.append(bytes); };
+  hooks.head = [this](const ResponseHead& head) {
+    this->heard_at = Now();
+    this->incoming.status = head.status;
+  };
+  hooks.body = [this](std::string_view bytes) {
+    this->heard_at = Now();
+    this->incoming.body.append(bytes);
+  };
   hooks.done = [this, number](ChannelResult result) {
     if (result == ChannelResult::kWholeAnswer) {
       this->Finish(number, StoreAnswer(this->incoming));
@@ -33,7 +40,24 @@
     }
   };
   this->channel->Send(request, std::move(hooks), /*is_head=*/false);
-  this->loop->RunAfter(patience, [this, number] { this->Finish(number, {0, "", "overdue"}); });
+  this->EndWhenOverdue(number, patience);
+}
+
+void StoreClient::EndWhenOverdue(uint64_t number, Duration after) {
+  this->loop->RunAfter(after, [this, number] {
+    bool under_way = number == this->call_count && this->waiting;
+    if (!under_way) return;
+    bool is_coming = this->incoming.status != 0 && this->SilentFor(Now()) < kStillComing;
+    if (is_coming) {
+      this->EndWhenOverdue(number, kStillComing);
+      return;
+    }
+    this->Finish(number, {0, "", "overdue"});
+  });
+}
+
+Duration StoreClient::SilentFor(Time now) const {
+  return this->waiting ? now - this->heard_at : Duration(0);
 }
 
 void StoreClient::Finish(uint64_t number, const StoreAnswer& answer) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -36,6 +36,9 @@
   // The store answers in milliseconds, a slow one in a few hundred; after this long a
   // call counts as lost and another try is due.  Waiting on purpose comes on top.
   static constexpr Duration kAnswerPatience = milliseconds(1000);
+  // A call whose answer is still coming in is not overdue: a large configuration takes
+  // longer than that on a thin link.  Bytes come at least so often there.
+  static constexpr Duration kStillComing = milliseconds(400);
 
   using Done = std::function<void(const StoreAnswer&)>;
 
@@ -45,12 +48,16 @@
   // Only one call at a time.
   void Call(const platform::HttpCallText& call, Duration patience, Done done);
 
+  // For how long nothing has come for the call under way; none where there is no call.
+  Duration SilentFor(Time now) const;
+
   // Ends the call under way as if its time had run out.
   void GiveUp() { this->Finish(this->call_count, {0, "", "given up"}); }
 
   uint64_t calls() const { return this->call_count; }
 
  private:
+  void EndWhenOverdue(uint64_t number, Duration after);
   void Finish(uint64_t number, const StoreAnswer& answer);
 
   EventLoop* loop;
@@ -58,6 +65,8 @@
   std::shared_ptr<RequestChannel> channel;
   uint64_t call_count = 0;
   StoreAnswer incoming;
+  // When the call was sent, then when bytes last came for it.
+  Time heard_at{};
   Done waiting;
 };
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -367,6 +367,62 @@
   BOOST_TEST(freed == 4);
 }
 
+// Peers that have the news remind a gateway ten times a second that it is behind.
+struct RemindedFollower {
+  RemindedFollower()
+      : store(&loop),
+        recovery(&loop),
+        follower(&loop, store.address(), &recovery, {"keyed.op", seconds(10), Duration(0)},
+                 {.replace = [this](const auto&) { this->loaded = true; },
+                  .change = [this](const auto&) { this->has_news = true; },
+                  .up_to_date = {},
+                  .lost = {},
+                  .regained = {}}) {
+    this->follower.Start();
+    while (!this->loaded) this->loop.RunOnce(milliseconds(20));
+    this->loop.RunEvery(milliseconds(100), [this] {
+      if (this->follower.ReadAgain()) this->renewals += 1;
+    });
+  }
+
+  // Runs until news has come, or for so long.
+  void RunFor(Duration most) {
+    Time until = Now() + most;
+    while (!this->has_news && Now() < until) this->loop.RunOnce(milliseconds(20));
+  }
+
+  EventLoop loop;
+  StoreStandin store;
+  StoreRecovery recovery;
+  TopicFollower follower;
+  bool loaded = false;
+  bool has_news = false;
+  int renewals = 0;
+};
+
+// A large configuration on a thin link takes longer than news should take to come.
+BOOST_AUTO_TEST_CASE(AReadThatIsComingInIsNotGivenUpHoweverOftenPeersRemind) {
+  RemindedFollower reminded;
+  reminded.store.SetTrouble(StoreTrouble::kSlowBody);
+  reminded.store.Put("keyed.op", "config", std::string(50'000, 'x'));
+  reminded.RunFor(kTestPatience);
+  BOOST_TEST(reminded.has_news);
+}
+
+BOOST_AUTO_TEST_CASE(AReadThatHangsIsRenewedAtLongerAndLongerTimes) {
+  RemindedFollower reminded;
+  reminded.store.SetTrouble(StoreTrouble::kSilent);
+  reminded.store.Put("keyed.op", "config", "x");
+  reminded.RunFor(milliseconds(3500));
+  BOOST_TEST(!reminded.has_news);
+  // At about 0.4, 1.3 and 3.0 s.
+  BOOST_TEST(reminded.renewals >= 1);
+  BOOST_TEST(reminded.renewals <= 3);
+  reminded.store.SetTrouble(StoreTrouble::kNone);
+  reminded.RunFor(kTestPatience);
+  BOOST_TEST(reminded.has_news);
+}
+
 BOOST_AUTO_TEST_CASE(AStoreThatDropsItsHistoryIsReadAnew) {
   auto world = StartedWorld();
   json config = world->DefaultConfig();
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/topic_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -24,6 +25,13 @@
       options(std::move(follower_options)),
       hooks(std::move(follower_hooks)) {}
 
+bool TopicFollower::ReadAgain() {
+  if (this->client.SilentFor(Now()) < this->silence_limit) return false;
+  this->silence_limit = std::min(2 * this->silence_limit, kLongestSilence);
+  this->client.GiveUp();
+  return true;
+}
+
 void TopicFollower::ReadPage() {
   std::string after = this->pages.empty() ? "" : this->pages.back().key;
   this->call_sent = Now();
@@ -95,6 +103,7 @@
 
 void TopicFollower::Succeed() {
   this->recovery->NoteAnswer();
+  this->silence_limit = kNewsShouldHaveCome;
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained = Now();
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -29,6 +29,8 @@
   // News that somebody else has seen comes by our own read within a fraction of a
   // second, or that read hangs.
   static constexpr Duration kNewsShouldHaveCome = milliseconds(400);
+  // The longest time that a new read gets; news must be in force within two seconds.
+  static constexpr Duration kLongestSilence = milliseconds(1600);
 
   struct Options {
     std::string topic;
@@ -57,8 +59,11 @@
 
   void Start() { this->ReadPage(); }
 
-  // Gives up the read that waits, and reads on a new connection.
-  void ReadAgain() { this->client.GiveUp(); }
+  // Gives up the read that waits, and reads on a new connection: to be called when news
+  // should have come by it.  A read that brings bytes is left alone, and each new one
+  // gets twice the time of the one before: where the store or the link is slow, giving
+  // up too soon would throw away every read before it is whole.  Tells whether it did.
+  bool ReadAgain();
 
   // When a call first succeeded after failures; in the past where none failed.
   Time regained_at() const { return this->regained; }
@@ -90,6 +95,8 @@
   Time call_sent{};
   // Whether the last call failed and none has succeeded since.
   bool is_lost = false;
+  // How long a read may bring nothing before ReadAgain gives it up.
+  Duration silence_limit = kNewsShouldHaveCome;
   Time regained{};
 };
 
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -5,6 +5,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr Duration kTick = milliseconds(2);
+// How kSlowBody cuts an answer.
+constexpr size_t kPieces = 12;
+constexpr Duration kPieceEvery = milliseconds(100);
 
 AnswerHead Head(int status) {
   AnswerHead head;
@@ -113,6 +117,25 @@
   channel->Answer(Head(200), answer.dump());
 }
 
+void StoreStandin::Answer(CallerChannel* channel, const std::string& body) {
+  if (this->trouble != StoreTrouble::kSlowBody) return channel->Answer(Head(200), body);
+  channel->BeginAnswer(Head(200), body.size());
+  this->AnswerInPieces(channel->shared_from_this(), body);
+}
+
+void StoreStandin::AnswerInPieces(const std::shared_ptr<CallerChannel>& channel,
+                                  const std::string& body) {
+  size_t piece = std::max<size_t>(body.size() / kPieces, 1);
+  for (size_t at = 0, number = 1; at < body.size(); at += piece, ++number) {
+    this->loop->RunAfter(number * kPieceEvery, [channel, bytes = body.substr(at, piece),
+                                                is_last = at + piece >= body.size()] {
+      if (channel->is_closed()) return;
+      channel->WritePart(bytes);
+      if (is_last) channel->EndAnswer();
+    });
+  }
+}
+
 bool StoreStandin::AnswerTail(CallerChannel* channel, const Topic& topic, uint64_t from,
                               bool even_if_none) {
   uint64_t end = topic.first + topic.records.size();
@@ -128,7 +151,7 @@
     const platform::KeyedRecord& record = topic.records[offset - topic.first];
     platform::AppendRecord(&body, record);
   }
-  channel->Answer(Head(200), body);
+  this->Answer(channel, body);
   return true;
 }
 
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -29,6 +29,8 @@
   kBusy,
   // Resets every connection that asks something.
   kReset,
+  // Answers reads in pieces, a tenth of a second apart, over a second in all.
+  kSlowBody,
 };
 
 class StoreStandin {
@@ -67,6 +69,8 @@
   void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
   void AnswerNewest(CallerChannel* channel, const Topic& topic, const std::string& after);
   bool AnswerTail(CallerChannel* channel, const Topic& topic, uint64_t from, bool even_if_none);
+  void Answer(CallerChannel* channel, const std::string& body);
+  void AnswerInPieces(const std::shared_ptr<CallerChannel>& channel, const std::string& body);
   void WakeWaiting(Time now);
 
   EventLoop* loop;
