The gateways keep the engines' list a second time for those that start without it

Ruled out: asking peers (they lost power too), side machines (they do as well), holding the requests until the list comes (nobody knows when), a later Retry-After (most of the refused had been cut by the power loss, so this was their last try).

Change: EngineListCopy writes the list to keyed.gullward-engines after each change, by whichever gateway comes first (CopySchedule: a random delay; the datagrams say which content the copy has), and reads it where the list cannot be read at the start. The list replaces it once it comes. Setting use_copy_engine_list (on).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -334,9 +334,8 @@
 // set up to four sound engines aside.
 void Exchange::BlameReader(Time now) {
   const std::string& reader = *this->attempt->reader_at_fault;
-  this->state->log->Write(this->Line("reader_refused")
-                              .Text("engine", this->attempt->engine.id)
-                              .Text("reader", reader));
+  this->state->log->Write(
+      this->Line("reader_refused").Text("engine", this->attempt->engine.id).Text("reader", reader));
   this->state->fleet.NoteFailure(reader, /*unreachable=*/true, now);
   this->tried.insert(reader);
   this->tried.erase(this->attempt->engine.id);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -64,6 +64,8 @@
                       {std::string(platform::kEnginesTopic), kEngineListWait,
                        FromSeconds(kGatherEnginesShare * ToSeconds(settings.leaving_bound))},
                       this->EngineFollowerHooks()),
+      engine_list_copy(event_loop, settings.store, &this->store_recovery, &this->log, random_seed,
+                       this->EngineListCopyHooks()),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
                     &this->store_recovery, this->LoadExchangeHooks()),
       config_prover(event_loop, settings.store, &this->store_recovery,
@@ -99,6 +101,20 @@
     this->OnEngineRecords(records);
   };
   hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
+  hooks.lost = [this, log_lost = hooks.lost](const std::string& reason) {
+    log_lost(reason);
+    if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Read();
+  };
+  return hooks;
+}
+
+EngineListCopy::Hooks GatewayServer::EngineListCopyHooks() {
+  EngineListCopy::Hooks hooks;
+  hooks.is_wanted = [this] { return !this->engines_known; };
+  hooks.use = [this](const std::vector<EngineRecord>& engines) {
+    this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
+    this->engines_known = true;
+  };
   return hooks;
 }
 
@@ -113,6 +129,10 @@
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
   hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
   hooks.behind = [this](uint64_t version) { this->OnNewerVersion(version); };
+  hooks.engines_copied = [this] { return this->engine_list_copy.copied(); };
+  hooks.hear_engines_copied = [this](uint64_t content) {
+    this->engine_list_copy.HearCopied(content);
+  };
   return hooks;
 }
 
@@ -254,10 +274,12 @@
   }
   this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
   this->engines_known = true;
+  this->engine_list_changed = true;
   this->log.Write(LogLine("engines").Number("listed", static_cast<double>(engines.size())));
 }
 
 void GatewayServer::OnEngineRecord(const platform::KeyedRecord& record) {
+  this->engine_list_changed = true;
   if (record.value.empty()) {
     this->log.Write(LogLine("engine_gone").Text("engine", record.key));
     this->state.fleet.directory().Remove(record.key, Now(), this->KeepLapsedUntil());
@@ -323,6 +345,10 @@
   if (peers > 0) this->state.fleet.SetProcesses(peers + 1);
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
+  if (std::exchange(this->engine_list_changed, false)) {
+    this->engine_list_copy.NoteList(this->state.fleet.directory().Listed(), now);
+  }
+  if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Tick(now);
 }
 
 bool GatewayServer::IsReady() const {
@@ -372,7 +398,8 @@
   figures.engine_connections = this->state.pool.opened();
   figures.log_lines_dropped = this->log.dropped();
   figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
-                        this->load_exchange.store_calls() + this->config_prover.calls();
+                        this->load_exchange.store_calls() + this->config_prover.calls() +
+                        this->engine_list_copy.store_calls();
   figures.engines = this->state.fleet.directory().size();
   figures.peers = this->load_exchange.peers();
   figures.config_version = this->ConfigVersion();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -19,6 +19,7 @@
 
 #include "absl/status/status.h"
 #include "gateway/config_prover.h"
+#include "gateway/engine_list_copy.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
@@ -72,6 +73,7 @@
   TopicFollower::Hooks LoggingHooks(const std::string& topic);
   TopicFollower::Hooks ConfigFollowerHooks();
   TopicFollower::Hooks EngineFollowerHooks();
+  EngineListCopy::Hooks EngineListCopyHooks();
   uint64_t ConfigVersion() const;
   LoadExchange::ConfigHooks LoadExchangeHooks();
   ConfigProver::Hooks ProverHooks();
@@ -97,6 +99,7 @@
   StoreRecovery store_recovery;
   TopicFollower config_follower;
   TopicFollower engine_follower;
+  EngineListCopy engine_list_copy;
   LoadExchange load_exchange;
   ConfigProver config_prover;
   TcpListener callers_listener;
@@ -107,6 +110,8 @@
   uint64_t next_id = 1;
   uint64_t ticks = 0;
   bool engines_known = false;
+  // Since the copy of the list was last told of it.
+  bool engine_list_changed = false;
   bool keys_were_fresh = false;
   bool stopping = false;
   // The newer version that a peer told of, and since when.
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -58,6 +58,9 @@
     std::function<void(Time)> confirm;
     // A peer has a newer version than we.
     std::function<void(uint64_t version)> behind;
+    // The content of the copy of the engines' list, as we know it and as a peer does.
+    std::function<uint64_t()> engines_copied;
+    std::function<void(uint64_t content)> hear_engines_copied;
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -35,6 +35,7 @@
   on.spare_late_streams = reader.Boolean("use_spare_late_streams", true);
   on.wait_for_late_first = reader.Boolean("use_wait_for_late_first", true);
   on.gather_streams = reader.Boolean("use_gather_streams", true);
+  on.copy_engine_list = reader.Boolean("use_copy_engine_list", true);
   return on;
 }
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -286,7 +286,8 @@
   };
   Mechanisms no_spread;
   no_spread.spread_reading = false;
-  Mechanisms none{false, false, false, false, false, false, false, false, false, false, false, false};
+  Mechanisms none{false, false, false, false, false, false, false,
+                  false, false, false, false, false, false};
   const std::vector<Case> cases = {
       {"", 0, {}, KeyTrust::kBounded},
       {"strict_revoke = \"\"\n", 0, {}, KeyTrust::kBounded},
@@ -298,7 +299,8 @@
        "use_peer_loads = false\nuse_peer_set_aside = false\nuse_own_set_aside = false\n"
        "use_leave_silent_engines = false\nuse_blame_named_reader = false\n"
        "use_tell_reading = false\nuse_spare_late_streams = false\n"
-       "use_wait_for_late_first = false\nuse_gather_streams = false\n",
+       "use_wait_for_late_first = false\nuse_gather_streams = false\n"
+       "use_copy_engine_list = false\n",
        0, none, KeyTrust::kBounded},
   };
   const std::string required =
@@ -437,6 +439,24 @@
       world->RunUntil([&] { return world->Call(world->SafeRequest("c")).head.status == 401; }));
 }
 
+// The store answers for the configuration and for our own topics, and turns away every
+// read of the engines' list: a part of it is down when the gateway starts.
+BOOST_AUTO_TEST_CASE(AGatewayThatStartsWhileTheEnginesListIsAwayServesByTheCopy) {
+  auto world = StartedWorld();
+  const std::string topic(platform::kEnginesCopyTopic);
+  BOOST_TEST_REQUIRE(
+      world->RunUntil([&] { return !world->store.Newest(topic, "part-0").empty(); }));
+  world->store.TurnAwayTopic(std::string(platform::kEnginesTopic));
+  world->StartGateway();
+  BOOST_TEST(world->Call(world->StreamRequest("by-the-copy")).body == kWholeStream);
+  // The list replaces the copy as soon as it can be read.
+  world->ListEngine(*world->apps[0], "app", /*draining=*/true);
+  world->ListEngine(*world->apps[1], "app", /*draining=*/true);
+  world->store.TurnAwayTopic("");
+  BOOST_TEST(world->RunUntil(
+      [&] { return world->Call(world->SafeRequest("by-the-list")).head.status == 503; }));
+}
+
 BOOST_AUTO_TEST_CASE(AListOfManyPagesIsReadWhole) {
   GatewayWorld world({.engines = 7, .apps = 1});
   world.store.SetPageSize(2);
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -5,7 +5,7 @@
 namespace gullward {
 
 void EngineDirectory::Update(const EngineRecord& record) {
-  this->engines[record.id] = Listed{record, std::nullopt};
+  this->engines[record.id] = Entry{record, std::nullopt};
 }
 
 void EngineDirectory::Remove(const std::string& id, Time now, Time keep_until) {
@@ -35,7 +35,7 @@
 std::vector<const EngineRecord*> EngineDirectory::Usable(const std::string& service, Time now) {
   std::vector<const EngineRecord*> usable;
   for (auto it = this->engines.begin(); it != this->engines.end();) {
-    const Listed& engine = it->second;
+    const Entry& engine = it->second;
     if (engine.gone_at && *engine.gone_at <= now) {
       it = this->engines.erase(it);
       continue;
@@ -52,4 +52,10 @@
   return found == this->engines.end() ? nullptr : &found->second.record;
 }
 
+std::vector<EngineRecord> EngineDirectory::Listed() const {
+  std::vector<EngineRecord> listed;
+  for (const auto& [id, entry] : this->engines) listed.push_back(entry.record);
+  return listed;
+}
+
 }  // namespace gullward
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -64,16 +64,19 @@
 
   const EngineRecord* Find(const std::string& id) const;
 
+  // All that are listed, in the order of their ids.
+  std::vector<EngineRecord> Listed() const;
+
   size_t size() const { return this->engines.size(); }
 
  private:
-  struct Listed {
+  struct Entry {
     EngineRecord record;
     // Set while the engine is missing from the list: when it counts as gone.
     std::optional<Time> gone_at;
   };
 
-  std::map<std::string, Listed> engines;
+  std::map<std::string, Entry> engines;
 };
 
 }  // namespace gullward
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -57,6 +57,9 @@
   // A long prompt runs where streams run already and is read where few do.  Off: only
   // the price decides.
   bool gather_streams = true;
+  // The engines' list is kept a second time in the store, for a gateway that starts
+  // while the list cannot be read.  Off: that gateway refuses until it can.
+  bool copy_engine_list = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -126,8 +126,8 @@
   // The slowest reader alone decides when the first event comes, so lateness is
   // paid once.
   placement.cost -= CostOfWaiting(speed, demand, placement.first_event_ms);
-  for (size_t helper : CheapestReaders(candidates, costs, speed, demand, options, placement,
-                                       *main, readers - 1)) {
+  for (size_t helper :
+       CheapestReaders(candidates, costs, speed, demand, options, placement, *main, readers - 1)) {
     placement.engines.push_back(helper);
     placement.cost += costs.as_reader[helper];
     placement.harm += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -6,6 +6,7 @@
 
 #include "serving/attempt_result.h"
 #include "serving/config_index.h"
+#include "serving/copy_schedule.h"
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
 #include "serving/engine_patience.h"
@@ -424,6 +425,48 @@
   }
 }
 
+// Five gateways see the same changes; what one writes, the others hear 2 ms later.
+BOOST_AUTO_TEST_CASE(AListIsCopiedAfterEachChangeByAboutOneOfMany) {
+  constexpr int kGateways = 5;
+  constexpr int kChanges = 40;
+  std::vector<CopySchedule> schedules;
+  for (int i = 0; i < kGateways; ++i) schedules.emplace_back(i + 1);
+  Time now = kStart;
+  int writes = 0;
+  for (int change = 1; change <= kChanges; ++change) {
+    uint64_t content = static_cast<uint64_t>(change);
+    for (CopySchedule& schedule : schedules) schedule.NoteList(content, now);
+    Time until = now + CopySchedule::kLeastPause + CopySchedule::kSettle + CopySchedule::kSpread;
+    for (; now < until; now += milliseconds(1)) {
+      for (CopySchedule& schedule : schedules) {
+        if (!schedule.IsDue(now)) continue;
+        schedule.NoteWritten(now);
+        writes += 1;
+        for (CopySchedule& other : schedules) other.NoteCopy(content);
+      }
+    }
+    for (const CopySchedule& schedule : schedules) BOOST_TEST(schedule.copied_content() == content);
+  }
+  BOOST_TEST(writes >= kChanges);
+  BOOST_TEST(writes <= kChanges + kChanges / 4);
+}
+
+BOOST_AUTO_TEST_CASE(AFailedCopyIsWrittenAgainAfterAPause) {
+  CopySchedule schedule(1);
+  BOOST_TEST(!schedule.IsDue(kStart));
+  schedule.NoteList(7, kStart);
+  BOOST_TEST(!schedule.IsDue(kStart));
+  Time due = kStart + CopySchedule::kSettle + CopySchedule::kSpread;
+  BOOST_TEST(schedule.IsDue(due));
+  schedule.NoteWritten(due);
+  BOOST_TEST(!schedule.IsDue(due + CopySchedule::kLeastPause));
+  schedule.NoteFailed();
+  BOOST_TEST(!schedule.IsDue(due));
+  BOOST_TEST(schedule.IsDue(due + CopySchedule::kLeastPause));
+  schedule.NoteCopy(7);
+  BOOST_TEST(!schedule.IsDue(due + CopySchedule::kLeastPause));
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreTrustedFromTheSendingOfTheRead) {
   KeyFreshness freshness(seconds(5));
   BOOST_TEST(!freshness.IsFresh(kStart));
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -72,6 +72,12 @@
   this->WakeWaiting(Now());
 }
 
+std::string StoreStandin::Newest(const std::string& topic_name, const std::string& key) {
+  const std::map<std::string, std::string>& newest = this->topics[topic_name].newest;
+  auto found = newest.find(key);
+  return found == newest.end() ? "" : found->second;
+}
+
 void StoreStandin::Compact(const std::string& topic_name) {
   Topic& topic = this->topics[topic_name];
   topic.first += topic.records.size();
@@ -85,6 +91,9 @@
   if (this->trouble == StoreTrouble::kReset) return channel->BreakOff();
   if (this->trouble == StoreTrouble::kBusy) return channel->Answer(Head(503), "");
   std::map<std::string, std::string> query = Query(request.head.target);
+  if (!this->turned_away.empty() && query["topic"] == this->turned_away) {
+    return channel->Answer(Head(503), "");
+  }
   Topic& topic = this->topics[query["topic"]];
   const std::string path = request.head.target.substr(0, request.head.target.find('?'));
   if (path == "/v1/log-newest") {
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -47,6 +47,12 @@
 
   void SetTrouble(StoreTrouble wanted) { this->trouble = wanted; }
 
+  // Turns away, with 503, the calls on one topic only; an empty name ends that.
+  void TurnAwayTopic(const std::string& topic) { this->turned_away = topic; }
+
+  // The newest value of a key; empty where there is none.
+  std::string Newest(const std::string& topic, const std::string& key);
+
   // Items on one page of log-newest.
   void SetPageSize(size_t items) { this->page_size = items; }
 
@@ -79,6 +85,7 @@
   std::map<std::string, Topic> topics;
   std::vector<Waiting> waiting;
   StoreTrouble trouble = StoreTrouble::kNone;
+  std::string turned_away;
   size_t page_size = 500;
   uint64_t call_count = 0;
 };
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -35,7 +35,7 @@
   }
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
                                       digest.sequence, builder.CreateVector(entries), freshness,
-                                      builder.CreateVector(set_aside)));
+                                      builder.CreateVector(set_aside), digest.engines_copied));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -49,6 +49,7 @@
   digest.box = packed->box()->str();
   digest.incarnation = packed->incarnation();
   digest.sequence = packed->sequence();
+  digest.engines_copied = packed->engines_copied();
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote told;
     told.round = note->round();
--- a/src/wire/load_digest.h
+++ b/src/wire/load_digest.h
@@ -29,6 +29,8 @@
   std::optional<FreshnessNote> freshness;
   // Engines that the sender has set aside; serving/peer_suspicion.h.
   std::set<std::string> set_aside;
+  // The content of the copy of the engines' list; gateway/engine_list_copy.h.
+  uint64_t engines_copied = 0;
 
   bool operator==(const LoadDigest&) const = default;
 };
