The mechanisms' switches stand in one table

Cause: thirteen switches were named in the settings' reader, in the test's list of lines and in a row of thirteen falses; each new one touched all. Ruled out: a map by name in Mechanisms (it stays a plain value). Change: kMechanismSwitches pairs each name with its field; the reader and the test go through it. No change of behaviour.

--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/settings.h"
 
+#include "absl/strings/str_cat.h"
 #include "process/process.h"
 
 namespace gullward {
@@ -23,19 +24,9 @@
 
 Mechanisms ReadMechanisms(TomlReader& reader) {
   Mechanisms on;
-  on.refusal_by_cost = reader.Boolean("use_refusal_by_cost", true);
-  on.spread_reading = reader.Boolean("use_spread_reading", true);
-  on.shared_order = reader.Boolean("use_shared_order", true);
-  on.peer_loads = reader.Boolean("use_peer_loads", true);
-  on.peer_set_aside = reader.Boolean("use_peer_set_aside", true);
-  on.own_set_aside = reader.Boolean("use_own_set_aside", true);
-  on.leave_silent_engines = reader.Boolean("use_leave_silent_engines", true);
-  on.blame_named_reader = reader.Boolean("use_blame_named_reader", true);
-  on.tell_reading = reader.Boolean("use_tell_reading", true);
-  on.spare_late_streams = reader.Boolean("use_spare_late_streams", true);
-  on.wait_for_late_first = reader.Boolean("use_wait_for_late_first", true);
-  on.gather_streams = reader.Boolean("use_gather_streams", true);
-  on.copy_engine_list = reader.Boolean("use_copy_engine_list", true);
+  for (const MechanismSwitch& one : kMechanismSwitches) {
+    on.*one.field = reader.Boolean(absl::StrCat("use_", one.name), true);
+  }
   return on;
 }
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -286,8 +286,12 @@
   };
   Mechanisms no_spread;
   no_spread.spread_reading = false;
-  Mechanisms none{false, false, false, false, false, false, false,
-                  false, false, false, false, false, false};
+  Mechanisms none;
+  std::string all_off;
+  for (const MechanismSwitch& one : kMechanismSwitches) {
+    none.*one.field = false;
+    absl::StrAppend(&all_off, "use_", one.name, " = false\n");
+  }
   const std::vector<Case> cases = {
       {"", 0, {}, KeyTrust::kBounded},
       {"strict_revoke = \"\"\n", 0, {}, KeyTrust::kBounded},
@@ -295,13 +299,7 @@
       {"strict_revoke = \"maybe\"\n", 1, {}, KeyTrust::kBounded},
       {"use_spread_reading = false\n", 0, no_spread, KeyTrust::kBounded},
       {"use_spread_reading = 0\n", 1, {}, KeyTrust::kBounded},
-      {"use_refusal_by_cost = false\nuse_spread_reading = false\nuse_shared_order = false\n"
-       "use_peer_loads = false\nuse_peer_set_aside = false\nuse_own_set_aside = false\n"
-       "use_leave_silent_engines = false\nuse_blame_named_reader = false\n"
-       "use_tell_reading = false\nuse_spare_late_streams = false\n"
-       "use_wait_for_late_first = false\nuse_gather_streams = false\n"
-       "use_copy_engine_list = false\n",
-       0, none, KeyTrust::kBounded},
+      {all_off, 0, none, KeyTrust::kBounded},
   };
   const std::string required =
       "box = \"b\"\ndata_centre = \"d\"\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n"
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -64,6 +64,29 @@
   bool operator==(const Mechanisms&) const = default;
 };
 
+// A switch as settings name it: `use_` and this.
+struct MechanismSwitch {
+  const char* name;
+  bool Mechanisms::*field;
+};
+
+// Every switch.
+inline constexpr MechanismSwitch kMechanismSwitches[] = {
+    {"refusal_by_cost", &Mechanisms::refusal_by_cost},
+    {"spread_reading", &Mechanisms::spread_reading},
+    {"shared_order", &Mechanisms::shared_order},
+    {"peer_loads", &Mechanisms::peer_loads},
+    {"peer_set_aside", &Mechanisms::peer_set_aside},
+    {"own_set_aside", &Mechanisms::own_set_aside},
+    {"leave_silent_engines", &Mechanisms::leave_silent_engines},
+    {"blame_named_reader", &Mechanisms::blame_named_reader},
+    {"tell_reading", &Mechanisms::tell_reading},
+    {"spare_late_streams", &Mechanisms::spare_late_streams},
+    {"wait_for_late_first", &Mechanisms::wait_for_late_first},
+    {"gather_streams", &Mechanisms::gather_streams},
+    {"copy_engine_list", &Mechanisms::copy_engine_list},
+};
+
 }  // namespace gullward
 
 #endif  // GULLWARD_SERVING_MECHANISMS_H_
