--- a/src/gateway/engine_list_copy.h
+++ b/src/gateway/engine_list_copy.h
@@ -16,7 +16,7 @@
 //
 // On a day on which all boxes lose power while a third of the store is away, the worth
 // served in the two worst windows of two seconds rose from 0.15 to 0.37 of what was owed,
-// and that of the whole day by 0.02 (ten seeds without processor time).  It costs a call
+// and that of the whole day by 0.02 (ten simulated days).  It costs a call
 // of the store for each change of the list, at most one every two seconds.
 
 #ifndef GULLWARD_GATEWAY_ENGINE_LIST_COPY_H_
@@ -37,7 +37,7 @@
 
 class EngineListCopy {
  public:
-  // An entry takes about 150 bytes, and a record 256 KiB at most.
+  // An entry takes 100 bytes, and a record 256 KiB at most.
   static constexpr size_t kEnginesInPart = 1000;
 
   struct Hooks {
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -28,14 +28,22 @@
 // that has streams already, and its helpers are those that have few.  So more engines
 // have none and can read in long passes, and streams end sooner.  By how much a held-up
 // stream weighs in these orders, but not in the price.  Worth 0.008 of all worth at a
-// site of 18 engines that are 70 to 95 in 100 busy with vast prompts (132 days without
-// processor time, standard error 0.003); twice the weight gains the same, five times
-// nothing.  Weighed in the price it cost 0.02 to 0.08: fewer engines read each prompt.
+// site of 18 engines that are 70 to 95 in 100 busy with vast prompts (132 simulated days,
+// standard error 0.003); twice the weight gains the same, five times nothing.  Weighed in
+// the price it cost 0.02 to 0.08: fewer engines read each prompt.
 constexpr double kTogetherWeight = 0.06;
 
 // A request that takes more of an engine than this is spread over its readers.
 constexpr double kWholeShare = 0.6;
 
+// What is to be decided: for which request, among which engines, by which means.
+struct Question {
+  const std::vector<Candidate>& candidates;
+  const EngineSpeed& speed;
+  const Demand& demand;
+  const PlacementOptions& options;
+};
+
 // What each candidate would cost as a reader, but for the request's waiting, and
 // how long that waiting is.
 struct ReaderCosts {
@@ -43,37 +51,34 @@
   std::vector<double> as_reader;
 };
 
-ReaderCosts PriceReaders(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
-                         const Demand& demand, const Placement& shares) {
-  double worth = WorthOf(demand.prompt_tokens);
+ReaderCosts PriceReaders(const Question& question, const Placement& shares) {
+  double worth = WorthOf(question.demand.prompt_tokens);
   ReaderCosts costs;
-  for (const Candidate& candidate : candidates) {
-    costs.first_event_ms.push_back(FirstEventMs(speed, candidate, shares.part_reading_ms));
-    costs.as_reader.push_back(CostAsReader(speed, candidate, worth, shares));
+  for (const Candidate& candidate : question.candidates) {
+    costs.first_event_ms.push_back(FirstEventMs(question.speed, candidate, shares.part_reading_ms));
+    costs.as_reader.push_back(CostAsReader(question.speed, candidate, worth, shares));
   }
   return costs;
 }
 
 // What makes an engine with streams the better one to run a long prompt, and the worse
 // one to help with it.
-double TogetherCost(const Candidate& candidate, const Placement& placement,
-                    const PlacementOptions& options) {
-  if (!options.gather_streams) return 0;
-  return kTogetherWeight * HoldUp(candidate.load, placement.part_reading_ms);
+double TogetherCost(const Question& question, size_t engine, const Placement& shares) {
+  if (!question.options.gather_streams) return 0;
+  return kTogetherWeight * HoldUp(question.candidates[engine].load, shares.part_reading_ms);
 }
 
-// The engine that the request itself costs least on, or none.
-std::optional<size_t> ChooseMain(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
-                                 const Demand& demand, const ReaderCosts& costs,
-                                 const PlacementOptions& options, Placement* placement) {
+// The engine to run the request itself: the one that costs least but for the preference
+// for streams.  Its cost goes into the placement; none where no engine would do.
+std::optional<size_t> ChooseMain(const Question& question, const ReaderCosts& costs,
+                                 Placement* placement) {
   std::optional<size_t> best;
   double best_order = std::numeric_limits<double>::infinity();
   placement->cost = std::numeric_limits<double>::infinity();
-  for (size_t i = 0; i < candidates.size(); ++i) {
-    double first_event_ms = costs.first_event_ms[i];
-    double cost = CostAsMain(speed, candidates[i], demand, *placement) +
-                  CostOfWaiting(speed, demand, first_event_ms);
-    double order = cost - TogetherCost(candidates[i], *placement, options);
+  for (size_t i = 0; i < question.candidates.size(); ++i) {
+    double cost = CostAsMain(question.speed, question.candidates[i], question.demand, *placement) +
+                  CostOfWaiting(question.speed, question.demand, costs.first_event_ms[i]);
+    double order = cost - TogetherCost(question, i, *placement);
     if (order >= best_order) continue;
     best_order = order;
     placement->cost = cost;
@@ -93,31 +98,30 @@
   return placement;
 }
 
-// The `count` candidates besides `main` that cost least as readers.
-std::vector<size_t> CheapestReaders(const std::vector<Candidate>& candidates,
-                                    const ReaderCosts& costs, const EngineSpeed& speed,
-                                    const Demand& demand, const PlacementOptions& options,
-                                    const Placement& placement, size_t main, long count) {
+// The `count` candidates besides `main` that cost least as readers, but for the
+// preference for engines without streams.
+std::vector<size_t> CheapestReaders(const Question& question, const ReaderCosts& costs,
+                                    const Placement& shares, size_t main, long count) {
   std::vector<size_t> others;
   for (size_t i = 0; i < costs.as_reader.size(); ++i) {
     if (i != main) others.push_back(i);
   }
-  auto price = [&](size_t i) {
-    return costs.as_reader[i] + CostOfWaiting(speed, demand, costs.first_event_ms[i]) +
-           TogetherCost(candidates[i], placement, options);
+  auto order = [&](size_t i) {
+    return costs.as_reader[i] + TogetherCost(question, i, shares) +
+           CostOfWaiting(question.speed, question.demand, costs.first_event_ms[i]);
   };
   std::partial_sort(others.begin(), others.begin() + count, others.end(),
-                    [&](size_t left, size_t right) { return price(left) < price(right); });
+                    [&](size_t left, size_t right) { return order(left) < order(right); });
   others.resize(static_cast<size_t>(count));
   return others;
 }
 
 // The best placement with exactly `readers` engines.
-Placement ChooseWithReaders(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
-                            const Demand& demand, const PlacementOptions& options, int readers) {
+Placement ChooseWithReaders(const Question& question, int readers) {
+  const auto& [candidates, speed, demand, options] = question;
   Placement placement = ShareAmong(readers, speed, demand);
-  ReaderCosts costs = PriceReaders(candidates, speed, demand, placement);
-  std::optional<size_t> main = ChooseMain(candidates, speed, demand, costs, options, &placement);
+  ReaderCosts costs = PriceReaders(question, placement);
+  std::optional<size_t> main = ChooseMain(question, costs, &placement);
   if (!main) return placement;
   placement.engines = {*main};
   placement.first_event_ms = costs.first_event_ms[*main];
@@ -126,8 +130,7 @@
   // The slowest reader alone decides when the first event comes, so lateness is
   // paid once.
   placement.cost -= CostOfWaiting(speed, demand, placement.first_event_ms);
-  for (size_t helper :
-       CheapestReaders(candidates, costs, speed, demand, options, placement, *main, readers - 1)) {
+  for (size_t helper : CheapestReaders(question, costs, placement, *main, readers - 1)) {
     placement.engines.push_back(helper);
     placement.cost += costs.as_reader[helper];
     placement.harm += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
@@ -143,11 +146,12 @@
                  const Demand& demand, const PlacementOptions& options) {
   Placement best;
   if (candidates.empty()) return best;
+  Question question{candidates, speed, demand, options};
   best.cost = std::numeric_limits<double>::infinity();
   int useful = options.spread_reading ? UsefulReaders(speed, demand) : 1;
   int most = std::min(useful, static_cast<int>(candidates.size()));
   for (int readers = 1; readers <= most; ++readers) {
-    Placement placement = ChooseWithReaders(candidates, speed, demand, options, readers);
+    Placement placement = ChooseWithReaders(question, readers);
     if (!placement.engines.empty() && placement.cost < best.cost) best = placement;
   }
   best.busy = Busy(candidates);
