A read of the engines' list that the store leaves waiting is sent again once a peer has read further

The wait is 5 s, and nobody else watches this topic.

Ruled out: the gateway's own pause between reads (0.7 s, and the read was out), a lost connection (store_lost is not logged), the copy of the list (it is only written here).

A read that is sent again so does not count as a loss of the store: removals read right after a loss are not believed for a while, and the store was there.

Tests: gateway_test AReadThatTheStoreLeavesWaiting... with a stand-in that misses a wake-up (fails with the switch off: over 4 s).

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -133,6 +133,8 @@
   hooks.hear_engines_copied = [this](uint64_t content) {
     this->engine_list_copy.HearCopied(content);
   };
+  hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
+  hooks.hear_engines_read_to = [this](uint64_t offset) { this->OnLongerEngineList(offset); };
   return hooks;
 }
 
@@ -176,6 +178,19 @@
   this->log.Write(LogLine("config_behind").Number("peer_version", static_cast<double>(version)));
 }
 
+// A peer has read a change of the engines' list that our waiting read did not bring.
+// The store answers such reads late now and then, with the change after that: an engine
+// that leaves must be left alone within two seconds, and 24 of 120 reads of one such
+// change came 2.5 s late.
+void GatewayServer::OnLongerEngineList(uint64_t offset) {
+  if (!this->state.fleet.mechanisms().catch_up_with_peers) return;
+  std::optional<uint64_t> own = this->engine_follower.position();
+  if (!own || *own >= offset || !this->engine_follower.ReadAgain()) return;
+  this->log.Write(LogLine("engines_behind")
+                      .Number("read_to", static_cast<double>(*own))
+                      .Number("peer_read_to", static_cast<double>(offset)));
+}
+
 absl::Status GatewayServer::Start() {
   const GatewaySettings& settings = this->state.settings;
   absl::Status status = this->callers_listener.Listen(this->loop, settings.callers,
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -79,6 +79,7 @@
   ConfigProver::Hooks ProverHooks();
   OperatorPages::Hooks PageHooks() const;
   void OnNewerVersion(uint64_t version);
+  void OnLongerEngineList(uint64_t offset);
 
   // Looks at every clock.  The steps are in the order in which it takes them, the
   // last two only now and then.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -85,6 +85,7 @@
   if (digest->freshness) this->HearNote(*digest);
   Time now = Now();
   this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+  this->config.hear_engines_read_to(digest->engines_read_to);
   if (digest->engines_copied != 0) this->config.hear_engines_copied(digest->engines_copied);
   if (!this->fleet->mechanisms().peer_loads) return;
   this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
@@ -170,6 +171,7 @@
   digest.box = this->box;
   digest.incarnation = this->incarnation;
   digest.engines_copied = this->config.engines_copied();
+  digest.engines_read_to = this->config.engines_read_to();
   for (const std::string& engine : this->fleet->SetAside(now)) {
     if (digest.set_aside.size() < kMostSetAsideTold) digest.set_aside.insert(engine);
   }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -61,6 +61,9 @@
     // The content of the copy of the engines' list, as we know it and as a peer does.
     std::function<uint64_t()> engines_copied;
     std::function<void(uint64_t content)> hear_engines_copied;
+    // How far we have read the engines' list, and how far a peer has.
+    std::function<uint64_t()> engines_read_to;
+    std::function<void(uint64_t offset)> hear_engines_read_to;
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -56,6 +56,12 @@
   });
 }
 
+void StoreClient::Drop() {
+  this->waiting = nullptr;
+  if (this->channel) this->channel->Close();
+  this->channel.reset();
+}
+
 Duration StoreClient::SilentFor(Time now) const {
   return this->waiting ? now - this->heard_at : Duration(0);
 }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -51,8 +51,8 @@
   // For how long nothing has come for the call under way; none where there is no call.
   Duration SilentFor(Time now) const;
 
-  // Ends the call under way as if its time had run out.
-  void GiveUp() { this->Finish(this->call_count, {0, "", "given up"}); }
+  // Drops the call under way: it gets no answer, and the next one a new connection.
+  void Drop();
 
   uint64_t calls() const { return this->call_count; }
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -589,14 +589,37 @@
   BOOST_TEST(chosen->seen().size() - before <= 4u);
 }
 
-BOOST_AUTO_TEST_CASE(TwoGatewaysHearOfEachOther) {
-  auto world = StartedWorld();
+GatewaySettings SecondGateway(const GatewayWorld& world) {
   GatewaySettings settings;
   settings.box = "box-2";
   settings.data_centre = "hall-2";
   settings.callers = settings.ready = settings.metrics = settings.peers = {"127.0.0.1", 0};
-  settings.store = world->store.address();
-  GatewayServer second(&world->loop, settings, 2);
+  settings.store = world.store.address();
+  return settings;
+}
+
+// The store leaves the first gateway's waiting read unanswered; a second gateway, which
+// starts afterwards, reads the whole list and tells how far it has read.
+BOOST_AUTO_TEST_CASE(AReadThatTheStoreLeavesWaitingIsSentAgainOncePeersHaveReadFurther) {
+  auto world = StartedWorld({.engines = 1, .apps = 1});
+  BOOST_TEST_REQUIRE(world->Call(world->SafeRequest("before")).head.status == 200);
+  // Changes gather for a while before the next read waits.
+  Time settled = Now() + milliseconds(1500);
+  world->RunUntil([&] { return Now() > settled; });
+  world->store.MissNextChange(std::string(platform::kEnginesTopic));
+  world->ListEngine(*world->apps[0], "app", /*draining=*/true);
+  Time began = Now();
+  GatewayServer second(&world->loop, SecondGateway(*world), 2);
+  BOOST_TEST(second.Start().ok());
+  BOOST_TEST(
+      world->RunUntil([&] { return world->Call(world->SafeRequest("after")).head.status == 503; }));
+  // The read itself waits for five seconds.
+  BOOST_TEST(ToSeconds(Now() - began) < 4);
+}
+
+BOOST_AUTO_TEST_CASE(TwoGatewaysHearOfEachOther) {
+  auto world = StartedWorld();
+  GatewayServer second(&world->loop, SecondGateway(*world), 2);
   BOOST_TEST(second.Start().ok());
   BOOST_TEST(world->RunUntil([&] { return second.peers() == 1 && world->gateway->peers() == 1; }));
 }
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -28,10 +28,20 @@
 bool TopicFollower::ReadAgain() {
   if (this->client.SilentFor(Now()) < this->silence_limit) return false;
   this->silence_limit = std::min(2 * this->silence_limit, kLongestSilence);
-  this->client.GiveUp();
+  this->client.Drop();
+  this->ReadOn();
   return true;
 }
 
+void TopicFollower::ReadOn() {
+  if (this->loaded) {
+    this->ReadTail();
+  } else {
+    this->pages.clear();
+    this->ReadPage();
+  }
+}
+
 void TopicFollower::ReadPage() {
   std::string after = this->pages.empty() ? "" : this->pages.back().key;
   this->call_sent = Now();
@@ -113,14 +123,7 @@
 void TopicFollower::Fail(const std::string& reason) {
   bool first = !std::exchange(this->is_lost, true);
   if (first && this->hooks.lost) this->hooks.lost(reason);
-  if (!this->loaded) this->pages.clear();
-  this->recovery->Wait([this] {
-    if (this->loaded) {
-      this->ReadTail();
-    } else {
-      this->ReadPage();
-    }
-  });
+  this->recovery->Wait([this] { this->ReadOn(); });
 }
 
 }  // namespace gullward
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -62,7 +62,8 @@
   // Gives up the read that waits, and reads on a new connection: to be called when news
   // should have come by it.  A read that brings bytes is left alone, and each new one
   // gets twice the time of the one before: where the store or the link is slow, giving
-  // up too soon would throw away every read before it is whole.  Tells whether it did.
+  // up too soon would throw away every read before it is whole.  Tells whether it did;
+  // the store does not count as lost by it.
   bool ReadAgain();
 
   // When a call first succeeded after failures; in the past where none failed.
@@ -76,6 +77,7 @@
   uint64_t calls() const { return this->client.calls(); }
 
  private:
+  void ReadOn();
   void ReadPage();
   void ReadTail();
   void OnPage(const StoreAnswer& answer);
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -60,6 +60,9 @@
   // The engines' list is kept a second time in the store, for a gateway that starts
   // while the list cannot be read.  Off: that gateway refuses until it can.
   bool copy_engine_list = true;
+  // A read of the engines' list that has not brought what a peer has read is sent again.
+  // Off: it waits until the store answers it.
+  bool catch_up_with_peers = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -85,6 +88,7 @@
     {"wait_for_late_first", &Mechanisms::wait_for_late_first},
     {"gather_streams", &Mechanisms::gather_streams},
     {"copy_engine_list", &Mechanisms::copy_engine_list},
+    {"catch_up_with_peers", &Mechanisms::catch_up_with_peers},
 };
 
 }  // namespace gullward
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -69,9 +69,20 @@
   } else {
     topic.newest[key] = value;
   }
+  if (this->unheard == topic_name) {
+    this->unheard.clear();
+    this->SleepThrough(topic_name);
+  }
   this->WakeWaiting(Now());
 }
 
+void StoreStandin::SleepThrough(const std::string& topic_name) {
+  const Topic& topic = this->topics[topic_name];
+  for (Waiting& entry : this->waiting) {
+    if (entry.topic == topic_name) entry.wakes_at = topic.first + topic.records.size();
+  }
+}
+
 std::string StoreStandin::Newest(const std::string& topic_name, const std::string& key) {
   const std::map<std::string, std::string>& newest = this->topics[topic_name].newest;
   auto found = newest.find(key);
@@ -102,7 +113,7 @@
     uint64_t from = ToNumber(query["from"]);
     bool answered = this->AnswerTail(channel.get(), topic, from, /*even_if_none=*/false);
     Time until = Now() + milliseconds(ToNumber(query["waitMs"]));
-    if (!answered) this->waiting.push_back({channel, query["topic"], from, until});
+    if (!answered) this->waiting.push_back({channel, query["topic"], from, until, /*wakes_at=*/0});
   } else if (path == "/v1/log-append") {
     size_t key_size = static_cast<unsigned char>(request.body[4]);
     this->Put(query["topic"], request.body.substr(5, key_size), request.body.substr(5 + key_size));
@@ -170,8 +181,10 @@
   for (Waiting& entry : std::exchange(this->waiting, {})) {
     std::shared_ptr<CallerChannel> channel = entry.channel.lock();
     if (!channel || channel->is_closed()) continue;
-    bool done =
-        this->AnswerTail(channel.get(), this->topics[entry.topic], entry.from, now >= entry.until);
+    const Topic& topic = this->topics[entry.topic];
+    bool over = now >= entry.until;
+    bool sleeps = !over && topic.first + topic.records.size() <= entry.wakes_at;
+    bool done = !sleeps && this->AnswerTail(channel.get(), topic, entry.from, over);
     if (!done) still.push_back(std::move(entry));
   }
   this->waiting.insert(this->waiting.end(), still.begin(), still.end());
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -50,6 +50,9 @@
   // Turns away, with 503, the calls on one topic only; an empty name ends that.
   void TurnAwayTopic(const std::string& topic) { this->turned_away = topic; }
 
+  // Leaves the reads that wait at a topic unanswered until its next change but one.
+  void MissNextChange(const std::string& topic) { this->unheard = topic; }
+
   // The newest value of a key; empty where there is none.
   std::string Newest(const std::string& topic, const std::string& key);
 
@@ -70,6 +73,8 @@
     std::string topic;
     uint64_t from = 0;
     Time until;
+    // Answered only once the topic's end is beyond this.
+    uint64_t wakes_at = 0;
   };
 
   void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
@@ -77,6 +82,7 @@
   bool AnswerTail(CallerChannel* channel, const Topic& topic, uint64_t from, bool even_if_none);
   void Answer(CallerChannel* channel, const std::string& body);
   void AnswerInPieces(const std::shared_ptr<CallerChannel>& channel, const std::string& body);
+  void SleepThrough(const std::string& topic_name);
   void WakeWaiting(Time now);
 
   EventLoop* loop;
@@ -86,6 +92,7 @@
   std::vector<Waiting> waiting;
   StoreTrouble trouble = StoreTrouble::kNone;
   std::string turned_away;
+  std::string unheard;
   size_t page_size = 500;
   uint64_t call_count = 0;
 };
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -35,7 +35,8 @@
   }
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
                                       digest.sequence, builder.CreateVector(entries), freshness,
-                                      builder.CreateVector(set_aside), digest.engines_copied));
+                                      builder.CreateVector(set_aside), digest.engines_copied,
+                                      digest.engines_read_to));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -50,6 +51,7 @@
   digest.incarnation = packed->incarnation();
   digest.sequence = packed->sequence();
   digest.engines_copied = packed->engines_copied();
+  digest.engines_read_to = packed->engines_read_to();
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote told;
     told.round = note->round();
--- a/src/wire/load_digest.h
+++ b/src/wire/load_digest.h
@@ -31,6 +31,8 @@
   std::set<std::string> set_aside;
   // The content of the copy of the engines' list; gateway/engine_list_copy.h.
   uint64_t engines_copied = 0;
+  // The offset after the last change of the engines' list that the sender has read.
+  uint64_t engines_read_to = 0;
 
   bool operator==(const LoadDigest&) const = default;
 };
