Sight: a read that the store cuts short is told; the stand-in keeps to the store's size limit

The store's stand-in answered a read of any length whole, so no test could meet such an answer. Ruled out: nothing yet. Change: log line read_short (topic, read_to, log_end). The stand-in honours the size a read asks for (1,024 KB where it names none, one record at least) and counts the bytes it answers. The retry window and the fleet are told when their process started; nothing uses it yet.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -55,7 +55,7 @@
                              uint64_t random_seed)
     : loop(event_loop),
       log(STDOUT_FILENO),
-      state(event_loop, settings, &this->log, random_seed),
+      state(event_loop, settings, &this->log, random_seed, Now()),
       store_recovery(event_loop),
       config_follower(event_loop, settings.store, &this->store_recovery,
                       {std::string(platform::kConfigTopic), kConfigWait, kGatherConfigs},
@@ -82,6 +82,12 @@
   hooks.regained = [this, topic] {
     this->log.Write(LogLine("store_regained").Text("topic", topic));
   };
+  hooks.read_short = [this, topic](uint64_t read_to, uint64_t log_end) {
+    this->log.Write(LogLine("read_short")
+                        .Text("topic", topic)
+                        .Number("read_to", static_cast<double>(read_to))
+                        .Number("log_end", static_cast<double>(log_end)));
+  };
   return hooks;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -49,13 +49,13 @@
 
 struct GatewayState {
   GatewayState(EventLoop* event_loop, const GatewaySettings& gateway_settings, EventLog* event_log,
-               uint64_t random_seed)
+               uint64_t random_seed, Time started)
       : loop(event_loop),
         settings(gateway_settings),
         log(event_log),
         keys(gateway_settings.key_trust, gateway_settings.key_trust_mode),
         fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre,
-              gateway_settings.mechanisms),
+              gateway_settings.mechanisms, started),
         pool(event_loop),
         random(random_seed) {}
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -36,7 +36,8 @@
            .change = [this](const platform::KeyedRecord& record) { this->OnPeerRecord(record); },
            .up_to_date = {},
            .lost = {},
-           .regained = {}}),
+           .regained = {},
+           .read_short = {}}),
       config(std::move(config_hooks)),
       freshness(own_incarnation) {}
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -377,7 +377,8 @@
                   .change = [this](const auto&) { this->has_news = true; },
                   .up_to_date = {},
                   .lost = {},
-                  .regained = {}}) {
+                  .regained = {},
+                  .read_short = {}}) {
     this->follower.Start();
     while (!this->loaded) this->loop.RunOnce(milliseconds(20));
     this->loop.RunEvery(milliseconds(100), [this] {
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -103,6 +103,8 @@
   this->Succeed();
   this->next_offset += tail->records.size();
   for (const platform::KeyedRecord& record : tail->records) this->hooks.change(record);
+  bool is_short = this->next_offset < tail->end;
+  if (is_short && this->hooks.read_short) this->hooks.read_short(this->next_offset, tail->end);
   if (this->hooks.up_to_date) this->hooks.up_to_date(sent);
   if (tail->records.empty() || this->options.gather.count() == 0) {
     this->ReadTail();
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -52,6 +52,8 @@
     // The store did not answer; then that it does again.
     std::function<void(const std::string& reason)> lost;
     std::function<void()> regained;
+    // An answer ended at `read_to`, before the log's end: there is more to read.
+    std::function<void(uint64_t read_to, uint64_t log_end)> read_short;
   };
 
   TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -17,14 +17,15 @@
 }  // namespace
 
 Fleet::Fleet(const RetryBounds& bounds, std::string own_box, std::string own_data_centre,
-             const Mechanisms& mechanisms)
+             const Mechanisms& mechanisms, Time process_started)
     : retry_bounds(bounds),
       switches(mechanisms),
+      started(process_started),
       data_centre(std::move(own_data_centre)),
       suspicion(std::move(own_box)) {}
 
 RetryWindow& Fleet::RetriesOf(const std::string& service) {
-  auto [found, is_new] = this->retries.try_emplace(service, this->retry_bounds);
+  auto [found, is_new] = this->retries.try_emplace(service, this->retry_bounds, this->started);
   if (is_new && this->processes) found->second.SetProcesses(*this->processes);
   return found->second;
 }
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -40,7 +40,7 @@
 class Fleet {
  public:
   Fleet(const RetryBounds& retry_bounds, std::string own_box, std::string own_data_centre,
-        const Mechanisms& mechanisms = Mechanisms{});
+        const Mechanisms& mechanisms = Mechanisms{}, Time process_started = Time{});
 
   // Which mechanisms are switched on.
   const Mechanisms& mechanisms() const { return this->switches; }
@@ -83,6 +83,7 @@
 
   RetryBounds retry_bounds;
   Mechanisms switches;
+  Time started;
   std::optional<size_t> processes;
   std::string data_centre;
   EngineDirectory engines;
--- a/src/serving/retry_window.h
+++ b/src/serving/retry_window.h
@@ -41,7 +41,9 @@
 
 class RetryWindow {
  public:
-  explicit RetryWindow(const RetryBounds& retry_bounds) : bounds(retry_bounds) {}
+  // `process_started` is when this process began; left out, it has been up for long.
+  explicit RetryWindow(const RetryBounds& retry_bounds, Time process_started = Time{})
+      : bounds(retry_bounds), started(process_started) {}
 
   void AddRequest(Time now) { this->At(now).requests += 1; }
 
@@ -67,6 +69,7 @@
   Bucket& At(Time now);
 
   RetryBounds bounds;
+  Time started;
   std::array<Bucket, kBuckets> buckets{};
   double sharers = kUnknownSharers;
 };
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -19,6 +19,8 @@
 // How kSlowBody cuts an answer.
 constexpr size_t kPieces = 12;
 constexpr Duration kPieceEvery = milliseconds(100);
+// A read is answered with this much at most, or one record, unless it says otherwise.
+constexpr size_t kUsualReadKb = 1024;
 
 AnswerHead Head(int status) {
   AnswerHead head;
@@ -117,10 +119,13 @@
   if (path == "/v1/log-newest") {
     this->AnswerNewest(channel.get(), topic, query["after"]);
   } else if (path == "/v1/log-read") {
-    uint64_t from = ToNumber(query["from"]);
-    bool answered = this->AnswerTail(channel.get(), topic, from, /*even_if_none=*/false);
-    Time until = Now() + milliseconds(ToNumber(query["waitMs"]));
-    if (!answered) this->waiting.push_back({channel, query["topic"], from, until, /*wakes_at=*/0});
+    Waiting read{channel, query["topic"]};
+    read.from = ToNumber(query["from"]);
+    read.most_bytes = 1024 * ParseCount(query["max_kb"]).value_or(kUsualReadKb);
+    read.until = Now() + milliseconds(ToNumber(query["waitMs"]));
+    if (!this->AnswerTail(channel.get(), topic, read, /*even_if_none=*/false)) {
+      this->waiting.push_back(std::move(read));
+    }
   } else if (path == "/v1/log-append") {
     size_t key_size = static_cast<unsigned char>(request.body[4]);
     this->Put(query["topic"], request.body.substr(5, key_size), request.body.substr(5 + key_size));
@@ -141,10 +146,11 @@
         {{"tlsKey", next->first}, {"value", absl::Base64Escape(next->second)}, {"offset", 0}});
   }
   answer["more"] = next != topic.newest.end();
-  channel->Answer(Head(200), answer.dump());
+  this->Answer(channel, answer.dump());
 }
 
 void StoreStandin::Answer(CallerChannel* channel, const std::string& body) {
+  this->answered_bytes += body.size();
   if (this->trouble != StoreTrouble::kSlowBody) return channel->Answer(Head(200), body);
   channel->BeginAnswer(Head(200), body.size());
   this->AnswerInPieces(channel->shared_from_this(), body);
@@ -163,8 +169,9 @@
   }
 }
 
-bool StoreStandin::AnswerTail(CallerChannel* channel, const Topic& topic, uint64_t from,
+bool StoreStandin::AnswerTail(CallerChannel* channel, const Topic& topic, const Waiting& read,
                               bool even_if_none) {
+  uint64_t from = read.from;
   uint64_t end = topic.first + topic.records.size();
   if (from < topic.first) {
     channel->Answer(Head(410), "{\"first\":" + std::to_string(topic.first) + "}");
@@ -175,8 +182,12 @@
   platform::AppendNumber(&body, end, 8);
   platform::AppendNumber(&body, topic.first, 8);
   for (uint64_t offset = from; offset < end; ++offset) {
-    const platform::KeyedRecord& record = topic.records[offset - topic.first];
-    platform::AppendRecord(&body, record);
+    size_t without = body.size();
+    platform::AppendRecord(&body, topic.records[offset - topic.first]);
+    bool too_much = offset > from && body.size() > read.most_bytes;
+    if (!too_much) continue;
+    body.resize(without);
+    break;
   }
   this->Answer(channel, body);
   return true;
@@ -193,7 +204,7 @@
     const Topic& topic = this->topics[entry.topic];
     bool over = now >= entry.until;
     bool sleeps = topic.first + topic.records.size() <= entry.wakes_at;
-    bool done = !sleeps && this->AnswerTail(channel.get(), topic, entry.from, over);
+    bool done = !sleeps && this->AnswerTail(channel.get(), topic, entry, over);
     if (!done) still.push_back(std::move(entry));
   }
   this->waiting.insert(this->waiting.end(), still.begin(), still.end());
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -5,7 +5,8 @@
 //   store.SetTrouble(StoreTrouble::kSilent);
 //
 // It keeps keyed topics only, with one partition each, and speaks log-newest,
-// log-read and log-append as the platform's pages tell them.
+// log-read and log-append as the platform's pages tell them; an answer to log-read is
+// bounded in size, so it may end before the log does.
 
 #ifndef GULLWARD_STANDINS_STORE_STANDIN_H_
 #define GULLWARD_STANDINS_STORE_STANDIN_H_
@@ -68,6 +69,9 @@
 
   uint64_t calls() const { return this->call_count; }
 
+  // Bytes of all answers to reads, of the log and of the newest records.
+  uint64_t bytes_answered() const { return this->answered_bytes; }
+
  private:
   struct Topic {
     // Kept records; the first has the offset `first`.
@@ -79,14 +83,17 @@
     std::weak_ptr<CallerChannel> channel;
     std::string topic;
     uint64_t from = 0;
-    Time until;
+    // Records beyond the first are left out where they would exceed this.
+    size_t most_bytes = 0;
+    Time until{};
     // Answered only once the topic's end is beyond this.
     uint64_t wakes_at = 0;
   };
 
   void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
   void AnswerNewest(CallerChannel* channel, const Topic& topic, const std::string& after);
-  bool AnswerTail(CallerChannel* channel, const Topic& topic, uint64_t from, bool even_if_none);
+  bool AnswerTail(CallerChannel* channel, const Topic& topic, const Waiting& read,
+                  bool even_if_none);
   void Answer(CallerChannel* channel, const std::string& body);
   void AnswerInPieces(const std::shared_ptr<CallerChannel>& channel, const std::string& body);
   void SleepThrough(const std::string& topic_name);
@@ -103,6 +110,7 @@
   size_t page_size = 500;
   uint64_t given_up = 0;
   uint64_t call_count = 0;
+  uint64_t answered_bytes = 0;
 };
 
 }  // namespace gullward
