--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -47,6 +47,8 @@
       {ResultCode::kKeysNotVouched, "keys_not_vouched", 503,
        "the list of API keys is too old to be relied on"},
       {ResultCode::kEnginesRefused, "engines_refused", 503, "every engine that was asked is full"},
+      {ResultCode::kNotCurrent, "not_current", 503,
+       "not allowed by the configuration held here, which is not the newest"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded", 504, "the stated time passed"},
       {ResultCode::kEndpointLost, "endpoint_lost", 502, "the endpoint was lost while it worked"},
       {ResultCode::kEngineFailed, "engine_failed", 502, "the engine broke off"},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -51,6 +51,7 @@
   kTimeTooShort = 2012,
   kKeysNotVouched = 2013,
   kEnginesRefused = 2014,
+  kNotCurrent = 2015,
 
   kDeadlineExceeded = 3001,
   kEndpointLost = 3002,
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -14,15 +14,23 @@
 
 std::string Path(const std::string& target) { return target.substr(0, target.find('?')); }
 
+// A request that `config` does not allow may be allowed by a newer configuration.  Where
+// there is one, or may be one for all that has been proved, the caller is told to come back
+// instead of being denied for good: callers do not return after a 401 or a 404.
+ResultCode Deny(const GatewayState& state, const ConfigIndex& config, ResultCode why, Time now) {
+  bool is_newest = config.config().version >= state.newest_version_told && state.keys.IsFresh(now);
+  return is_newest ? why : ResultCode::kNotCurrent;
+}
+
 ResultCode AdmitAccount(const GatewayState& state, const ConfigIndex& config,
                         const CallerRequest& request, Time now, Admission* admission) {
   admission->needs_key = !config.config().accounts.empty() && !admission->route->is_public;
   if (!admission->needs_key) return ResultCode::kOk;
   if (!state.keys.IsFresh(now)) return ResultCode::kKeysNotVouched;
   std::optional<std::string_view> key = FindHeader(request.head.headers, platform::kApiKey);
-  if (!key) return ResultCode::kMissingKey;
+  if (!key) return Deny(state, config, ResultCode::kMissingKey, now);
   const ClientAccount* holder = config.FindAccount(*key);
-  if (holder == nullptr) return ResultCode::kWrongKey;
+  if (holder == nullptr) return Deny(state, config, ResultCode::kWrongKey, now);
   admission->account = holder->name;
   return ResultCode::kOk;
 }
@@ -34,7 +42,9 @@
   if (config == nullptr) return ResultCode::kNotReady;
   std::string host(FindHeader(request.head.headers, "Host").value_or(""));
   admission->route = config->FindRoute(host, Path(request.head.target));
-  if (admission->route == nullptr) return ResultCode::kUnknownRoute;
+  if (admission->route == nullptr) {
+    return Deny(state, *config, ResultCode::kUnknownRoute, now);
+  }
   ResultCode by_account = AdmitAccount(state, *config, request, now, admission);
   if (by_account != ResultCode::kOk) return by_account;
   if (!facts.valid) return ResultCode::kInvalidHeader;
--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -35,7 +35,8 @@
 void ConfigProver::Ask(uint64_t position, Time now) {
   this->schedule.NoteAsked();
   this->client.Call(
-      platform::ReadFrom(this->topic, position, /*wait=*/Duration(0)), StoreClient::kAnswerPatience,
+      platform::ReadFrom(this->topic, position, /*wait=*/Duration(0), TopicFollower::kGlanceKb),
+      StoreClient::kAnswerPatience,
       [this, position, now](const StoreAnswer& answer) { this->OnAnswer(answer, position, now); });
 }
 
--- a/src/gateway/config_prover.h
+++ b/src/gateway/config_prover.h
@@ -5,7 +5,8 @@
 // the log without waiting: an answer without records proves that nothing newer had
 // been written when the question was sent.  An answer with records is news that the
 // follower's read should bring at once; if it does not, that read hangs on a dead
-// connection.
+// connection.  The question asks for next to nothing of the records: whole ones, thrown
+// away, took half of a thin link from the follower while it caught up.
 //
 //   ConfigProver prover(&loop, store, topic, trust, seed, hooks);
 //   prover.Tick(proved_at, now);          // every few milliseconds
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -173,6 +174,7 @@
 // hang on a connection that is dead.
 void GatewayServer::OnNewerVersion(uint64_t version) {
   Time now = Now();
+  this->state.newest_version_told = std::max(this->state.newest_version_told, version);
   if (version != this->version_behind) {
     this->version_behind = version;
     this->behind_since = now;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -64,6 +64,8 @@
   EventLog* log;
   // Null until a configuration has been read.
   std::shared_ptr<const ConfigIndex> config;
+  // The newest version that any peer has told of.
+  uint64_t newest_version_told = 0;
   KeyFreshness keys;
   Fleet fleet;
   EnginePool pool;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -1,4 +1,4 @@
-// Two states: reading pages, and following the tail.
+// Two states: reading pages, and following the tail (at first by a glance, after a failure).
 
 #include "gateway/topic_follower.h"
 
@@ -35,13 +35,18 @@
 
 void TopicFollower::ReadOn() {
   if (this->loaded) {
-    this->ReadTail();
+    this->ReadTail(/*wait=*/Duration(0), kGlanceKb);
   } else {
-    this->pages.clear();
-    this->ReadPage();
+    this->ReadPages();
   }
 }
 
+void TopicFollower::ReadPages() {
+  this->loaded = false;
+  this->pages.clear();
+  this->ReadPage();
+}
+
 void TopicFollower::ReadPage() {
   std::string after = this->pages.empty() ? "" : this->pages.back().key;
   this->call_sent = Now();
@@ -71,23 +76,25 @@
     return;
   }
   this->loaded = true;
+  this->keys = this->pages.size();
   this->hooks.replace(std::exchange(this->pages, {}));
   if (this->hooks.up_to_date) this->hooks.up_to_date(this->pages_sent);
-  this->ReadTail();
+  this->WaitForNews();
 }
 
-void TopicFollower::ReadTail() {
+void TopicFollower::WaitForNews() { this->ReadTail(this->options.wait, kMostHistoryKb); }
+
+void TopicFollower::ReadTail(Duration wait, size_t most_kb) {
   this->call_sent = Now();
-  this->client.Call(platform::ReadFrom(this->options.topic, this->next_offset, this->options.wait),
-                    this->options.wait + StoreClient::kAnswerPatience,
+  this->client.Call(platform::ReadFrom(this->options.topic, this->next_offset, wait, most_kb),
+                    wait + StoreClient::kAnswerPatience,
                     [this](const StoreAnswer& answer) { this->OnTail(answer); });
 }
 
 void TopicFollower::OnTail(const StoreAnswer& answer) {
   if (answer.status == platform::kRecordsGone) {
     this->Succeed();
-    this->loaded = false;
-    this->ReadPage();
+    this->ReadPages();
     return;
   }
   if (!answer.ok()) {
@@ -101,18 +108,37 @@
   }
   Time sent = this->call_sent;
   this->Succeed();
-  this->next_offset += tail->records.size();
-  for (const platform::KeyedRecord& record : tail->records) this->hooks.change(record);
-  bool is_short = this->next_offset < tail->end;
-  if (is_short && this->hooks.read_short) this->hooks.read_short(this->next_offset, tail->end);
+  if (this->next_offset + tail->records.size() < tail->end) {
+    this->OnShortTail(*tail);
+    return;
+  }
+  this->TellChanges(*tail);
   if (this->hooks.up_to_date) this->hooks.up_to_date(sent);
   if (tail->records.empty() || this->options.gather.count() == 0) {
-    this->ReadTail();
+    this->WaitForNews();
   } else {
-    this->loop->RunAfter(this->options.gather, [this] { this->ReadTail(); });
+    this->loop->RunAfter(this->options.gather, [this] { this->WaitForNews(); });
   }
 }
 
+// An answer without any record holds nothing to go on from.
+void TopicFollower::OnShortTail(const platform::KeyedTail& tail) {
+  uint64_t read_to = this->next_offset + tail.records.size();
+  if (this->hooks.read_short) this->hooks.read_short(read_to, tail.end);
+  bool newest_is_less = tail.records.empty() || tail.end - read_to > this->keys;
+  if (newest_is_less) {
+    this->ReadPages();
+    return;
+  }
+  this->TellChanges(tail);
+  this->WaitForNews();
+}
+
+void TopicFollower::TellChanges(const platform::KeyedTail& tail) {
+  this->next_offset += tail.records.size();
+  for (const platform::KeyedRecord& record : tail.records) this->hooks.change(record);
+}
+
 void TopicFollower::Succeed() {
   this->recovery->NoteAnswer();
   this->silence_limit = kNewsShouldHaveCome;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -2,8 +2,18 @@
 //
 // First the newest record of each key is read, page by page; then single reads
 // wait at the store for what comes next.  When a read fails, it is sent again when
-// store_recovery.h says so; when the store has dropped the records that come
-// next, the pages are read anew.
+// store_recovery.h says so.
+//
+// The store answers a read with a bounded size and says where the log ends, so an answer
+// may stop short of the end.  Only one that reaches the end proves anything about what is
+// newest.  One that stops short shows how many records are missing: where they are more
+// than the topic has keys, the newest record of each key is less to read than the history,
+// and the pages are read anew, as they are where the store has dropped the records that
+// come next.  How much is missing after a failure is not known, so a glance (a read that
+// asks for next to nothing) comes first.
+//
+// A gateway that had been cut off through 37 versions of a configuration of 52 KB read
+// 3.8 MB in 2.0 s on a link of 20 Mbit/s before that; the newest version is 70 KB, 0.03 s.
 //
 //   TopicFollower follower(&loop, store, {.topic = ..., .wait = seconds(2)}, hooks);
 //   follower.Start();
@@ -31,6 +41,10 @@
   static constexpr Duration kNewsShouldHaveCome = milliseconds(400);
   // The longest time that a new read gets; news must be in force within two seconds.
   static constexpr Duration kLongestSilence = milliseconds(1600);
+  // What an answer may hold of the history: a tenth of a second on a link of 20 Mbit/s.
+  static constexpr size_t kMostHistoryKb = 256;
+  // The least that can be asked for: the answer tells where the log ends.
+  static constexpr size_t kGlanceKb = 1;
 
   struct Options {
     std::string topic;
@@ -47,7 +61,7 @@
     std::function<void(const std::vector<platform::KeyedRecord>&)> replace;
     // One record more.
     std::function<void(const platform::KeyedRecord&)> change;
-    // Everything up to a read that was sent at `sent` has been told.
+    // Everything that was in the log when a read was sent, at `sent`, has been told.
     std::function<void(Time sent)> up_to_date;
     // The store did not answer; then that it does again.
     std::function<void(const std::string& reason)> lost;
@@ -80,10 +94,14 @@
 
  private:
   void ReadOn();
+  void ReadPages();
   void ReadPage();
-  void ReadTail();
+  void ReadTail(Duration wait, size_t most_kb);
+  void WaitForNews();
   void OnPage(const StoreAnswer& answer);
   void OnTail(const StoreAnswer& answer);
+  void OnShortTail(const platform::KeyedTail& tail);
+  void TellChanges(const platform::KeyedTail& tail);
   void Succeed();
   void Fail(const std::string& reason);
 
@@ -95,6 +113,8 @@
   std::vector<platform::KeyedRecord> pages;
   Time pages_sent{};
   bool loaded = false;
+  // How many keys the topic had when its pages were last read.
+  size_t keys = 0;
   uint64_t next_offset = 0;
   Time call_sent{};
   // Whether the last call failed and none has succeeded since.
