--- a/src/gateway/testing/retry_budget_test.cc
+++ b/src/gateway/testing/retry_budget_test.cc
@@ -185,7 +185,8 @@
     world.Publish(world.DefaultConfig());
     world.StartGateway();
     // Nothing waits to be read when the process stands still.
-    for (int i = 0; i < 4; ++i) world.loop.RunOnce(milliseconds(20));
+    Time ready_at = Now();
+    BOOST_TEST_REQUIRE(world.RunUntil([&] { return world.loop.caught_up_at() > ready_at; }));
     const std::string gateway = absl::StrCat("127.0.0.1:", world.gateway->callers_port());
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (size_t i = 0; i < kRequests; ++i) {
--- a/src/serving/retry_window.cc
+++ b/src/serving/retry_window.cc
@@ -6,13 +6,18 @@
 
 namespace gullward {
 
-RetryWindow::Bucket& RetryWindow::At(Time now) {
+RetryWindow::Bucket* RetryWindow::At(Time moment) {
   int64_t width =
       std::max<int64_t>(this->bounds.window.count() / static_cast<int64_t>(kBuckets - 1), 1);
-  int64_t number = now.time_since_epoch().count() / width;
+  int64_t number = moment.time_since_epoch().count() / width;
   Bucket& bucket = this->buckets[static_cast<size_t>(number) % kBuckets];
-  if (bucket.number != number) bucket = Bucket{number, 0, 0};
-  return bucket;
+  if (bucket.number > number) return nullptr;
+  if (bucket.number < number) bucket = Bucket{number, 0, 0};
+  return &bucket;
+}
+
+void RetryWindow::AddRequest(Time sent) {
+  if (Bucket* bucket = this->At(sent)) bucket->requests += 1;
 }
 
 double RetryWindow::SlackShare(Time now) const {
@@ -21,7 +26,7 @@
 }
 
 double RetryWindow::Left(Time now) {
-  int64_t newest = this->At(now).number;
+  int64_t newest = this->At(now)->number;
   double requests = 0;
   double retries = 0;
   for (const Bucket& bucket : this->buckets) {
@@ -35,7 +40,7 @@
 
 bool RetryWindow::TakeRetry(Time now) {
   if (this->Left(now) < 1) return false;
-  this->At(now).retries += 1;
+  this->At(now)->retries += 1;
   return true;
 }
 
--- a/src/serving/retry_window.h
+++ b/src/serving/retry_window.h
@@ -51,7 +51,9 @@
   explicit RetryWindow(const RetryBounds& retry_bounds, Time process_started = Time{})
       : bounds(retry_bounds), started(process_started) {}
 
-  void AddRequest(Time now) { this->At(now).requests += 1; }
+  // Counts a request that was sent at `sent` at the earliest.  One that waited to be read
+  // while the process stood still must not allow second attempts as if it were new.
+  void AddRequest(Time sent);
 
   // Says how many processes there are, this one included.
   void SetProcesses(size_t count) {
@@ -72,7 +74,8 @@
     double retries = 0;
   };
 
-  Bucket& At(Time now);
+  // The bucket of a moment, or null where it has given its place to a later one.
+  Bucket* At(Time moment);
   // This process's part of the slack.
   double SlackShare(Time now) const;
 
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -40,7 +40,13 @@
 
 void EventLoop::RunOnce(Duration longest) {
   epoll_event events[kMaxEvents];
-  int count = epoll_wait(this->epoll_fd, events, kMaxEvents, this->WaitMillis(longest));
+  // Asked first without waiting: only that tells whether there is anything to catch up with.
+  Time asked = Now();
+  int count = epoll_wait(this->epoll_fd, events, kMaxEvents, /*timeout=*/0);
+  if (count == 0) {
+    this->caught_up = asked;
+    count = epoll_wait(this->epoll_fd, events, kMaxEvents, this->WaitMillis(longest));
+  }
   for (int i = 0; i < count; ++i) {
     auto found = this->handlers.find(events[i].data.fd);
     if (found == this->handlers.end()) continue;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -44,6 +44,10 @@
   // Waits for one round of events, at most `longest`, and runs what they ask for.
   void RunOnce(Duration longest);
 
+  // The latest moment at which nothing waited to be handled: what is handled now became
+  // ready after it.  Milliseconds ago as a rule; seconds ago where the process stood still.
+  Time caught_up_at() const { return this->caught_up; }
+
   // Makes Run return soon.  Safe from any thread.
   void Stop();
   bool stopped() const { return this->stopping.load(); }
@@ -89,6 +93,7 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
   uint64_t next_order = 0;
   std::unordered_map<int, FdHandler> handlers;
+  Time caught_up = Now();
 };
 
 }  // namespace gullward
