--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -34,13 +34,14 @@
 constexpr char kConfigKey[] = "config";
 // Versions that the gateway misses: more than one answer of the store holds.
 constexpr int kMissed = 30;
+// As large as a fleet's configuration is.
+constexpr size_t kVersionBytes = 100'000;
 
-// The world's configuration with a route more, as large as a fleet's is.
+// The world's configuration with a route more.
 json LargeConfig(const GatewayWorld& world, int version) {
-  constexpr size_t kBytes = 100'000;
   json config = world.DefaultConfig();
   config["version"] = version;
-  config["padding"] = std::string(kBytes, 'x');
+  config["padding"] = std::string(kVersionBytes, 'x');
   json route = config["routes"][1];
   route["pathPrefix"] = absl::StrCat("/version/", version, "/");
   route["name"] = absl::StrCat("version-", version);
@@ -94,9 +95,8 @@
     if (record.key == kConfigKey) this->newest = record.value;
   }
   void Publish(int version) {
-    constexpr size_t kBytes = 100'000;
     std::string value = absl::StrCat("version ", version);
-    value.resize(kBytes, '.');
+    value.resize(kVersionBytes, '.');
     this->store.Put(kConfigTopic, kConfigKey, value);
     this->published = value;
   }
@@ -117,7 +117,6 @@
 
 // What catching up may cost, in versions, however many were missed.
 constexpr uint64_t kMostVersionsRead = 6;
-constexpr uint64_t kVersionBytes = 100'000;
 
 BOOST_AUTO_TEST_CASE(CatchingUpAfterACutCostsTheNewestVersionAndNotTheHistory) {
   Follower follower;
--- a/src/gateway/testing/retry_budget_test.cc
+++ b/src/gateway/testing/retry_budget_test.cc
@@ -80,8 +80,6 @@
     });
   }
 
-  size_t retries_taken() const { return this->retries.size(); }
-
  private:
   static constexpr int kGateways = 5;
 
