--- a/src/gateway/engine_pool.cc
+++ b/src/gateway/engine_pool.cc
@@ -8,7 +8,7 @@
 namespace gullward {
 
 std::shared_ptr<RequestChannel> EnginePool::Take(const EngineRecord& engine, Time now, bool fresh) {
-  std::vector<Idle>& waiting = this->idle[engine.id];
+  std::vector<Idle>& waiting = this->idle[engine.Incarnation()];
   while (!fresh && !waiting.empty()) {
     Idle last = std::move(waiting.back());
     waiting.pop_back();
@@ -19,9 +19,9 @@
   return RequestChannel::Open(this->loop, engine.address);
 }
 
-void EnginePool::Give(const std::string& engine, const std::shared_ptr<RequestChannel>& channel,
+void EnginePool::Give(const EngineRecord& engine, const std::shared_ptr<RequestChannel>& channel,
                       Time now) {
-  std::vector<Idle>& waiting = this->idle[engine];
+  std::vector<Idle>& waiting = this->idle[engine.Incarnation()];
   Duration keep = channel->keep_alive().value_or(kDefaultKeep + kKeepMargin) - kKeepMargin;
   bool worth_keeping =
       channel->reusable() && keep.count() > 0 && waiting.size() < kMostIdlePerEngine;
--- a/src/gateway/engine_pool.h
+++ b/src/gateway/engine_pool.h
@@ -2,7 +2,7 @@
 //
 //   auto channel = pool.Take(engine, now, /*fresh=*/false);
 //   ...
-//   pool.Give(engine.id, channel, now);        // after a whole answer
+//   pool.Give(engine, channel, now);        // after a whole answer
 
 #ifndef GULLWARD_GATEWAY_ENGINE_POOL_H_
 #define GULLWARD_GATEWAY_ENGINE_POOL_H_
@@ -33,7 +33,7 @@
   std::shared_ptr<RequestChannel> Take(const EngineRecord& engine, Time now, bool fresh);
 
   // Takes a channel back whose answer has ended; closes it if it is not fit.
-  void Give(const std::string& engine, const std::shared_ptr<RequestChannel>& channel, Time now);
+  void Give(const EngineRecord& engine, const std::shared_ptr<RequestChannel>& channel, Time now);
 
   // Closes what has been idle for too long.
   void Tick(Time now);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -149,7 +149,7 @@
 void Exchange::SendAttempt(const FleetChoice& choice, Time now) {
   this->attempts += 1;
   this->state->counters.attempts += 1;
-  this->tried.insert(choice.engine.id);
+  this->tried.insert(choice.engine.Incarnation());
   this->BookLoad(choice, now);
   // What must not run twice must not meet a kept connection that is just being
   // closed: nobody could tell whether it ran.
@@ -202,14 +202,14 @@
 void Exchange::BookLoad(const FleetChoice& choice, Time now) {
   std::vector<WorkPart> parts;
   WorkPart main;
-  main.engine = choice.engine.id;
+  main.engine = choice.engine.Incarnation();
   main.prompt_tokens = choice.placement.memory_tokens;
   main.reading_ms = choice.placement.part_reading_ms;
   main.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
   parts.push_back(main);
   for (const EngineRecord& reader : choice.readers) {
     WorkPart part;
-    part.engine = reader.id;
+    part.engine = reader.Incarnation();
     part.reading_ms = choice.placement.part_reading_ms;
     part.prompt_tokens = choice.placement.spreads_memory ? choice.placement.memory_tokens : 0;
     part.is_main = false;
@@ -240,7 +240,7 @@
   std::optional<SocketAddress> named = platform::EngineAtFault(head.headers);
   if (!named) return std::nullopt;
   for (const EngineRecord& reader : this->attempt->readers) {
-    if (reader.address == *named) return reader.id;
+    if (reader.address == *named) return reader.Incarnation();
   }
   return std::nullopt;
 }
@@ -329,7 +329,7 @@
   AttemptResult result = this->ResultOf(channel_result);
   this->NoteHealth(result, channel_result);
   if (channel_result == ChannelResult::kWholeAnswer) {
-    this->state->pool.Give(this->attempt->engine.id, this->attempt->channel, Now());
+    this->state->pool.Give(this->attempt->engine, this->attempt->channel, Now());
   }
   this->AfterAttempt(result);
 }
@@ -342,15 +342,15 @@
 void Exchange::BlameReader(Time now) {
   const std::string& reader = *this->attempt->reader_at_fault;
   this->state->log->Write(
-      this->Line("reader_refused").Text("engine", this->attempt->engine.id).Text("reader", reader));
+      this->Line("reader_refused").Text("engine", this->attempt->engine.Incarnation()).Text("reader", reader));
   this->state->fleet.NoteFailure(reader, /*unreachable=*/true, now);
   this->tried.insert(reader);
-  this->tried.erase(this->attempt->engine.id);
+  this->tried.erase(this->attempt->engine.Incarnation());
 }
 
 void Exchange::NoteHealth(AttemptResult result, ChannelResult channel_result) {
   Fleet& fleet = this->state->fleet;
-  const std::string& engine = this->attempt->engine.id;
+  std::string engine = this->attempt->engine.Incarnation();
   Time now = Now();
   if (this->attempt->reader_at_fault) {
     this->BlameReader(now);
@@ -361,7 +361,7 @@
     fleet.HealthOf(engine).AddSuccess(now);
   } else if (result == AttemptResult::kWrongEngine) {
     this->state->log->Write(this->Line("engine_replaced").Text("engine", engine));
-    fleet.directory().Forget(engine);
+    fleet.directory().Forget(this->attempt->engine);
   } else {
     // Answers of failure count too: an engine that fails at once is always idle, and
     // would draw everybody's requests.
@@ -396,7 +396,7 @@
     if (this->state->fleet.RetriesOf(this->service->name).TakeRetry(now)) {
       this->state->counters.retries += 1;
       this->state->log->Write(this->Line("retry")
-                                  .Text("engine", this->attempt->engine.id)
+                                  .Text("engine", this->attempt->engine.Incarnation())
                                   .Number("result", static_cast<double>(result))
                                   .Number("status", this->attempt->head.status));
       this->attempt.reset();
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -53,7 +53,7 @@
   if (this->attempts <= 1 && !this->state->log->Sample()) return;
   this->state->log->Write(
       this->Line("attempt")
-          .Text("engine", choice.engine.id)
+          .Text("engine", choice.engine.Incarnation())
           .Number("attempt", this->attempts)
           .Number("candidates", static_cast<double>(choice.candidates))
           .Number("readers", static_cast<double>(choice.readers.size() + 1))
@@ -72,7 +72,7 @@
   bool late = this->times.IsLate(on, first);
   if (!late && !this->state->log->Sample()) return;
   LogLine line = this->Line(late ? "answered_late" : "answered");
-  line.Text("engine", this->attempt->engine.id)
+  line.Text("engine", this->attempt->engine.Incarnation())
       .Number("status", this->attempt->head.status)
       .Number("attempts", this->attempts)
       .Number("prompt_tokens", this->facts.prompt_tokens)
@@ -89,7 +89,7 @@
       .Number("status", info.http_status)
       .Number("attempts", this->attempts);
   if (this->attempt) {
-    line.Text("engine", this->attempt->engine.id)
+    line.Text("engine", this->attempt->engine.Incarnation())
         .Number("engine_status", this->attempt->head.status)
         .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
         .Text("connection", NameOf(this->attempt->ended));
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -41,7 +41,7 @@
   Duration silent = now - this->attempt->last_progress;
   if (silent < this->Patience()) return false;
   const EngineRecord& engine = this->attempt->engine;
-  EngineLoad load = this->state->fleet.loads().Of(engine.id, now);
+  EngineLoad load = this->state->fleet.loads().Of(engine.Incarnation(), now);
   return !ExcusesSilence(load, engine.slots, silent);
 }
 
@@ -57,9 +57,9 @@
 void Exchange::LeaveSilentEngine(Time now) {
   Duration silent = now - this->attempt->last_progress;
   this->state->log->Write(this->Line("engine_silent")
-                              .Text("engine", this->attempt->engine.id)
+                              .Text("engine", this->attempt->engine.Incarnation())
                               .Number("silent_ms", ToSeconds(silent) * 1000));
-  this->state->fleet.NoteFailure(this->attempt->engine.id, /*unreachable=*/false, now);
+  this->state->fleet.NoteFailure(this->attempt->engine.Incarnation(), /*unreachable=*/false, now);
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kUnknown);
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -52,6 +52,9 @@
   // Gateways known besides this one.
   size_t peers() const { return this->load_exchange.peers(); }
 
+  // Entries of the engines' list that could not be read, since the process began.
+  uint64_t unreadable_entries() const { return this->state.counters.entries_unreadable; }
+
   // The settings file has changed.
   void Reload(const GatewaySettings& changed);
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -31,6 +31,10 @@
   uint64_t callers_gone = 0;
   uint64_t events_passed = 0;
   uint64_t orders = 0;
+  // Entries of the engines' list that name no engine, and lives that followed another
+  // one under the same id.
+  uint64_t entries_unreadable = 0;
+  uint64_t engine_restarts = 0;
   // By the length of the prompt (LengthName).
   std::map<std::string, LatencyHistogram> first_event;
   std::map<std::string, LatencyHistogram> longest_pause;
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -485,8 +485,11 @@
   json record = {{"service", "app"},
                  {"address", impostor.address().ToString()},
                  {"zone", "hall-1"},
+                 {"version", "v1"},
                  {"slots", 16},
-                 {"state", "ready"}};
+                 {"state", "ready"},
+                 {"coldLeftMs", 0},
+                 {"callSeq", 0}};
   world->store.Put("keyed.servers", "app-gone", record.dump());
   for (int i = 0; i < 20; ++i) {
     Reply reply = world->Call(world->SafeRequest(absl::StrCat("i", i)));
--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -40,7 +40,7 @@
     if (auto pending = weak.lock()) pending->status = head.status;
   };
   hooks.done = [self = this->shared_from_this(), weak,
-                engine = wish.engine.id](ChannelResult result) {
+                engine = wish.engine](ChannelResult result) {
     auto pending = weak.lock();
     if (!pending) return;
     bool whole = result == ChannelResult::kWholeAnswer;
@@ -60,7 +60,7 @@
   this->prolonged = Now();
   for (const TicketWish& wish : this->wishes) {
     std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
-    this->Order(wish, text, [self = this->shared_from_this(), engine = wish.engine.id](bool given) {
+    this->Order(wish, text, [self = this->shared_from_this(), engine = wish.engine.Incarnation()](bool given) {
       if (!given) {
         self->Finish(false, engine);
       } else if (++self->granted == self->wishes.size()) {
@@ -95,7 +95,7 @@
 void TicketSet::ReleaseOne(const TicketWish& wish, int tries_left) {
   if (tries_left == 0) {
     this->state->log->Write(
-        LogLine("ticket_left_to_lapse").Text("ticket", wish.ticket).Text("engine", wish.engine.id));
+        LogLine("ticket_left_to_lapse").Text("ticket", wish.ticket).Text("engine", wish.engine.Incarnation()));
     return;
   }
   this->Order(wish, platform::ReleaseMemoryText(wish.engine, wish.ticket),
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -2,12 +2,26 @@
 
 #include "serving/engine_directory.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace gullward {
 
+// No id has an "@" (platform/documents.h).
+std::string EngineRecord::Incarnation() const {
+  return this->born == 0 ? this->id : absl::StrCat(this->id, "@", this->born);
+}
+
 void EngineDirectory::Update(const EngineRecord& record) {
+  const EngineRecord* known = this->Find(record.id);
+  bool is_late = known != nullptr && record.born < known->born;
+  if (is_late) return;
   this->engines[record.id] = Entry{record, std::nullopt};
 }
 
+void EngineDirectory::Forget(const EngineRecord& record) {
+  if (this->IsListed(record)) this->engines.erase(record.id);
+}
+
 void EngineDirectory::Remove(const std::string& id, Time now, Time keep_until) {
   auto found = this->engines.find(id);
   if (found == this->engines.end()) return;
@@ -52,6 +66,17 @@
   return found == this->engines.end() ? nullptr : &found->second.record;
 }
 
+bool EngineDirectory::IsListed(const EngineRecord& record) const {
+  const EngineRecord* known = this->Find(record.id);
+  return known != nullptr && known->born == record.born;
+}
+
+std::set<std::string> EngineDirectory::Incarnations() const {
+  std::set<std::string> incarnations;
+  for (const auto& [id, entry] : this->engines) incarnations.insert(entry.record.Incarnation());
+  return incarnations;
+}
+
 std::vector<EngineRecord> EngineDirectory::Listed() const {
   std::vector<EngineRecord> listed;
   for (const auto& [id, entry] : this->engines) listed.push_back(entry.record);
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -6,6 +6,10 @@
 // reach: then entries of living engines lapse and come back a moment later, so
 // an engine is kept that long on its old record.
 //
+// An engine may start again under its id.  The later life replaces the earlier one
+// whole, and never the other way round, though the list and its copy may be read in
+// any order.
+//
 //   EngineDirectory directory;
 //   directory.Update(record);
 //   directory.Remove(id, now, KeepUntil(list_regained_at));
@@ -14,6 +18,7 @@
 #ifndef GULLWARD_SERVING_ENGINE_DIRECTORY_H_
 #define GULLWARD_SERVING_ENGINE_DIRECTORY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,8 +30,9 @@
 
 namespace gullward {
 
-// One life of one engine; a restart has a new id.
+// One life of one engine.
 struct EngineRecord {
+  // Names the engine; it may start again under the same one.
   std::string id;
   std::string service;
   SocketAddress address;
@@ -34,6 +40,14 @@
   int slots = 1;
   // It is leaving and takes no new work.
   bool draining = false;
+  // When this life began, in milliseconds of Unix time by the engine's own clock: only
+  // good for telling two lives of one id apart, the later one having more.  0: not said.
+  int64_t born = 0;
+
+  // Names this life alone.  All that is believed of an engine or kept for it (work,
+  // health, connections, the words of peers) is kept under this, so that what is said
+  // of an earlier life, however late, changes nothing of the next one.
+  std::string Incarnation() const;
 
   bool operator==(const EngineRecord&) const = default;
 };
@@ -49,6 +63,7 @@
   // Until when removals that are read after the list's return are not believed.
   static Time KeepUntil(Time list_regained_at) { return list_regained_at + kLapseGrace; }
 
+  // Takes one entry.  One of an earlier life than the known one is dropped.
   void Update(const EngineRecord& record);
   // Removes an engine, at `keep_until` if that is later than now.
   void Remove(const std::string& id, Time now, Time keep_until);
@@ -56,14 +71,21 @@
   // Takes a whole list: what is not on it is removed.
   void Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until);
 
-  // An engine that is not what its address once was: gone at once.
-  void Forget(const std::string& id) { this->engines.erase(id); }
+  // A life that is not what its address once was: gone at once.  A later life of the
+  // same id stays.
+  void Forget(const EngineRecord& record);
 
   // The engines of a service that may get new work.
   std::vector<const EngineRecord*> Usable(const std::string& service, Time now);
 
   const EngineRecord* Find(const std::string& id) const;
 
+  // Whether this very life is the one that is known.
+  bool IsListed(const EngineRecord& record) const;
+
+  // The names of all lives that are known.
+  std::set<std::string> Incarnations() const;
+
   // All that are listed, in the order of their ids.
   std::vector<EngineRecord> Listed() const;
 
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -72,9 +72,10 @@
   std::vector<const EngineRecord*> good;
   std::vector<const EngineRecord*> untried;
   for (const EngineRecord* engine : usable) {
-    if (tried.count(engine->id) != 0) continue;
+    std::string incarnation = engine->Incarnation();
+    if (tried.count(incarnation) != 0) continue;
     untried.push_back(engine);
-    if (!this->Avoids(engine->id, now)) good.push_back(engine);
+    if (!this->Avoids(incarnation, now)) good.push_back(engine);
   }
   if (!good.empty()) return good;
   // Engines that were set aside are better than none.
@@ -94,11 +95,11 @@
   for (size_t i = 0; i < pickable.size(); ++i) {
     const EngineRecord& engine = *pickable[i];
     Candidate candidate;
-    candidate.engine = engine.id;
-    candidate.load = this->load_book.Of(engine.id, now);
+    candidate.engine = engine.Incarnation();
+    candidate.load = this->load_book.Of(candidate.engine, now);
     candidate.slots = engine.slots;
     candidate.same_data_centre = engine.data_centre == this->data_centre;
-    candidate.failure_rate = this->health[engine.id].FailureRate(now);
+    candidate.failure_rate = this->health[candidate.engine].FailureRate(now);
     candidate.rank = this->switches.shared_order ? static_cast<double>(i) / last : 0;
     candidates.push_back(std::move(candidate));
   }
@@ -118,9 +119,9 @@
 
 void Fleet::ForgetUnlisted(Time now) {
   this->suspicion.Tick(now);
+  std::set<std::string> listed = this->engines.Incarnations();
   for (auto it = this->health.begin(); it != this->health.end();) {
-    bool listed = this->engines.Find(it->first) != nullptr;
-    it = listed ? std::next(it) : this->health.erase(it);
+    it = listed.count(it->first) != 0 ? std::next(it) : this->health.erase(it);
   }
 }
 
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -62,6 +62,13 @@
   this->loop->RunEvery(kTick, [this] { this->WakeWaiting(Now()); });
 }
 
+void StoreStandin::PutRaw(const std::string& topic_name, const std::string& bytes) {
+  Topic& topic = this->topics[topic_name];
+  topic.raw.insert(topic.first + topic.records.size());
+  this->Put(topic_name, /*key=*/"", bytes);
+  topic.newest.erase("");
+}
+
 void StoreStandin::Put(const std::string& topic_name, const std::string& key,
                        const std::string& value) {
   Topic& topic = this->topics[topic_name];
@@ -146,7 +153,7 @@
         {{"tlsKey", next->first}, {"value", absl::Base64Escape(next->second)}, {"offset", 0}});
   }
   answer["more"] = next != topic.newest.end();
-  this->Answer(channel, answer.dump());
+  this->Answer(channel, answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void StoreStandin::Answer(CallerChannel* channel, const std::string& body) {
@@ -183,7 +190,13 @@
   platform::AppendNumber(&body, topic.first, 8);
   for (uint64_t offset = from; offset < end; ++offset) {
     size_t without = body.size();
-    platform::AppendRecord(&body, topic.records[offset - topic.first]);
+    const platform::KeyedRecord& record = topic.records[offset - topic.first];
+    if (topic.raw.count(offset) != 0) {
+      platform::AppendNumber(&body, record.value.size(), 4);
+      body += record.value;
+    } else {
+      platform::AppendRecord(&body, record);
+    }
     bool too_much = offset > from && body.size() > read.most_bytes;
     if (!too_much) continue;
     body.resize(without);
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Remove(const std::string& topic, const std::string& key) { this->Put(topic, key, ""); }
 
+  // Appends a record whose bytes need not be a key and a value.
+  void PutRaw(const std::string& topic, const std::string& bytes);
+
   // Drops the records of a topic; the newest of each key stay.
   void Compact(const std::string& topic);
 
@@ -78,6 +82,8 @@
     std::vector<platform::KeyedRecord> records;
     uint64_t first = 0;
     std::map<std::string, std::string> newest;
+    // Offsets of the records whose value is the whole record.
+    std::set<uint64_t> raw;
   };
   struct Waiting {
     std::weak_ptr<CallerChannel> channel;
--- a/src/wire/engine_list.cc
+++ b/src/wire/engine_list.cc
@@ -18,7 +18,7 @@
     entries.push_back(fb::CreateEngineEntry(
         builder, builder.CreateString(engine.id), builder.CreateString(engine.service),
         builder.CreateString(engine.address.ToString()), builder.CreateString(engine.data_centre),
-        engine.slots, engine.draining));
+        engine.slots, engine.draining, engine.born));
   }
   builder.Finish(fb::CreateEngineListPart(builder, builder.CreateVector(entries)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -35,7 +35,7 @@
     absl::StatusOr<SocketAddress> address = SocketAddress::Parse(TextOf(entry->address()));
     if (!address.ok()) return std::nullopt;
     engines.push_back({TextOf(entry->id()), TextOf(entry->service()), *address,
-                       TextOf(entry->data_centre()), entry->slots(), entry->draining()});
+                       TextOf(entry->data_centre()), entry->slots(), entry->draining(), entry->born()});
   }
   return engines;
 }
