--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -61,6 +61,8 @@
       {ResultCode::kUnknownSchema, "unknown_schema", 0,
        "a log record of an unknown schema was skipped"},
       {ResultCode::kPlatformUnavailable, "platform_unavailable", 0, "the platform did not answer"},
+      {ResultCode::kEntryUnreadable, "entry_unreadable", 0,
+       "an entry of the engines' list names no engine to use"},
       {ResultCode::kBadFrame, "bad_frame", 0, "a peer sent a frame that fails verification"},
       {ResultCode::kInternal, "internal", 500, "a fault of gullward itself"},
   };
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -65,6 +65,7 @@
   kConfigConflict = 4003,
   kUnknownSchema = 4004,
   kPlatformUnavailable = 4005,
+  kEntryUnreadable = 4006,
 
   kBadFrame = 5001,
   kInternal = 5002,
--- a/src/gateway/engine_list_copy.cc
+++ b/src/gateway/engine_list_copy.cc
@@ -96,7 +96,12 @@
   this->recovery->NoteAnswer();
   for (const platform::KeyedRecord& record : page->records) {
     std::optional<std::vector<EngineRecord>> part = DecodeEngineList(record.value);
-    if (part) this->found.insert(this->found.end(), part->begin(), part->end());
+    if (part) {
+      this->found.insert(this->found.end(), part->begin(), part->end());
+    } else {
+      this->log->Write(LogLine("engines_copy_unreadable")
+                           .Number("bytes", static_cast<double>(record.value.size())));
+    }
   }
   if (page->more && !page->records.empty()) return this->ReadAfter(page->records.back().key);
   this->is_busy = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -105,9 +105,13 @@
 void Exchange::AcquireTickets(const FleetChoice& choice) {
   this->ticket_rounds += 1;
   std::vector<TicketWish> wishes;
+  // An engine may still hold tickets of an earlier life of this process, whose requests
+  // had the same numbers.
+  std::string round =
+      absl::StrCat(this->state->settings.box, "-", absl::Hex(this->state->incarnation), "-",
+                   this->id, "-", this->ticket_rounds);
   for (const EngineRecord& reader : choice.readers) {
-    std::string ticket = absl::StrCat(this->state->settings.box, "-", this->id, "-",
-                                      this->ticket_rounds, "-", wishes.size());
+    std::string ticket = absl::StrCat(round, "-", wishes.size());
     wishes.push_back({reader, ticket, static_cast<uint64_t>(choice.placement.memory_tokens)});
   }
   // Booked from now on, so that peers do not plan with this memory.
@@ -341,8 +345,9 @@
 // set up to four sound engines aside.
 void Exchange::BlameReader(Time now) {
   const std::string& reader = *this->attempt->reader_at_fault;
-  this->state->log->Write(
-      this->Line("reader_refused").Text("engine", this->attempt->engine.Incarnation()).Text("reader", reader));
+  this->state->log->Write(this->Line("reader_refused")
+                              .Text("engine", this->attempt->engine.Incarnation())
+                              .Text("reader", reader));
   this->state->fleet.NoteFailure(reader, /*unreachable=*/true, now);
   this->tried.insert(reader);
   this->tried.erase(this->attempt->engine.Incarnation());
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -39,16 +39,8 @@
 // Kept back from the stop's grace for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
 
-// An engine's entry on the list; nothing, and a line in the log, if it cannot be
-// read.
-std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record, EventLog* log) {
-  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
-  if (engine.ok()) return *std::move(engine);
-  log->Write(LogLine("engine_record_invalid")
-                 .Text("engine", record.key)
-                 .Text("reason", StdView(engine.status().message())));
-  return std::nullopt;
-}
+// Of a key or a reason, in a line on an entry that anybody may have written.
+constexpr size_t kLoggedBytes = 80;
 
 }  // namespace
 
@@ -108,6 +100,12 @@
     this->OnEngineRecords(records);
   };
   hooks.change = [this](const platform::KeyedRecord& record) { this->OnEngineRecord(record); };
+  hooks.unreadable = [this](size_t records) {
+    this->state.counters.entries_unreadable += records;
+    this->log.Write(LogLine("records_unreadable")
+                        .Number("code", static_cast<double>(ResultCode::kEntryUnreadable))
+                        .Number("records", static_cast<double>(records)));
+  };
   hooks.lost = [this, log_lost = hooks.lost](const std::string& reason) {
     log_lost(reason);
     if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Read();
@@ -288,11 +286,25 @@
   return EngineDirectory::KeepUntil(this->engine_follower.regained_at());
 }
 
+// An engine's entry on the list; nothing, a count and a line in the log, if it names no
+// engine to use.
+std::optional<EngineRecord> GatewayServer::ReadEngine(const platform::KeyedRecord& record) {
+  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
+  if (engine.ok()) return *std::move(engine);
+  this->state.counters.entries_unreadable += 1;
+  const ResultCodeInfo& info = Info(ResultCode::kEntryUnreadable);
+  this->log.Write(LogLine(info.name)
+                      .Number("code", static_cast<double>(info.code))
+                      .Text("engine", std::string_view(record.key).substr(0, kLoggedBytes))
+                      .Text("reason", StdView(engine.status().message()).substr(0, kLoggedBytes)));
+  return std::nullopt;
+}
+
 void GatewayServer::OnEngineRecords(const std::vector<platform::KeyedRecord>& records) {
   std::vector<EngineRecord> engines;
   for (const platform::KeyedRecord& record : records) {
     if (record.value.empty()) continue;
-    std::optional<EngineRecord> engine = ReadEngine(record, &this->log);
+    std::optional<EngineRecord> engine = this->ReadEngine(record);
     if (engine) engines.push_back(*std::move(engine));
   }
   this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
@@ -301,6 +313,16 @@
   this->log.Write(LogLine("engines").Number("listed", static_cast<double>(engines.size())));
 }
 
+// The line by which operators see why work of before has failed.
+void GatewayServer::NoteRestart(const EngineRecord& engine) {
+  const EngineRecord* known = this->state.fleet.directory().Find(engine.id);
+  if (known == nullptr || known->born >= engine.born) return;
+  this->state.counters.engine_restarts += 1;
+  this->log.Write(LogLine("engine_restarted")
+                      .Text("engine", engine.Incarnation())
+                      .Text("before", known->Incarnation()));
+}
+
 void GatewayServer::OnEngineRecord(const platform::KeyedRecord& record) {
   this->engine_list_changed = true;
   if (record.value.empty()) {
@@ -308,8 +330,14 @@
     this->state.fleet.directory().Remove(record.key, Now(), this->KeepLapsedUntil());
     return;
   }
-  std::optional<EngineRecord> engine = ReadEngine(record, &this->log);
-  if (!engine) return;
+  std::optional<EngineRecord> engine = this->ReadEngine(record);
+  if (!engine) {
+    // Whatever stood there before, the entry names no engine now.  An engine that lives
+    // writes its own again with its next heartbeat.
+    this->state.fleet.directory().Remove(record.key, Now(), this->KeepLapsedUntil());
+    return;
+  }
+  this->NoteRestart(*engine);
   const EngineRecord* known = this->state.fleet.directory().Find(record.key);
   bool changed = known == nullptr || !(*known == *engine);
   if (changed) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,6 +56,9 @@
   // Entries of the engines' list that could not be read, since the process began.
   uint64_t unreadable_entries() const { return this->state.counters.entries_unreadable; }
 
+  // Engines seen to start again under their id, since the process began.
+  uint64_t engine_restarts() const { return this->state.counters.engine_restarts; }
+
   // The settings file has changed.
   void Reload(const GatewaySettings& changed);
 
@@ -72,6 +76,8 @@
   void OnConfigRecord(const platform::KeyedRecord& record);
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
   void OnEngineRecord(const platform::KeyedRecord& record);
+  std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record);
+  void NoteRestart(const EngineRecord& engine);
   Time KeepLapsedUntil() const;
   TopicFollower::Hooks LoggingHooks(const std::string& topic);
   TopicFollower::Hooks ConfigFollowerHooks();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -61,7 +61,8 @@
         fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre,
               gateway_settings.mechanisms, started),
         pool(event_loop),
-        random(random_seed) {}
+        random(random_seed),
+        incarnation(random_seed) {}
 
   EventLoop* loop;
   GatewaySettings settings;
@@ -74,6 +75,8 @@
   Fleet fleet;
   EnginePool pool;
   std::mt19937_64 random;
+  // Tells this life of the process from earlier ones of the same box.
+  uint64_t incarnation;
   GatewayCounters counters;
   // Asks for the peers to be told of new work at once rather than at the next tick.
   std::function<void()> tell_peers;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -37,7 +37,8 @@
            .up_to_date = {},
            .lost = {},
            .regained = {},
-           .read_short = {}}),
+           .read_short = {},
+           .unreadable = {}}),
       config(std::move(config_hooks)),
       freshness(own_incarnation) {}
 
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -25,6 +25,10 @@
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_events_total", "Stream events passed on", counters.events_passed);
   count("gullward_engine_orders_total", "Orders to engines", counters.orders);
+  count("gullward_engine_entries_unreadable_total", "Entries that name no engine to use",
+        counters.entries_unreadable);
+  count("gullward_engine_restarts_total", "Engines seen to start again under their id",
+        counters.engine_restarts);
   count("gullward_engine_connections_total", "Connections opened", figures.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", figures.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", figures.store_calls);
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -88,7 +88,8 @@
                   .up_to_date = {},
                   .lost = {},
                   .regained = {},
-                  .read_short = {}}) {}
+                  .read_short = {},
+                  .unreadable = {}}) {}
 
   void Take(const platform::KeyedRecord& record) {
     this->taken += 1;
--- a/src/gateway/testing/engine_restart_test.cc
+++ b/src/gateway/testing/engine_restart_test.cc
@@ -29,12 +29,19 @@
   world->store.Put(kEngines, engine.id(), platform::EngineDocument(record));
 }
 
-// Sends requests that may be repeated until `engine` has got one.
+// Sends requests that may be repeated, a few at a time so that each idle engine gets one,
+// until `engine` has got one.
 bool ServesSoon(GatewayWorld* world, const EngineStandin& engine) {
+  constexpr int kAtOnce = 4;
   size_t before = engine.seen().size();
   int calls = 0;
   return world->RunUntil([&] {
-    world->Call(world->SafeRequest(absl::StrCat("soon-", before, "-", calls++)));
+    std::vector<std::shared_ptr<Reply>> replies;
+    for (int i = 0; i < kAtOnce; ++i) {
+      std::string id = absl::StrCat(engine.id(), "-", before, "-", calls++);
+      replies.push_back(world->Send(world->SafeRequest(id)));
+    }
+    for (const auto& reply : replies) world->RunUntil([&] { return reply->done; });
     return engine.seen().size() > before;
   });
 }
@@ -88,6 +95,35 @@
   BOOST_TEST(first.seen().size() == silent);
 }
 
+// An engine that has started again holds nothing; its ticket must not be asked for anew
+// by what was meant to prolong it.
+BOOST_AUTO_TEST_CASE(TicketsOfAnEarlierLifeAreNotProlonged) {
+  WorldOptions options;
+  options.engines = 2;
+  // Long enough for two prolongations.
+  options.engine.events = 10;
+  options.engine.event_every = milliseconds(450);
+  auto world = StartedWorld(options);
+  std::string request = world->StreamRequest("vast");
+  request.replace(request.find("1000,80"), 7, "400000,800");
+  std::shared_ptr<Reply> reply = world->Send(request);
+  EngineStandin* helper = nullptr;
+  BOOST_REQUIRE(world->RunUntil([&] {
+    for (auto& engine : world->engines) helper = engine->tickets().empty() ? helper : engine.get();
+    return helper != nullptr && !reply->body.empty();
+  }));
+  ListLife(world.get(), *helper, "models", 9);
+  BOOST_REQUIRE(world->RunUntil([&] { return world->gateway->engine_restarts() == 1; }));
+  BOOST_REQUIRE(!reply->done);
+  helper->ForgetTickets();
+  bool prolonged = false;
+  BOOST_TEST(world->RunUntil([&] {
+    prolonged = prolonged || !helper->tickets().empty();
+    return reply->done;
+  }));
+  BOOST_TEST(!prolonged);
+}
+
 struct ForeignRow {
   const char* what;
   std::string key;
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -378,7 +378,8 @@
                   .up_to_date = {},
                   .lost = {},
                   .regained = {},
-                  .read_short = {}}) {
+                  .read_short = {},
+                  .unreadable = {}}) {
     this->follower.Start();
     while (!this->loaded) this->loop.RunOnce(milliseconds(20));
     this->loop.RunEvery(milliseconds(100), [this] {
@@ -482,14 +483,10 @@
 BOOST_AUTO_TEST_CASE(AnotherEngineAtTheAddressIsNotUsed) {
   auto world = StartedWorld({.engines = 1, .apps = 1});
   EngineStandin impostor(&world->loop, {.id = "impostor"});
-  json record = {{"service", "app"},
-                 {"address", impostor.address().ToString()},
-                 {"zone", "hall-1"},
-                 {"version", "v1"},
-                 {"slots", 16},
-                 {"state", "ready"},
-                 {"coldLeftMs", 0},
-                 {"callSeq", 0}};
+  json record = {{"service", "app"}, {"address", impostor.address().ToString()},
+                 {"zone", "hall-1"}, {"version", "v1"},
+                 {"slots", 16},      {"state", "ready"},
+                 {"coldLeftMs", 0},  {"callSeq", 0}};
   world->store.Put("keyed.servers", "app-gone", record.dump());
   for (int i = 0; i < 20; ++i) {
     Reply reply = world->Call(world->SafeRequest(absl::StrCat("i", i)));
--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -39,8 +39,7 @@
   hooks.head = [weak](const ResponseHead& head) {
     if (auto pending = weak.lock()) pending->status = head.status;
   };
-  hooks.done = [self = this->shared_from_this(), weak,
-                engine = wish.engine](ChannelResult result) {
+  hooks.done = [self = this->shared_from_this(), weak, engine = wish.engine](ChannelResult result) {
     auto pending = weak.lock();
     if (!pending) return;
     bool whole = result == ChannelResult::kWholeAnswer;
@@ -60,13 +59,14 @@
   this->prolonged = Now();
   for (const TicketWish& wish : this->wishes) {
     std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
-    this->Order(wish, text, [self = this->shared_from_this(), engine = wish.engine.Incarnation()](bool given) {
-      if (!given) {
-        self->Finish(false, engine);
-      } else if (++self->granted == self->wishes.size()) {
-        self->Finish(true, "");
-      }
-    });
+    this->Order(wish, text,
+                [self = this->shared_from_this(), engine = wish.engine.Incarnation()](bool given) {
+                  if (!given) {
+                    self->Finish(false, engine);
+                  } else if (++self->granted == self->wishes.size()) {
+                    self->Finish(true, "");
+                  }
+                });
   }
 }
 
@@ -80,11 +80,19 @@
   if (this->released || now - this->prolonged < kProlongEvery) return;
   this->prolonged = now;
   for (const TicketWish& wish : this->wishes) {
+    if (this->HasRestarted(wish)) continue;
     std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
     this->Order(wish, text, [](bool) {});
   }
 }
 
+// To prolong a ticket that the engine has forgotten would set memory aside anew, for a
+// part of a prompt that is lost.
+bool TicketSet::HasRestarted(const TicketWish& wish) const {
+  const EngineRecord* known = this->state->fleet.directory().Find(wish.engine.id);
+  return known != nullptr && known->born > wish.engine.born;
+}
+
 void TicketSet::Release() {
   if (std::exchange(this->released, true)) return;
   this->on_acquired = nullptr;
@@ -94,8 +102,9 @@
 
 void TicketSet::ReleaseOne(const TicketWish& wish, int tries_left) {
   if (tries_left == 0) {
-    this->state->log->Write(
-        LogLine("ticket_left_to_lapse").Text("ticket", wish.ticket).Text("engine", wish.engine.Incarnation()));
+    this->state->log->Write(LogLine("ticket_left_to_lapse")
+                                .Text("ticket", wish.ticket)
+                                .Text("engine", wish.engine.Incarnation()));
     return;
   }
   this->Order(wish, platform::ReleaseMemoryText(wish.engine, wish.ticket),
--- a/src/gateway/ticket_set.h
+++ b/src/gateway/ticket_set.h
@@ -58,6 +58,7 @@
  private:
   // Calls `done` once with whether the engine carried the order out.
   void Order(const TicketWish& wish, const std::string& text, std::function<void(bool)> done);
+  bool HasRestarted(const TicketWish& wish) const;
   void ReleaseOne(const TicketWish& wish, int tries_left);
   void Finish(bool all, const std::string& refused_by);
 
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -70,6 +70,7 @@
   // Pages are no snapshot: what changes between them is read again from the
   // first page's end on.
   if (this->pages.empty()) this->next_offset = page->end;
+  this->TellUnreadable(page->unreadable);
   for (platform::KeyedRecord& record : page->records) this->pages.push_back(std::move(record));
   if (page->more && !page->records.empty()) {
     this->ReadPage();
@@ -136,7 +137,15 @@
 
 void TopicFollower::TellChanges(const platform::KeyedTail& tail) {
   this->next_offset += tail.records.size();
-  for (const platform::KeyedRecord& record : tail.records) this->hooks.change(record);
+  this->TellUnreadable(tail.unreadable);
+  for (const platform::KeyedRecord& record : tail.records) {
+    // What has no key says nothing of any.
+    if (!record.key.empty()) this->hooks.change(record);
+  }
+}
+
+void TopicFollower::TellUnreadable(size_t records) {
+  if (records > 0 && this->hooks.unreadable) this->hooks.unreadable(records);
 }
 
 void TopicFollower::Succeed() {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -68,6 +68,8 @@
     std::function<void()> regained;
     // An answer ended at `read_to`, before the log's end: there is more to read.
     std::function<void(uint64_t read_to, uint64_t log_end)> read_short;
+    // So many records of an answer could not be read; the others have been told.
+    std::function<void(size_t records)> unreadable;
   };
 
   TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
@@ -102,6 +104,7 @@
   void OnTail(const StoreAnswer& answer);
   void OnShortTail(const platform::KeyedTail& tail);
   void TellChanges(const platform::KeyedTail& tail);
+  void TellUnreadable(size_t records);
   void Succeed();
   void Fail(const std::string& reason);
 
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -89,6 +89,8 @@
 
   // Memory that is set aside, by ticket.
   const std::map<std::string, uint64_t>& tickets() const { return this->reserved; }
+  // As an engine that has started again.
+  void ForgetTickets() { this->reserved.clear(); }
 
  private:
   struct Connection {
--- a/src/wire/engine_list.cc
+++ b/src/wire/engine_list.cc
@@ -35,7 +35,8 @@
     absl::StatusOr<SocketAddress> address = SocketAddress::Parse(TextOf(entry->address()));
     if (!address.ok()) return std::nullopt;
     engines.push_back({TextOf(entry->id()), TextOf(entry->service()), *address,
-                       TextOf(entry->data_centre()), entry->slots(), entry->draining(), entry->born()});
+                       TextOf(entry->data_centre()), entry->slots(), entry->draining(),
+                       entry->born()});
   }
   return engines;
 }
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -2,11 +2,32 @@
 
 #include "wire/load_digest.h"
 
+#include <algorithm>
+#include <cmath>
 #include <vector>
 
 #include "wire/gullward_generated.h"
 
 namespace gullward {
+namespace {
+
+bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
+
+// Whether all figures are ones that a load can have.  One that is not a number would make
+// every price that it enters compare false with all others.
+bool IsSane(const fb::EngineLoadEntry& entry) {
+  bool counts = entry.requests() >= 0 && entry.writers() >= 0;
+  bool amounts =
+      IsAmount(entry.context_tokens()) && IsAmount(entry.reading_ms()) && IsAmount(entry.read_ms());
+  if (!counts || !amounts) return false;
+  if (entry.streams() == nullptr) return true;
+  return std::all_of(
+      entry.streams()->begin(), entry.streams()->end(), [](const fb::PauseClassEntry* one) {
+        return IsAmount(one->pause_ms()) && one->streams() > 0 && IsAmount(one->context_tokens());
+      });
+}
+
+}  // namespace
 
 std::string EncodeDigest(const LoadDigest& digest) {
   flatbuffers::FlatBufferBuilder builder;
@@ -68,7 +89,7 @@
     }
   }
   for (const fb::EngineLoadEntry* entry : *packed->engines()) {
-    if (entry->engine() == nullptr) return std::nullopt;
+    if (entry->engine() == nullptr || !IsSane(*entry)) return std::nullopt;
     EngineLoad load;
     load.requests = entry->requests();
     load.writers = entry->writers();
