--- a/src/gateway/testing/retry_budget_test.cc
+++ b/src/gateway/testing/retry_budget_test.cc
@@ -72,6 +72,19 @@
     for (size_t i = 0; i < killed; ++i) this->gateways[i] = this->NewGateway(this->now);
   }
 
+  void KillAll() {
+    for (Fleet& gateway : this->gateways) gateway = this->NewGateway(this->now);
+  }
+
+  // Requests only: nothing fails.
+  void RunWell(Duration duration) {
+    for (Time end = this->now + duration; this->now < end;) {
+      this->now += milliseconds(this->random() % 40);
+      this->gateways[this->random() % kGateways].RetriesOf(kService).AddRequest(this->now);
+      this->requests.push_back(this->now);
+    }
+  }
+
   // The slow obvious count: in every window, as many as the bound allows.
   bool KeptTheBound() const {
     return std::all_of(this->retries.begin(), this->retries.end(), [this](Time begin) {
@@ -129,6 +142,22 @@
   }
 }
 
+// Each gateway has saved up second attempts while nothing failed; then everything fails,
+// all of them die once they have spent that, and their successors know nothing of it.
+BOOST_AUTO_TEST_CASE(WhatWasSavedAndSpentBeforeARestartIsNotSpentAgain) {
+  const RetryBounds bounds{seconds(10), 0.2, 106};
+  for (int failing_ms : {500, 1000, 2000, 4000}) {
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      FailingFleet fleet(bounds, seed);
+      fleet.RunWell(seconds(15));
+      fleet.RunFor(milliseconds(failing_ms));
+      fleet.KillAll();
+      fleet.RunFor(seconds(15));
+      BOOST_TEST_CONTEXT(failing_ms << " ms, seed " << seed) { BOOST_TEST(fleet.KeptTheBound()); }
+    }
+  }
+}
+
 // A gateway that has started is not left without second attempts: it has the ratio of its own
 // requests from the first moment, and its share of the slack after one window.
 BOOST_AUTO_TEST_CASE(AGatewayThatStartsHasTheRatioAtOnceAndItsShareAfterAWindow) {
