Cells: gateways of a large fleet work on a bounded part of it and tell those who share it; second attempts saved in a bucket

Ruled out: telling all (quadratic); few drawn candidates without telling (two gateways that draw the same idle engine do not know it); a watcher beside each engine (150 machines, a way to die each, one more hop). Change: serving/cell_map divides a fleet of over 72 engines by data centre and hash; work_plan holds the home cell's engines, so a decision prices those only; peer_directory says whom to tell, in turns where a cell has many members; spill carries what the home cell would serve late to engines that gateways of other cells offer, two datagrams each half second. kMostPeers is gone. Words of peers are kept by engine and forgotten. Gateways register with their data centre.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,7 +58,7 @@
     this->Refuse(ResultCode::kNoEndpoint);
     return;
   }
-  this->state->fleet.RetriesOf(this->service->name).AddRequest(this->state->loop->caught_up_at());
+  this->state->fleet.RetriesOf(this->service->name).AddRequest(this->state->loop->caught_up_at(), now);
   this->StartAttempt(now);
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -128,8 +128,8 @@
   return this->state.config ? this->state.config->config().version : 0;
 }
 
-LoadExchange::ConfigHooks GatewayServer::LoadExchangeHooks() {
-  LoadExchange::ConfigHooks hooks;
+LoadExchange::Hooks GatewayServer::LoadExchangeHooks() {
+  LoadExchange::Hooks hooks;
   hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
   hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -84,7 +84,7 @@
   TopicFollower::Hooks EngineFollowerHooks();
   EngineListCopy::Hooks EngineListCopyHooks();
   uint64_t ConfigVersion() const;
-  LoadExchange::ConfigHooks LoadExchangeHooks();
+  LoadExchange::Hooks LoadExchangeHooks();
   ConfigProver::Hooks ProverHooks();
   OperatorPages::Hooks PageHooks() const;
   void OnNewerVersion(uint64_t version);
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "wire/gateway_entry.h"
+
 namespace gullward {
 namespace {
 
@@ -17,9 +19,10 @@
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
                            uint64_t own_incarnation, Fleet* shared_fleet, EventLog* event_log,
-                           StoreRecovery* store_recovery, ConfigHooks config_hooks)
+                           StoreRecovery* store_recovery, Hooks exchange_hooks)
     : loop(event_loop),
       box(settings.box),
+      data_centre(settings.data_centre),
       own_address(settings.peers),
       incarnation(own_incarnation),
       fleet(shared_fleet),
@@ -39,7 +42,8 @@
            .regained = {},
            .read_short = {},
            .unreadable = {}}),
-      config(std::move(config_hooks)),
+      random(own_incarnation),
+      hooks(std::move(exchange_hooks)),
       freshness(own_incarnation) {}
 
 absl::Status LoadExchange::Start() {
@@ -54,7 +58,8 @@
 
 // The topic comes into being by the first record, so it is followed after ours.
 void LoadExchange::Register() {
-  platform::KeyedRecord record{this->box, this->own_address.ToString()};
+  Peer self{this->box, this->own_address, this->data_centre};
+  platform::KeyedRecord record{this->box, EncodeGatewayEntry(self)};
   this->registrar.Call(platform::AppendKeyed(platform::kPeersTopic, record), kRegisterPatience,
                        [this](const StoreAnswer& answer) {
                          if (answer.ok()) {
@@ -70,51 +75,54 @@
 
 void LoadExchange::OnPeerRecord(const platform::KeyedRecord& record) {
   if (record.key == this->box) return;
-  absl::StatusOr<SocketAddress> address = SocketAddress::Parse(record.value);
-  if (!address.ok()) {
-    this->known_peers.erase(record.key);
-    this->peer_addresses.erase(record.key);
+  std::optional<Peer> peer = DecodeGatewayEntry(record.key, record.value);
+  if (!peer) {
+    this->log->Write(LogLine("peer_gone").Text("box", record.key));
+    this->directory.Remove(record.key);
     return;
   }
-  this->known_peers.insert(record.key);
-  bool known = this->peer_addresses.count(record.key) != 0;
-  if (!known && this->peer_addresses.size() >= kMostPeers) return;
-  this->peer_addresses[record.key] = *address;
-  this->log->Write(LogLine("peer").Text("box", record.key).Text("address", record.value));
+  this->directory.Update(*peer);
 }
 
 void LoadExchange::OnDatagram(std::string_view datagram) {
+  this->heard += 1;
   std::optional<LoadDigest> digest = DecodeDigest(datagram);
   if (!digest || digest->box == this->box) return;
   if (digest->freshness) this->HearNote(*digest);
   Time now = Now();
-  this->fleet->HearSetAside(digest->box, digest->set_aside, now);
-  this->config.hear_engines_read_to(digest->engines_read_to);
-  if (digest->engines_copied != 0) this->config.hear_engines_copied(digest->engines_copied);
-  if (!this->fleet->mechanisms().peer_loads) return;
-  this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
-                                 now);
+  this->hooks.hear_engines_read_to(digest->engines_read_to);
+  if (digest->engines_copied != 0) this->hooks.hear_engines_copied(digest->engines_copied);
+  bool loads_count = this->fleet->mechanisms().peer_loads;
+  if (loads_count) {
+    this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence,
+                                   digest->loads, now);
+  }
+  if (digest->is_offer) {
+    this->fleet->HearOffer(digest->box, digest->loads, now);
+  } else {
+    this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+  }
 }
 
 void LoadExchange::HearNote(const LoadDigest& digest) {
-  uint64_t own_version = this->config.version();
+  uint64_t own_version = this->hooks.version();
   std::optional<Time> proved =
       this->freshness.Hear(digest.box, digest.incarnation, *digest.freshness, own_version, Now());
-  if (proved) this->config.confirm(*proved);
+  if (proved) this->hooks.confirm(*proved);
   if (digest.freshness->config_version > own_version) {
-    this->config.behind(digest.freshness->config_version);
+    this->hooks.behind(digest.freshness->config_version);
   }
 }
 
 void LoadExchange::TellFreshness(Time now) {
-  uint64_t version = this->config.version();
+  uint64_t version = this->hooks.version();
   if (version == 0) return;
   this->freshness.BeginRound(now);
   LoadDigest digest = this->NewDigest(now);
-  for (const auto& [peer, address] : this->peer_addresses) {
+  for (const Peer* peer : this->Neighbours(now)) {
     digest.sequence = ++this->sequence;
-    digest.freshness = this->freshness.NoteFor(peer, version, this->config.proved(), now);
-    this->socket.Send(address, EncodeDigest(digest));
+    digest.freshness = this->freshness.NoteFor(peer->box, version, this->hooks.proved(), now);
+    this->Send(*peer, EncodeDigest(digest));
   }
 }
 
@@ -123,14 +131,16 @@
 }
 
 void LoadExchange::Tell(Time now) {
-  if (this->peer_addresses.empty()) return;
+  if (this->directory.size() == 0) return;
   this->last_told = now;
   bool refresh = now - this->refreshed >= kRefresh;
   if (refresh) {
     this->refreshed = now;
+    this->directory.BeginRound();
     this->TellFreshness(now);
+    this->SendOffers(now);
   }
-  this->SendInParts(this->TakeUntold(refresh, now), now);
+  this->SendToCells(this->TakeUntold(refresh, now), now);
 }
 
 // The loads that the others must hear of now, or all of them; they count as told.
@@ -154,9 +164,37 @@
   return untold;
 }
 
+std::vector<const Peer*> LoadExchange::Neighbours(Time now) {
+  const WorkPlan& plan = this->fleet->plan(now);
+  const ServicePlan& main = plan.Of(plan.main_service());
+  std::vector<const Peer*> neighbours =
+      this->directory.NextOf(plan.main_service(), main.cells, main.home, plan.revision());
+  this->neighbour_count = neighbours.size();
+  return neighbours;
+}
+
+// Nobody where the engine is no longer listed: nobody chooses it then.
+std::vector<const Peer*> LoadExchange::ThoseOnEngine(const std::string& engine, Time now) {
+  const EngineRecord* record = this->fleet->directory().FindIncarnation(engine);
+  if (record == nullptr) return {};
+  const WorkPlan& plan = this->fleet->plan(now);
+  const CellMap& cells = plan.Of(record->service).cells;
+  return this->directory.NextOf(record->service, cells, cells.CellOf(*record), plan.revision());
+}
+
+// To the members of each engine's cell; engines with the same ones share datagrams.
+void LoadExchange::SendToCells(const std::map<std::string, EngineLoad>& loads, Time now) {
+  std::map<std::vector<const Peer*>, std::map<std::string, EngineLoad>> by_members;
+  for (const auto& [engine, load] : loads) {
+    by_members[this->ThoseOnEngine(engine, now)][engine] = load;
+  }
+  for (auto& [members, part] : by_members) this->SendInParts(std::move(part), members, now);
+}
+
 // Datagrams are small: a long list takes several.
-void LoadExchange::SendInParts(std::map<std::string, EngineLoad> loads, Time now) {
-  if (loads.empty()) return;
+void LoadExchange::SendInParts(std::map<std::string, EngineLoad> loads,
+                               const std::vector<const Peer*>& to, Time now) {
+  if (loads.empty() || to.empty()) return;
   LoadDigest digest = this->NewDigest(now);
   while (!loads.empty()) {
     digest.sequence = ++this->sequence;
@@ -165,17 +203,38 @@
       digest.loads.insert(loads.extract(loads.begin()));
     }
     std::string datagram = EncodeDigest(digest);
-    for (const auto& [peer, address] : this->peer_addresses) this->socket.Send(address, datagram);
+    for (const Peer* peer : to) this->Send(*peer, datagram);
   }
 }
 
+void LoadExchange::SendOffers(Time now) {
+  if (!this->fleet->mechanisms().spill) return;
+  const WorkPlan& plan = this->fleet->plan(now);
+  const ServicePlan& main = plan.Of(plan.main_service());
+  std::vector<const Peer*> receivers =
+      this->directory.DrawOutside(main.cells, main.home, Spill::kReceivers, &this->random);
+  if (receivers.empty()) return;
+  LoadDigest digest = this->NewDigest(now);
+  digest.is_offer = true;
+  digest.sequence = ++this->sequence;
+  digest.loads = this->fleet->Offer(now);
+  std::string datagram = EncodeDigest(digest);
+  for (const Peer* peer : receivers) this->Send(*peer, datagram);
+}
+
+void LoadExchange::Send(const Peer& peer, const std::string& datagram) {
+  this->sent += 1;
+  this->sent_bytes += datagram.size();
+  this->socket.Send(peer.address, datagram);
+}
+
 // What all datagrams of a round have in common; each takes a sequence of its own.
 LoadDigest LoadExchange::NewDigest(Time now) {
   LoadDigest digest;
   digest.box = this->box;
   digest.incarnation = this->incarnation;
-  digest.engines_copied = this->config.engines_copied();
-  digest.engines_read_to = this->config.engines_read_to();
+  digest.engines_copied = this->hooks.engines_copied();
+  digest.engines_read_to = this->hooks.engines_read_to();
   for (const std::string& engine : this->fleet->SetAside(now)) {
     if (digest.set_aside.size() < kMostSetAsideTold) digest.set_aside.insert(engine);
   }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,13 +2,16 @@
 //
 // Each gateway writes the address of its datagram socket into a topic of the
 // store when it starts, and follows that topic.  Then, a few times a second, it
-// sends the others what has changed of its own work, and now and then all of it.
+// sends what has changed of its own work, and now and then all of it, to those that
+// work on the same engines: the members of the engine's cell (serving/cell_map.h).
 // Each datagram also names the engines that the sender has set aside
 // (serving/peer_suspicion.h).
 //
-// Every half second, and after each proof of the sender's own, each peer also gets a
-// note on how current the sender's configuration is (serving/peer_freshness.h), so
-// that a gateway that is cut off from the store can go on accepting keys.
+// Every half second, and after each proof of the sender's own, each neighbour (a member
+// of the home cell) also gets a note on how current the sender's configuration is
+// (serving/peer_freshness.h), so that a gateway that is cut off from the store can go on
+// accepting keys.  And a few gateways of other cells, drawn by chance, are offered engines
+// of this one (serving/spill.h).
 //
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
@@ -22,14 +25,17 @@
 #define GULLWARD_GATEWAY_LOAD_EXCHANGE_H_
 
 #include <map>
+#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "gateway/settings.h"
 #include "gateway/topic_follower.h"
 #include "process/event_log.h"
 #include "serving/fleet.h"
+#include "serving/peer_directory.h"
 #include "transport/udp_socket.h"
 #include "wire/load_digest.h"
 
@@ -47,11 +53,9 @@
   static constexpr size_t kEntriesPerDatagram = 12;
   // Engines set aside that one datagram names at most.
   static constexpr size_t kMostSetAsideTold = 16;
-  // More peers than this are not told; see docs/CAPACITY.md.
-  static constexpr size_t kMostPeers = 32;
 
   // What a note says and proves; the owner keeps the configuration.
-  struct ConfigHooks {
+  struct Hooks {
     std::function<uint64_t()> version;
     // When our own version was last proved current.
     std::function<Time()> proved;
@@ -69,7 +73,7 @@
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
                Fleet* shared_fleet, EventLog* event_log, StoreRecovery* store_recovery,
-               ConfigHooks config_hooks);
+               Hooks exchange_hooks);
 
   absl::Status Start();
 
@@ -82,8 +86,16 @@
   // Tells how current our configuration is: at once after a proof of our own.
   void TellFreshness(Time now);
 
-  // All gateways that are known besides this one, told or not.
-  size_t peers() const { return this->known_peers.size(); }
+  // All gateways that are known besides this one.
+  size_t peers() const { return this->directory.size(); }
+  // Those in the home cell.
+  size_t neighbours() const { return this->neighbour_count; }
+  // Datagrams sent and received, their bytes, and members of cells that were left for a
+  // later round, since the process began.
+  uint64_t datagrams_sent() const { return this->sent; }
+  uint64_t bytes_sent() const { return this->sent_bytes; }
+  uint64_t datagrams_heard() const { return this->heard; }
+  uint64_t left_for_later() const { return this->directory.untold(); }
   uint64_t store_calls() const { return this->follower.calls() + this->registrar.calls(); }
 
  private:
@@ -93,10 +105,17 @@
   void HearNote(const LoadDigest& digest);
   LoadDigest NewDigest(Time now);
   std::map<std::string, EngineLoad> TakeUntold(bool all, Time now);
-  void SendInParts(std::map<std::string, EngineLoad> loads, Time now);
+  std::vector<const Peer*> Neighbours(Time now);
+  std::vector<const Peer*> ThoseOnEngine(const std::string& engine, Time now);
+  void SendToCells(const std::map<std::string, EngineLoad>& loads, Time now);
+  void SendInParts(std::map<std::string, EngineLoad> loads, const std::vector<const Peer*>& to,
+                   Time now);
+  void SendOffers(Time now);
+  void Send(const Peer& peer, const std::string& datagram);
 
   EventLoop* loop;
   std::string box;
+  std::string data_centre;
   SocketAddress own_address;
   uint64_t incarnation;
   Fleet* fleet;
@@ -105,15 +124,18 @@
   StoreRecovery* recovery;
   StoreClient registrar;
   TopicFollower follower;
-  // Every peer counts for what all share; kMostPeers of them are told.
-  std::set<std::string> known_peers;
-  std::map<std::string, SocketAddress> peer_addresses;
-  ConfigHooks config;
+  PeerDirectory directory;
+  std::mt19937_64 random;
+  Hooks hooks;
   PeerFreshness freshness;
   std::map<std::string, EngineLoad> told;
   Time refreshed{};
   Time last_told{};
   uint64_t sequence = 0;
+  size_t neighbour_count = 0;
+  uint64_t sent = 0;
+  uint64_t sent_bytes = 0;
+  uint64_t heard = 0;
 };
 
 }  // namespace gullward
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "serving/freshness.h"
 #include "serving/mechanisms.h"
-#include "serving/retry_window.h"
+#include "serving/retry_bucket.h"
 #include "settings/toml_reader.h"
 #include "transport/socket_address.h"
 
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -21,7 +21,7 @@
 #include "gateway/gateway_server.h"
 #include "http/request_channel.h"
 #include "serving/attempt_result.h"
-#include "serving/retry_window.h"
+#include "serving/retry_bucket.h"
 #include "standins/engine_standin.h"
 #include "standins/store_standin.h"
 
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -2,6 +2,8 @@
 
 #include "serving/engine_directory.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 
 namespace gullward {
@@ -15,11 +17,15 @@
   const EngineRecord* known = this->Find(record.id);
   bool is_late = known != nullptr && record.born < known->born;
   if (is_late) return;
+  bool is_same = known != nullptr && *known == record;
+  if (!is_same) this->changes += 1;
   this->engines[record.id] = Entry{record, std::nullopt};
 }
 
 void EngineDirectory::Forget(const EngineRecord& record) {
-  if (this->IsListed(record)) this->engines.erase(record.id);
+  if (!this->IsListed(record)) return;
+  this->engines.erase(record.id);
+  this->changes += 1;
 }
 
 void EngineDirectory::Remove(const std::string& id, Time now, Time keep_until) {
@@ -28,9 +34,12 @@
   bool keep = keep_until > now && !found->second.record.draining;
   if (!keep) {
     this->engines.erase(found);
+    this->changes += 1;
     return;
   }
-  if (!found->second.gone_at) found->second.gone_at = keep_until;
+  if (found->second.gone_at) return;
+  found->second.gone_at = keep_until;
+  this->next_gone = std::min(this->next_gone, keep_until);
 }
 
 void EngineDirectory::Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until) {
@@ -46,26 +55,43 @@
   for (const std::string& id : missing) this->Remove(id, now, keep_until);
 }
 
-std::vector<const EngineRecord*> EngineDirectory::Usable(const std::string& service, Time now) {
-  std::vector<const EngineRecord*> usable;
+void EngineDirectory::Expire(Time now) {
+  if (now < this->next_gone) return;
+  this->next_gone = Time::max();
   for (auto it = this->engines.begin(); it != this->engines.end();) {
-    const Entry& engine = it->second;
-    if (engine.gone_at && *engine.gone_at <= now) {
-      it = this->engines.erase(it);
-      continue;
-    }
-    bool wanted = engine.record.service == service && !engine.record.draining;
-    if (wanted) usable.push_back(&engine.record);
-    ++it;
+    const std::optional<Time>& gone_at = it->second.gone_at;
+    bool gone = gone_at && *gone_at <= now;
+    if (gone) this->changes += 1;
+    if (gone_at && !gone) this->next_gone = std::min(this->next_gone, *gone_at);
+    it = gone ? this->engines.erase(it) : std::next(it);
+  }
+}
+
+std::vector<const EngineRecord*> EngineDirectory::Usable() const {
+  std::vector<const EngineRecord*> usable;
+  for (const auto& [id, entry] : this->engines) {
+    if (!entry.record.draining) usable.push_back(&entry.record);
   }
   return usable;
 }
 
+std::vector<const EngineRecord*> EngineDirectory::Usable(const std::string& service, Time now) {
+  this->Expire(now);
+  std::vector<const EngineRecord*> usable = this->Usable();
+  std::erase_if(usable, [&](const EngineRecord* engine) { return engine->service != service; });
+  return usable;
+}
+
 const EngineRecord* EngineDirectory::Find(const std::string& id) const {
   auto found = this->engines.find(id);
   return found == this->engines.end() ? nullptr : &found->second.record;
 }
 
+const EngineRecord* EngineDirectory::FindIncarnation(const std::string& incarnation) const {
+  const EngineRecord* known = this->Find(incarnation.substr(0, incarnation.find('@')));
+  return known != nullptr && known->Incarnation() == incarnation ? known : nullptr;
+}
+
 bool EngineDirectory::IsListed(const EngineRecord& record) const {
   const EngineRecord* known = this->Find(record.id);
   return known != nullptr && known->born == record.born;
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -75,10 +75,20 @@
   // same id stays.
   void Forget(const EngineRecord& record);
 
-  // The engines of a service that may get new work.
+  // Drops the engines that are missing from the list and whose time has come.
+  void Expire(Time now);
+
+  // All that may get new work, in the order of their ids.
+  std::vector<const EngineRecord*> Usable() const;
+  // Those of one service, as of now.
   std::vector<const EngineRecord*> Usable(const std::string& service, Time now);
 
+  // Rises with every change of what may get work.
+  uint64_t revision() const { return this->changes; }
+
   const EngineRecord* Find(const std::string& id) const;
+  // The life of that name (EngineRecord::Incarnation), if it is the one that is known.
+  const EngineRecord* FindIncarnation(const std::string& incarnation) const;
 
   // Whether this very life is the one that is known.
   bool IsListed(const EngineRecord& record) const;
@@ -99,6 +109,10 @@
   };
 
   std::map<std::string, Entry> engines;
+  uint64_t changes = 0;
+  // When the next engine that is missing from the list counts as gone; never: the end of
+  // time.
+  Time next_gone = Time::max();
 };
 
 }  // namespace gullward
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace gullward {
@@ -76,12 +77,32 @@
 
 void LoadBook::ApplyPeer(const std::string& name, uint64_t incarnation, uint64_t sequence,
                          const std::map<std::string, EngineLoad>& loads, Time now) {
-  Peer& peer = this->peers[name];
-  if (peer.incarnation != incarnation) peer = Peer{incarnation, {}};
+  uint64_t& life = this->lives[name];
+  if (life != incarnation) {
+    for (auto& [engine, peers] : this->told) peers.erase(name);
+  }
+  life = incarnation;
   for (const auto& [engine, load] : loads) {
-    Told& told = peer.engines[engine];
-    if (told.sequence < sequence) told = Told{load, sequence, now};
+    Told& before = this->told[engine][name];
+    if (before.sequence < sequence) before = Told{load, sequence, now};
+  }
+}
+
+void LoadBook::ForgetSilent(Time now) {
+  std::set<std::string> heard;
+  for (auto engine = this->told.begin(); engine != this->told.end();) {
+    std::erase_if(engine->second,
+                  [&](const auto& word) { return now - word.second.heard > kPeerSilence; });
+    for (const auto& [peer, word] : engine->second) heard.insert(peer);
+    engine = engine->second.empty() ? this->told.erase(engine) : std::next(engine);
   }
+  std::erase_if(this->lives, [&](const auto& life) { return heard.count(life.first) == 0; });
+}
+
+size_t LoadBook::words() const {
+  size_t count = 0;
+  for (const auto& [engine, peers] : this->told) count += peers.size();
+  return count;
 }
 
 EngineLoad LoadBook::LoadOf(const Work& work, const WorkPart& part, Time now) {
@@ -112,12 +133,13 @@
   EngineLoad sum;
   auto own = this->by_engine.find(engine);
   if (own != this->by_engine.end()) sum = this->SumOf(own->second, now);
-  for (const auto& [name, peer] : this->peers) {
-    auto found = peer.engines.find(engine);
-    if (found == peer.engines.end()) continue;
-    Duration age = now - found->second.heard;
-    if (age > kPeerSilence) continue;
-    EngineLoad load = found->second.load;
+  auto words = this->told.find(engine);
+  if (words == this->told.end()) return sum;
+  for (const auto& [peer, word] : words->second) {
+    Duration age = now - word.heard;
+    bool is_over = age > kPeerSilence || word.load == EngineLoad{};
+    if (is_over) continue;
+    EngineLoad load = word.load;
     load.read_ms = std::min(load.read_ms + ToSeconds(age) * 1000, load.reading_ms);
     sum = Sum(sum, load);
   }
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -99,6 +99,13 @@
   void ApplyPeer(const std::string& peer, uint64_t incarnation, uint64_t sequence,
                  const std::map<std::string, EngineLoad>& loads, Time now);
 
+  // Forgets words of peers that are too old to count.  What was said of an engine that
+  // is gone, or by a peer that is, would else be kept for good.
+  void ForgetSilent(Time now);
+
+  // How many words of peers are kept.
+  size_t words() const;
+
   // All known work on an engine.
   EngineLoad Of(const std::string& engine, Time now) const;
 
@@ -116,10 +123,6 @@
     uint64_t sequence = 0;
     Time heard;
   };
-  struct Peer {
-    uint64_t incarnation = 0;
-    std::map<std::string, Told> engines;
-  };
 
   // The works that have a part on one engine, and which part.
   using PartsOfEngine = std::map<uint64_t, size_t>;
@@ -130,7 +133,10 @@
 
   std::map<uint64_t, Work> works;
   std::map<std::string, PartsOfEngine> by_engine;
-  std::map<std::string, Peer> peers;
+  // Each peer's life, and by engine what each has told of it: a decision asks for the
+  // words on one engine, of which there are as many as peers have work there.
+  std::map<std::string, uint64_t> lives;
+  std::map<std::string, std::map<std::string, Told>> told;
 };
 
 }  // namespace gullward
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -2,17 +2,20 @@
 
 #include "serving/fleet.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace gullward {
 namespace {
 
-// The order in which all processes fill engines: by a hash of the id, so that it
-// is the same everywhere and an engine's place does not depend on the others.
-uint64_t PackingOrder(const std::string& id) { return XXH64(id.data(), id.size(), 0); }
+// Work leaves the home cell where its first event is expected after this share of the
+// objective; before, the home cell's engines, which are known exactly, do as well.
+constexpr double kSpillLateness = 0.7;
+// ... and where that costs less than this share of staying: what is known of engines
+// elsewhere is half a second old.
+constexpr double kSpillGain = 0.7;
+// So much to read weighs as much as all slots taken, when engines are chosen to be offered.
+constexpr double kFullReadingMs = 1000;
 
 }  // namespace
 
@@ -22,9 +25,10 @@
       switches(mechanisms),
       started(process_started),
       data_centre(std::move(own_data_centre)),
-      suspicion(std::move(own_box)) {}
+      work_plan(own_box, this->data_centre, mechanisms.cells),
+      suspicion(own_box) {}
 
-RetryWindow& Fleet::RetriesOf(const std::string& service) {
+RetryBucket& Fleet::RetriesOf(const std::string& service) {
   auto [found, is_new] = this->retries.try_emplace(service, this->retry_bounds, this->started);
   if (is_new && this->processes) found->second.SetProcesses(*this->processes);
   return found->second;
@@ -49,14 +53,14 @@
   for (const auto& [engine, record] : this->health) {
     if (record.IsOut(now)) set_aside.insert(engine);
   }
-  if (PeerSuspicion::IsInTrouble(set_aside.size(), this->engines.size())) return {};
+  if (PeerSuspicion::IsInTrouble(set_aside.size(), this->work_plan.engines())) return {};
   return set_aside;
 }
 
 void Fleet::HearSetAside(const std::string& peer, const std::set<std::string>& set_aside,
                          Time now) {
   if (!this->switches.peer_set_aside) return;
-  this->suspicion.Hear(peer, set_aside, this->engines.size(), now);
+  this->suspicion.Hear(peer, set_aside, this->plan(now).engines(), now);
 }
 
 // Whether an engine gets no work while there are others.
@@ -66,40 +70,44 @@
   return this->suspicion.Suspects(engine, now) && !record.SucceededLately(now);
 }
 
-std::vector<const EngineRecord*> Fleet::Pickable(const std::string& service,
-                                                 const std::set<std::string>& tried, Time now) {
-  std::vector<const EngineRecord*> usable = this->engines.Usable(service, now);
-  std::vector<const EngineRecord*> good;
-  std::vector<const EngineRecord*> untried;
-  for (const EngineRecord* engine : usable) {
-    std::string incarnation = engine->Incarnation();
-    if (tried.count(incarnation) != 0) continue;
-    untried.push_back(engine);
-    if (!this->Avoids(incarnation, now)) good.push_back(engine);
+const WorkPlan& Fleet::plan(Time now) {
+  this->engines.Expire(now);
+  this->work_plan.Follow(this->engines);
+  return this->work_plan;
+}
+
+std::vector<const HomeEngine*> Fleet::Pickable(const std::vector<HomeEngine>& usable,
+                                               const std::set<std::string>& tried, Time now) {
+  std::vector<const HomeEngine*> good;
+  std::vector<const HomeEngine*> untried;
+  std::vector<const HomeEngine*> all;
+  for (const HomeEngine& engine : usable) {
+    all.push_back(&engine);
+    if (tried.count(engine.incarnation) != 0) continue;
+    untried.push_back(&engine);
+    if (!this->Avoids(engine.incarnation, now)) good.push_back(&engine);
   }
   if (!good.empty()) return good;
   // Engines that were set aside are better than none.
-  return untried.empty() ? usable : untried;
+  return untried.empty() ? all : untried;
 }
 
-std::optional<FleetChoice> Fleet::Choose(const Service& service, const Demand& demand,
-                                         const std::set<std::string>& tried, Time now) {
-  std::vector<const EngineRecord*> pickable = this->Pickable(service.name, tried, now);
+std::optional<FleetChoice> Fleet::ChooseAmong(const std::vector<HomeEngine>& usable,
+                                              const Service& service, const Demand& demand,
+                                              const std::set<std::string>& tried, Time now) {
+  std::vector<const HomeEngine*> pickable = this->Pickable(usable, tried, now);
   if (pickable.empty()) return std::nullopt;
-  std::sort(pickable.begin(), pickable.end(),
-            [](const EngineRecord* left, const EngineRecord* right) {
-              return PackingOrder(left->id) < PackingOrder(right->id);
-            });
   std::vector<Candidate> candidates;
+  candidates.reserve(pickable.size());
   double last = std::max<double>(static_cast<double>(pickable.size()) - 1, 1);
   for (size_t i = 0; i < pickable.size(); ++i) {
-    const EngineRecord& engine = *pickable[i];
+    const HomeEngine& engine = *pickable[i];
     Candidate candidate;
-    candidate.engine = engine.Incarnation();
-    candidate.load = this->load_book.Of(candidate.engine, now);
-    candidate.slots = engine.slots;
-    candidate.same_data_centre = engine.data_centre == this->data_centre;
-    candidate.failure_rate = this->health[candidate.engine].FailureRate(now);
+    candidate.engine = engine.incarnation;
+    candidate.load = this->load_book.Of(engine.incarnation, now);
+    candidate.slots = engine.record.slots;
+    candidate.same_data_centre = engine.record.data_centre == this->data_centre;
+    candidate.failure_rate = this->health[engine.incarnation].FailureRate(now);
     candidate.rank = this->switches.shared_order ? static_cast<double>(i) / last : 0;
     candidates.push_back(std::move(candidate));
   }
@@ -111,14 +119,85 @@
   choice.candidates = candidates.size();
   const std::vector<size_t>& chosen = choice.placement.engines;
   if (chosen.empty()) return std::nullopt;
-  choice.engine = *pickable[chosen.front()];
+  choice.engine = pickable[chosen.front()]->record;
   choice.load = candidates[chosen.front()].load;
-  for (size_t i = 1; i < chosen.size(); ++i) choice.readers.push_back(*pickable[chosen[i]]);
+  for (size_t i = 1; i < chosen.size(); ++i) {
+    choice.readers.push_back(pickable[chosen[i]]->record);
+  }
   return choice;
 }
 
+// Whether engines of other cells should be asked as well.
+bool Fleet::WantsOthers(const std::optional<FleetChoice>& home, const Demand& demand) const {
+  if (!this->switches.spill) return !home;
+  if (!home) return true;
+  bool late = home->placement.first_event_ms > kSpillLateness * demand.objective_ms;
+  return late || ShouldRefuse(home->placement, demand);
+}
+
+// Engines of other cells: those on offer, or where there is no offer and `any` will do,
+// all of them.
+std::vector<HomeEngine> Fleet::OthersFor(const Service& service, bool any, Time now) {
+  std::vector<HomeEngine> others;
+  for (const std::string& incarnation : this->spill.Engines(now)) {
+    const EngineRecord* engine = this->engines.FindIncarnation(incarnation);
+    bool usable = engine != nullptr && engine->service == service.name && !engine->draining;
+    if (usable) others.push_back({*engine, incarnation});
+  }
+  if (!others.empty() || !any) return others;
+  for (const EngineRecord* engine : this->engines.Usable(service.name, now)) {
+    others.push_back({*engine, engine->Incarnation()});
+  }
+  return others;
+}
+
+std::optional<FleetChoice> Fleet::Choose(const Service& service, const Demand& demand,
+                                         const std::set<std::string>& tried, Time now) {
+  const ServicePlan& home_plan = this->plan(now).Of(service.name);
+  std::optional<FleetChoice> home =
+      this->ChooseAmong(home_plan.engines, service, demand, tried, now);
+  if (home_plan.cells.is_whole() || !service.runs_models) return home;
+  if (!this->WantsOthers(home, demand)) return home;
+  std::vector<HomeEngine> others = this->OthersFor(service, /*any=*/!home, now);
+  std::optional<FleetChoice> away = this->ChooseAmong(others, service, demand, tried, now);
+  if (!away) return home;
+  away->spilled = true;
+  if (!home) return away;
+  bool better = away->placement.cost < kSpillGain * home->placement.cost;
+  return better && !ShouldRefuse(away->placement, demand) ? away : home;
+}
+
+std::map<std::string, EngineLoad> Fleet::Offer(Time now) {
+  const WorkPlan& current = this->plan(now);
+  std::vector<std::pair<double, std::string>> by_load;
+  std::map<std::string, EngineLoad> loads;
+  for (const HomeEngine& engine : current.Of(current.main_service()).engines) {
+    if (this->Avoids(engine.incarnation, now)) continue;
+    EngineLoad load = this->load_book.Of(engine.incarnation, now);
+    double taken = static_cast<double>(load.requests) / std::max(engine.record.slots, 1);
+    by_load.emplace_back(taken + load.ToReadMs() / kFullReadingMs, engine.incarnation);
+    loads[engine.incarnation] = std::move(load);
+  }
+  std::sort(by_load.begin(), by_load.end());
+  std::map<std::string, EngineLoad> offer;
+  for (const auto& [load, engine] : by_load) {
+    if (offer.size() == Spill::kEnginesTold) break;
+    offer[engine] = loads[engine];
+  }
+  return offer;
+}
+
+void Fleet::HearOffer(const std::string& peer, const std::map<std::string, EngineLoad>& loads,
+                      Time now) {
+  if (!this->switches.spill) return;
+  std::set<std::string> offered;
+  for (const auto& [engine, load] : loads) offered.insert(engine);
+  this->spill.Hear(peer, std::move(offered), now);
+}
+
 void Fleet::ForgetUnlisted(Time now) {
   this->suspicion.Tick(now);
+  this->load_book.ForgetSilent(now);
   std::set<std::string> listed = this->engines.Incarnations();
   for (auto it = this->health.begin(); it != this->health.end();) {
     it = listed.count(it->first) != 0 ? std::next(it) : this->health.erase(it);
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -19,8 +19,10 @@
 #include "serving/mechanisms.h"
 #include "serving/peer_suspicion.h"
 #include "serving/placement.h"
-#include "serving/retry_window.h"
+#include "serving/retry_bucket.h"
 #include "serving/serving_config.h"
+#include "serving/spill.h"
+#include "serving/work_plan.h"
 
 namespace gullward {
 
@@ -33,6 +35,8 @@
   Placement placement;
   // How many engines there were to choose from.
   size_t candidates = 0;
+  // Whether it runs outside the home cell.
+  bool spilled = false;
   // The load of the chosen engine, as it was known.
   EngineLoad load;
 };
@@ -52,7 +56,7 @@
   // This process's own experience of an engine.
   EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
   // The budget of second attempts at a service.
-  RetryWindow& RetriesOf(const std::string& service);
+  RetryBucket& RetriesOf(const std::string& service);
 
   // Counts an attempt that failed by the engine's doing.  Where peers have set the
   // engine aside, or it could not be reached, one failure is enough to do so too.
@@ -64,6 +68,14 @@
   // What a peer has set aside.
   void HearSetAside(const std::string& peer, const std::set<std::string>& set_aside, Time now);
 
+  // What this process works on, by the list as it is.
+  const WorkPlan& plan(Time now);
+  // Engines of the home cell that have room, with all the work that is known there; to be
+  // offered to gateways of other cells.
+  std::map<std::string, EngineLoad> Offer(Time now);
+  // What a gateway of another cell offers.
+  void HearOffer(const std::string& peer, const std::map<std::string, EngineLoad>& loads, Time now);
+
   // Says how many processes share the budget of retries.
   void SetProcesses(size_t count);
 
@@ -78,8 +90,13 @@
 
  private:
   bool Avoids(const std::string& engine, Time now);
-  std::vector<const EngineRecord*> Pickable(const std::string& service,
-                                            const std::set<std::string>& tried, Time now);
+  std::vector<const HomeEngine*> Pickable(const std::vector<HomeEngine>& engines,
+                                          const std::set<std::string>& tried, Time now);
+  std::optional<FleetChoice> ChooseAmong(const std::vector<HomeEngine>& engines,
+                                         const Service& service, const Demand& demand,
+                                         const std::set<std::string>& tried, Time now);
+  std::vector<HomeEngine> OthersFor(const Service& service, bool any, Time now);
+  bool WantsOthers(const std::optional<FleetChoice>& home, const Demand& demand) const;
 
   RetryBounds retry_bounds;
   Mechanisms switches;
@@ -87,10 +104,12 @@
   std::optional<size_t> processes;
   std::string data_centre;
   EngineDirectory engines;
+  WorkPlan work_plan;
+  Spill spill;
   LoadBook load_book;
   std::map<std::string, EngineHealth> health;
   PeerSuspicion suspicion;
-  std::map<std::string, RetryWindow> retries;
+  std::map<std::string, RetryBucket> retries;
 };
 
 }  // namespace gullward
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -63,6 +63,13 @@
   // A read of the engines' list that has not brought what a peer has read is sent again.
   // Off: it waits until the store answers it.
   bool catch_up_with_peers = true;
+  // A large fleet is divided into cells (cell_map.h).  Off: every gateway chooses among
+  // all engines and tells all gateways.
+  bool cells = true;
+  // In a fleet of several cells, what the home cell would serve late or refuse goes to
+  // engines that gateways of other cells offer.  Off: only where the home cell has no
+  // engine at all does work leave it.
+  bool spill = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -89,6 +96,8 @@
     {"gather_streams", &Mechanisms::gather_streams},
     {"copy_engine_list", &Mechanisms::copy_engine_list},
     {"catch_up_with_peers", &Mechanisms::catch_up_with_peers},
+    {"cells", &Mechanisms::cells},
+    {"spill", &Mechanisms::spill},
 };
 
 }  // namespace gullward
--- /dev/null
+++ b/src/serving/peer_directory.cc
@@ -0,0 +1,51 @@
+// peer_directory.h tells the method.
+
+#include "serving/peer_directory.h"
+
+#include <algorithm>
+
+namespace gullward {
+
+void PeerDirectory::Update(const Peer& peer) {
+  this->members.clear();
+  this->peers[peer.box] = peer;
+}
+
+void PeerDirectory::Remove(const std::string& box) {
+  this->members.clear();
+  this->peers.erase(box);
+}
+
+std::vector<const Peer*> PeerDirectory::NextOf(const std::string& service, const CellMap& cells,
+                                               const Cell& cell, uint64_t revision) {
+  if (this->members_of != revision) this->members.clear();
+  this->members_of = revision;
+  auto [found, is_new] = this->members.try_emplace({service, cell});
+  std::vector<const Peer*>& all = found->second;
+  if (is_new) {
+    for (const auto& [box, peer] : this->peers) {
+      if (cells.HomeOf(box, peer.data_centre) == cell) all.push_back(&peer);
+    }
+  }
+  if (all.size() <= kMostAtOnce) return all;
+  this->left_for_later += all.size() - kMostAtOnce;
+  std::vector<const Peer*> turn;
+  size_t first = this->round * kMostAtOnce;
+  for (size_t i = 0; i < kMostAtOnce; ++i) turn.push_back(all[(first + i) % all.size()]);
+  return turn;
+}
+
+std::vector<const Peer*> PeerDirectory::DrawOutside(const CellMap& cells, const Cell& cell,
+                                                    size_t count, std::mt19937_64* random) const {
+  std::vector<const Peer*> drawn;
+  if (cells.is_whole() || this->peers.empty()) return drawn;
+  // A few draws by place; one that falls on a member of the cell is lost.
+  for (size_t i = 0; i < count; ++i) {
+    auto at = static_cast<ptrdiff_t>((*random)() % this->peers.size());
+    const Peer& peer = std::next(this->peers.begin(), at)->second;
+    if (cells.HomeOf(peer.box, peer.data_centre) != cell) drawn.push_back(&peer);
+  }
+  return drawn;
+}
+
+}  // namespace gullward
--- a/src/wire/load_digest.cc
+++ b/src/wire/load_digest.cc
@@ -57,7 +57,7 @@
   builder.Finish(fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
                                       digest.sequence, builder.CreateVector(entries), freshness,
                                       builder.CreateVector(set_aside), digest.engines_copied,
-                                      digest.engines_read_to));
+                                      digest.engines_read_to, digest.is_offer));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -73,6 +73,7 @@
   digest.sequence = packed->sequence();
   digest.engines_copied = packed->engines_copied();
   digest.engines_read_to = packed->engines_read_to();
+  digest.is_offer = packed->is_offer();
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote told;
     told.round = note->round();
--- a/src/wire/load_digest.h
+++ b/src/wire/load_digest.h
@@ -33,6 +33,9 @@
   uint64_t engines_copied = 0;
   // The offset after the last change of the engines' list that the sender has read.
   uint64_t engines_read_to = 0;
+  // Whether `loads` are engines on offer, with all work that the sender knows there
+  // (serving/spill.h), instead of its own work.
+  bool is_offer = false;
 
   bool operator==(const LoadDigest&) const = default;
 };
