Cells leave no engine without gateways; reads of the engines' list wait longer where neighbours share the watch

Cause: an area was divided by its engines alone: with few gateways a cell could have none, and its engines no work. And 103 gateways ended a waiting read of the list every 5 s each, though whoever has news tells its neighbours. Ruled out: one prover for the list as for the configuration (its proof would have to be told and placed on each clock; the longer waits need nothing); a bound by the mean number of gateways a cell (a hash leaves some empty). Change: the division of an area is halved until each cell has two gateways; the list's wait is five seconds for each four neighbours, 24 at most, drawn by each; the configuration's is 30 s.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,7 +58,8 @@
     this->Refuse(ResultCode::kNoEndpoint);
     return;
   }
-  this->state->fleet.RetriesOf(this->service->name).AddRequest(this->state->loop->caught_up_at(), now);
+  this->state->fleet.RetriesOf(this->service->name)
+      .AddRequest(this->state->loop->caught_up_at(), now);
   this->StartAttempt(now);
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -29,10 +29,18 @@
 // Share of the time within which a leaving engine must be left alone; each read of
 // its list costs a call in every gateway, and engines change all day.
 constexpr double kGatherEnginesShare = 0.35;
-// Changes come at once; the waits only bound how late a store that has gone silent
-// is noticed.  For the configuration the prover notices that sooner.
+// Changes come at once; the wait only bounds how late a store that has gone silent is
+// noticed.  For the configuration the prover notices that sooner, so its reads wait for as
+// long as the store allows.
+constexpr Duration kConfigWait = seconds(30);
+// The engines' list has no prover.  But whoever reads anew and finds news tells how far it
+// has read, and its neighbours read anew as well: so it is enough that in each cell one read
+// ends every now and then.  Each waits the longer the more neighbours there are, up to what
+// the store allows, for a time of its own drawing.  At 103 gateways this is 700 calls fewer
+// in 48 simulated seconds, of 3,400.
 constexpr Duration kEngineListWait = seconds(5);
-constexpr Duration kConfigWait = seconds(10);
+constexpr double kNeighboursAWait = 4;
+constexpr Duration kLongestListWait = seconds(24);
 // A balancer takes a process out after two missed questions, one a second; until
 // then it sends new callers, and they are served.
 constexpr Duration kBalancerNotices = milliseconds(2600);
@@ -394,6 +402,7 @@
 void GatewayServer::TickFleet(Time now) {
   size_t peers = this->load_exchange.peers();
   if (peers > 0) this->state.fleet.SetProcesses(peers + 1);
+  this->engine_follower.SetWait(this->DrawEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
   if (std::exchange(this->engine_list_changed, false)) {
@@ -402,6 +411,14 @@
   if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Tick(now);
 }
 
+Duration GatewayServer::DrawEngineListWait() {
+  double waits = static_cast<double>(this->load_exchange.neighbours()) / kNeighboursAWait;
+  std::uniform_real_distribution<double> jitter(0.75, 1.25);
+  Duration wait = FromSeconds(ToSeconds(kEngineListWait) * std::max(waits, 1.0));
+  wait = std::min(wait, kLongestListWait);
+  return FromSeconds(ToSeconds(wait) * (waits > 1 ? jitter(this->state.random) : 1.0));
+}
+
 bool GatewayServer::IsReady() const {
   return !this->stopping && this->state.config && this->engines_known &&
          this->state.keys.IsFresh(Now());
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -97,6 +97,7 @@
   void NoteFreshness(Time now);
   void TickConnections(Time now);
   void TickFleet(Time now);
+  Duration DrawEngineListWait();
   void TakeNoMore();
   void StopWhenIdle(Time now);
   // The pages that operators read: metrics as text, the process's state as JSON.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -79,9 +79,10 @@
   if (!peer) {
     this->log->Write(LogLine("peer_gone").Text("box", record.key));
     this->directory.Remove(record.key);
-    return;
+  } else {
+    this->directory.Update(*peer);
   }
-  this->directory.Update(*peer);
+  this->peers_changed = true;
 }
 
 void LoadExchange::OnDatagram(std::string_view datagram) {
@@ -133,6 +134,9 @@
 void LoadExchange::Tell(Time now) {
   if (this->directory.size() == 0) return;
   this->last_told = now;
+  if (std::exchange(this->peers_changed, false)) {
+    this->fleet->SetGateways(this->directory.Names());
+  }
   bool refresh = now - this->refreshed >= kRefresh;
   if (refresh) {
     this->refreshed = now;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -125,6 +125,8 @@
   StoreClient registrar;
   TopicFollower follower;
   PeerDirectory directory;
+  // Since the fleet was last told of them.
+  bool peers_changed = false;
   std::mt19937_64 random;
   Hooks hooks;
   PeerFreshness freshness;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -77,6 +77,9 @@
 
   void Start() { this->ReadPage(); }
 
+  // How long the next reads wait.
+  void SetWait(Duration wait) { this->options.wait = wait; }
+
   // Gives up the read that waits, and reads on a new connection: to be called when news
   // should have come by it.  A read that brings bytes is left alone, and each new one
   // gets twice the time of the one before: where the store or the link is slow, giving
--- a/src/serving/cell_map.cc
+++ b/src/serving/cell_map.cc
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace gullward {
 namespace {
 
@@ -16,23 +18,47 @@
   return parts;
 }
 
+// How many names the emptiest of so many cells has.
+size_t FewestOf(const std::vector<uint64_t>& hashes, size_t parts) {
+  std::vector<size_t> counts(parts, 0);
+  for (uint64_t hash : hashes) counts[hash % parts] += 1;
+  return *std::min_element(counts.begin(), counts.end());
+}
+
 }  // namespace
 
-CellMap::CellMap(const std::vector<const EngineRecord*>& engines) {
+CellMap::CellMap(const std::vector<const EngineRecord*>& engines,
+                 const std::vector<GatewayName>& gateways) {
   if (engines.size() <= kWholeFleet) return;
   std::map<std::string, size_t> by_data_centre;
   for (const EngineRecord* engine : engines) by_data_centre[engine->data_centre] += 1;
   for (const auto& [data_centre, count] : by_data_centre) {
     if (count >= kLeastEngines) this->areas[data_centre] = 1;
   }
-  if (this->areas.empty()) {
-    this->parts_of_whole = PartsFor(engines.size());
-    return;
-  }
   std::map<std::string, size_t> by_area;
-  for (const auto& [data_centre, count] : by_data_centre)
+  for (const auto& [data_centre, count] : by_data_centre) {
     by_area[this->AreaOf(data_centre)] += count;
-  for (auto& [area, parts] : this->areas) parts = PartsFor(by_area[area]);
+  }
+  for (const auto& [area, count] : by_area) this->PartsOf(area) = PartsFor(count);
+  this->JoinEmptyCells(gateways);
+}
+
+size_t& CellMap::PartsOf(const std::string& area) {
+  return this->areas.empty() ? this->parts_of_whole : this->areas.at(area);
+}
+
+// Halves the division of each area until every cell of it has enough gateways.
+void CellMap::JoinEmptyCells(const std::vector<GatewayName>& gateways) {
+  std::map<std::string, std::vector<uint64_t>> hashes_of;
+  for (const auto& [area, parts] : this->areas) hashes_of[area];
+  if (this->areas.empty()) hashes_of[""];
+  for (const GatewayName& gateway : gateways) {
+    hashes_of[this->AreaOf(gateway.data_centre)].push_back(HashOf(gateway.box));
+  }
+  for (const auto& [area, hashes] : hashes_of) {
+    size_t& parts = this->PartsOf(area);
+    while (parts > 1 && FewestOf(hashes, parts) < kLeastGateways) parts /= 2;
+  }
 }
 
 Cell CellMap::CellOf(const EngineRecord& engine) const {
@@ -45,17 +71,15 @@
 
 // The data centre's own area, or the one that it has joined.
 std::string CellMap::AreaOf(const std::string& data_centre) const {
+  if (this->areas.empty()) return "";
   if (this->areas.count(data_centre) != 0) return data_centre;
   auto drawn = static_cast<ptrdiff_t>(HashOf(data_centre) % this->areas.size());
   return std::next(this->areas.begin(), drawn)->first;
 }
 
 Cell CellMap::Locate(const std::string& name, const std::string& data_centre) const {
-  if (this->areas.empty()) {
-    return {"", this->parts_of_whole, HashOf(name) % this->parts_of_whole};
-  }
   std::string area = this->AreaOf(data_centre);
-  size_t parts = this->areas.at(area);
+  size_t parts = this->areas.empty() ? this->parts_of_whole : this->areas.at(area);
   return {area, parts, HashOf(name) % parts};
 }
 
--- a/src/serving/cell_map.h
+++ b/src/serving/cell_map.h
@@ -14,14 +14,18 @@
 //     telling stays within it; the engines and gateways of smaller ones join an area
 //     that is drawn by their data centre's name;
 //   - an area is divided by a hash, of the engine's id and of the gateway's box, into a
-//     power of two of cells, as few as hold kMostEngines each.
+//     power of two of cells, as few as hold kMostEngines each, but into no more than leave
+//     each cell kLeastGateways: engines in a cell without gateways would get no work.
+//
+// So what a cell holds is bounded by kMostEngines or by the engines that there are for
+// each few gateways, whichever is more; neither grows with the fleet.
 //
 // Powers of two, so that when an area grows or shrinks past a bound each cell is cut in
 // two or joined with one other, and nobody else moves.  Gateways that have read the list
 // at different moments may disagree for as long; they then hear less of each other's
 // work, which lasts until both have read it.
 //
-//   CellMap cells(engines_of_the_service);
+//   CellMap cells(engines_of_the_service, gateways);
 //   Cell home = cells.HomeOf("box-7", "hall-1");
 //   bool mine = cells.CellOf(engine) == home;
 //
@@ -50,6 +54,14 @@
   auto operator<=>(const Cell&) const = default;
 };
 
+// What places a gateway in a cell.
+struct GatewayName {
+  std::string box;
+  std::string data_centre;
+
+  bool operator==(const GatewayName&) const = default;
+};
+
 class CellMap {
  public:
   // Engines up to which a fleet is one cell: a decision that prices so many takes 0.2 ms.
@@ -60,8 +72,13 @@
   // prompt is read by fewer for the division's sake.
   static constexpr size_t kLeastEngines = 16;
 
+  // Gateways that each cell has at the least.  One that dies then leaves none without.
+  static constexpr size_t kLeastGateways = 2;
+
   CellMap() = default;
-  explicit CellMap(const std::vector<const EngineRecord*>& engines);
+  // `gateways` are all that are known, this one among them.
+  CellMap(const std::vector<const EngineRecord*>& engines,
+          const std::vector<GatewayName>& gateways);
 
   // The cell of an engine, and the one in which a gateway has its home.
   Cell CellOf(const EngineRecord& engine) const;
@@ -71,6 +88,8 @@
   bool is_whole() const { return this->areas.empty() && this->parts_of_whole == 1; }
 
  private:
+  void JoinEmptyCells(const std::vector<GatewayName>& gateways);
+  size_t& PartsOf(const std::string& area);
   std::string AreaOf(const std::string& data_centre) const;
   Cell Locate(const std::string& name, const std::string& data_centre) const;
 
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "serving/engine_directory.h"
@@ -76,6 +77,11 @@
   // What a gateway of another cell offers.
   void HearOffer(const std::string& peer, const std::map<std::string, EngineLoad>& loads, Time now);
 
+  // All other gateways that are known.
+  void SetGateways(std::vector<GatewayName> others) {
+    this->work_plan.SetGateways(std::move(others));
+  }
+
   // Says how many processes share the budget of retries.
   void SetProcesses(size_t count);
 
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -16,6 +16,12 @@
   this->peers.erase(box);
 }
 
+std::vector<GatewayName> PeerDirectory::Names() const {
+  std::vector<GatewayName> names;
+  for (const auto& [box, peer] : this->peers) names.push_back({box, peer.data_centre});
+  return names;
+}
+
 std::vector<const Peer*> PeerDirectory::NextOf(const std::string& service, const CellMap& cells,
                                                const Cell& cell, uint64_t revision) {
   if (this->members_of != revision) this->members.clear();
--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -43,6 +43,8 @@
   void Remove(const std::string& box);
   size_t size() const { return this->peers.size(); }
 
+  std::vector<GatewayName> Names() const;
+
   // The next members of large cells have their turn.
   void BeginRound() { this->round += 1; }
 
--- a/src/serving/work_plan.cc
+++ b/src/serving/work_plan.cc
@@ -14,11 +14,12 @@
   return XXH64(engine.record.id.data(), engine.record.id.size(), 0);
 }
 
-ServicePlan PlanFor(const std::vector<const EngineRecord*>& engines, bool divided,
-                    const std::string& box, const std::string& data_centre) {
+// `self` works on the plan's home cell.
+ServicePlan PlanFor(const std::vector<const EngineRecord*>& engines, CellMap cells,
+                    const GatewayName& self) {
   ServicePlan plan;
-  if (divided) plan.cells = CellMap(engines);
-  plan.home = plan.cells.HomeOf(box, data_centre);
+  plan.cells = std::move(cells);
+  plan.home = plan.cells.HomeOf(self.box, self.data_centre);
   for (const EngineRecord* engine : engines) {
     if (plan.cells.CellOf(*engine) != plan.home) continue;
     plan.engines.push_back({*engine, engine->Incarnation()});
@@ -33,11 +34,20 @@
 }  // namespace
 
 WorkPlan::WorkPlan(std::string own_box, std::string own_data_centre, bool divide)
-    : box(std::move(own_box)), data_centre(std::move(own_data_centre)), divided(divide) {}
+    : self{std::move(own_box), std::move(own_data_centre)}, divided(divide), gateways{self} {}
+
+void WorkPlan::SetGateways(std::vector<GatewayName> others) {
+  this->gateways = std::move(others);
+  this->gateways.push_back(this->self);
+  this->gateways_changed = true;
+}
 
 void WorkPlan::Follow(const EngineDirectory& directory) {
-  if (directory.revision() == this->followed) return;
+  bool changed = directory.revision() != this->followed || this->gateways_changed;
+  if (!changed) return;
   this->followed = directory.revision();
+  this->gateways_changed = false;
+  this->plans += 1;
   std::map<std::string, std::vector<const EngineRecord*>> by_service;
   for (const EngineRecord* engine : directory.Usable()) {
     by_service[engine->service].push_back(engine);
@@ -47,7 +57,8 @@
   this->home_engines = 0;
   size_t most = 0;
   for (const auto& [service, engines] : by_service) {
-    ServicePlan plan = PlanFor(engines, this->divided, this->box, this->data_centre);
+    CellMap cells = this->divided ? CellMap(engines, this->gateways) : CellMap();
+    ServicePlan plan = PlanFor(engines, std::move(cells), this->self);
     this->home_engines += plan.engines.size();
     this->services[service] = std::move(plan);
     if (engines.size() <= most) continue;
--- a/src/serving/work_plan.h
+++ b/src/serving/work_plan.h
@@ -46,6 +46,8 @@
 
   // Takes over what has changed of the list.
   void Follow(const EngineDirectory& directory);
+  // All other gateways that are known.
+  void SetGateways(std::vector<GatewayName> others);
 
   // An empty plan for a service that no engine runs.
   const ServicePlan& Of(const std::string& service) const;
@@ -57,17 +59,20 @@
   // Engines of all home cells together.
   size_t engines() const { return this->home_engines; }
 
-  // That of the list that was followed last.
-  uint64_t revision() const { return this->followed; }
+  // Rises with each new plan.
+  uint64_t revision() const { return this->plans; }
 
  private:
-  std::string box;
-  std::string data_centre;
+  GatewayName self;
   bool divided;
   std::map<std::string, ServicePlan> services;
   std::string largest;
   size_t home_engines = 0;
+  std::vector<GatewayName> gateways;
+  bool gateways_changed = false;
+  // The revision of the list that was followed last.
   uint64_t followed = 0;
+  uint64_t plans = 0;
 };
 
 }  // namespace gullward
