A gateway that starts again where it was does not write its entry anew

Ruled out: a longer gathering alone (halves it, still a square). Change: the topic is read first; the entry is written only where it is missing or differs, or where the topic cannot be read. Changes of it gather for 2 s instead of 0.5 s.

--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/load_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/gateway_entry.h"
@@ -12,7 +13,7 @@
 // Peers come and go rarely; the longest wait that the store allows costs least.
 constexpr Duration kPeersWait = seconds(30);
 // Nothing depends on hearing of a peer at once.
-constexpr Duration kGatherPeers = milliseconds(500);
+constexpr Duration kGatherPeers = seconds(2);
 constexpr Duration kRegisterPatience = seconds(1);
 
 }  // namespace
@@ -34,11 +35,11 @@
           {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
           {.replace =
                [this](const std::vector<platform::KeyedRecord>& records) {
-                 for (const auto& record : records) this->OnPeerRecord(record);
+                 this->OnPeerRecords(records);
                },
            .change = [this](const platform::KeyedRecord& record) { this->OnPeerRecord(record); },
            .up_to_date = {},
-           .lost = {},
+           .lost = [this](const std::string&) { this->RegisterOnce(); },
            .regained = {},
            .read_short = {},
            .unreadable = {}}),
@@ -52,20 +53,25 @@
                         [this](std::string_view datagram) { this->OnDatagram(datagram); });
   if (!status.ok()) return status;
   this->own_address.port = this->socket.port();
-  this->Register();
+  this->follower.Start();
   return absl::OkStatus();
 }
 
-// The topic comes into being by the first record, so it is followed after ours.
+std::string LoadExchange::OwnEntry() const {
+  return EncodeGatewayEntry({this->box, this->own_address, this->data_centre});
+}
+
+// The topic comes into being by the first record, so it may not be there to be read.
+void LoadExchange::RegisterOnce() {
+  if (std::exchange(this->is_registered, true)) return;
+  this->Register();
+}
+
 void LoadExchange::Register() {
-  Peer self{this->box, this->own_address, this->data_centre};
-  platform::KeyedRecord record{this->box, EncodeGatewayEntry(self)};
+  platform::KeyedRecord record{this->box, this->OwnEntry()};
   this->registrar.Call(platform::AppendKeyed(platform::kPeersTopic, record), kRegisterPatience,
                        [this](const StoreAnswer& answer) {
-                         if (answer.ok()) {
-                           this->follower.Start();
-                           return;
-                         }
+                         if (answer.ok()) return;
                          this->log->Write(LogLine("register_failed")
                                               .Number("status", answer.status)
                                               .Text("reason", answer.reason));
@@ -73,6 +79,15 @@
                        });
 }
 
+// A process that starts again where it was finds its entry there.  Writing it once more
+// would cost each of the others a read.
+void LoadExchange::OnPeerRecords(const std::vector<platform::KeyedRecord>& records) {
+  platform::KeyedRecord own{this->box, this->OwnEntry()};
+  bool is_there = std::find(records.begin(), records.end(), own) != records.end();
+  for (const platform::KeyedRecord& record : records) this->OnPeerRecord(record);
+  if (!is_there) this->RegisterOnce();
+}
+
 void LoadExchange::OnPeerRecord(const platform::KeyedRecord& record) {
   if (record.key == this->box) return;
   std::optional<Peer> peer = DecodeGatewayEntry(record.key, record.value);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -1,8 +1,9 @@
 // Gateways tell each other what they have on each engine.
 //
-// Each gateway writes the address of its datagram socket into a topic of the
-// store when it starts, and follows that topic.  Then, a few times a second, it
-// sends what has changed of its own work, and now and then all of it, to those that
+// Each gateway follows a topic of the store in which each has its entry, with the address
+// of its datagram socket and its data centre; it writes its own where that is not there, so
+// that a fleet whose processes all start again costs no write and no read of it.  Then, a few times
+// a second, it sends what has changed of its own work, and now and then all of it, to those that
 // work on the same engines: the members of the engine's cell (serving/cell_map.h).
 // Each datagram also names the engines that the sender has set aside
 // (serving/peer_suspicion.h).
@@ -99,7 +100,10 @@
   uint64_t store_calls() const { return this->follower.calls() + this->registrar.calls(); }
 
  private:
+  std::string OwnEntry() const;
+  void RegisterOnce();
   void Register();
+  void OnPeerRecords(const std::vector<platform::KeyedRecord>& records);
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
   void HearNote(const LoadDigest& digest);
@@ -123,6 +127,7 @@
   UdpSocket socket;
   StoreRecovery* recovery;
   StoreClient registrar;
+  bool is_registered = false;
   TopicFollower follower;
   PeerDirectory directory;
   // Since the fleet was last told of them.
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -11,6 +11,7 @@
 #include "gateway/settings.h"
 #include "gateway/testing/gateway_world.h"
 #include "platform/headers.h"
+#include "wire/gateway_entry.h"
 
 namespace gullward {
 namespace {
@@ -536,6 +537,32 @@
   BOOST_TEST(!busy->done);
 }
 
+// A restart costs the others nothing: the entry that is there stays.
+BOOST_AUTO_TEST_CASE(AGatewayThatStartsAgainWritesItsEntryOnlyIfItHasMoved) {
+  const std::string topic(platform::kPeersTopic);
+  GatewayWorld world({});
+  world.Publish(world.DefaultConfig());
+  world.peers_address = {"127.0.0.1", 0};
+  world.StartGateway();
+  BOOST_TEST(world.RunUntil([&] { return !world.store.Newest(topic, "box-1").empty(); }));
+  std::optional<Peer> entry = DecodeGatewayEntry("box-1", world.store.Newest(topic, "box-1"));
+  BOOST_REQUIRE(entry.has_value());
+  BOOST_TEST(entry->data_centre == "hall-1");
+  world.gateway.reset();
+  world.peers_address = entry->address;
+  uint64_t written = world.store.appended(topic);
+  world.StartGateway();
+  // It has read the topic by the time that it knows a peer of it.
+  Peer other{"box-2", {"127.0.0.1", 9}, "hall-1"};
+  world.store.Put(topic, "box-2", EncodeGatewayEntry(other));
+  BOOST_TEST(world.RunUntil([&] { return world.gateway->peers() == 1; }));
+  BOOST_TEST(world.store.appended(topic) == written + 1);
+  world.gateway.reset();
+  world.peers_address = {"127.0.0.1", 0};
+  world.StartGateway();
+  BOOST_TEST(world.RunUntil([&] { return world.store.appended(topic) == written + 2; }));
+}
+
 BOOST_AUTO_TEST_CASE(APromptOverOneEnginesMemoryIsSpreadAndItsMemoryGivenBack) {
   auto world = StartedWorld({.engines = 4});
   std::string request = world->StreamRequest("vast");
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -93,7 +93,8 @@
   GatewaySettings settings;
   settings.box = "box-1";
   settings.data_centre = "hall-1";
-  settings.callers = settings.ready = settings.metrics = settings.peers = {"127.0.0.1", 0};
+  settings.callers = settings.ready = settings.metrics = {"127.0.0.1", 0};
+  settings.peers = this->peers_address;
   settings.store = this->store.address();
   settings.key_trust = this->options.key_trust;
   settings.key_trust_mode = this->options.key_trust_mode;
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -89,6 +89,8 @@
   std::vector<std::unique_ptr<EngineStandin>> engines;
   std::vector<std::unique_ptr<EngineStandin>> apps;
   std::unique_ptr<GatewayServer> gateway;
+  // Where the gateway hears its peers; port 0 is the kernel's choice.
+  SocketAddress peers_address{"127.0.0.1", 0};
 
  private:
   WorldOptions options;
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -69,6 +69,11 @@
   topic.newest.erase("");
 }
 
+uint64_t StoreStandin::appended(const std::string& topic_name) const {
+  auto topic = this->topics.find(topic_name);
+  return topic == this->topics.end() ? 0 : topic->second.first + topic->second.records.size();
+}
+
 void StoreStandin::Put(const std::string& topic_name, const std::string& key,
                        const std::string& value) {
   Topic& topic = this->topics[topic_name];
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -62,6 +62,9 @@
   // The newest value of a key; empty where there is none.
   std::string Newest(const std::string& topic, const std::string& key);
 
+  // Records that were ever added to a topic.
+  uint64_t appended(const std::string& topic) const;
+
   // Items on one page of log-newest.
   void SetPageSize(size_t items) { this->page_size = items; }
 
