--- a/src/trial/main.cc
+++ b/src/trial/main.cc
@@ -21,9 +21,11 @@
 #include <thread>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "process/process.h"
 #include "standins/answer.h"
+#include "trial/scale_trial.h"
 #include "trial/world.h"
 
 DEFINE_string(deployments, "catalogue,berkapu", "which deployments");
@@ -37,10 +39,16 @@
 DEFINE_double(long_share, 0, "overrides the deployments' share of engines for long prompts");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_int32(threads, 6, "runs at once");
+DEFINE_string(scale, "",
+              "instead of the trials above: the table of what grows with a fleet, for these "
+              "numbers of gateways, such as 30,100,300,1000 (trial/scale_trial.h)");
+DEFINE_double(engines_each, 10, "engines for each gateway, with --scale");
 
 namespace gullward {
 namespace {
 
+// Exit status where a flag has a wrong value.
+constexpr int kUsageError = 2;
 constexpr size_t kEndpoints = 7;
 constexpr size_t kEnginesPerEndpoint = 3;
 constexpr size_t kEntries = 2;
@@ -341,10 +349,40 @@
   return broken ? 1 : 0;
 }
 
+// One row for each number of gateways, undivided and in cells.
+int RunScale() {
+  std::printf(
+      "| gateways | cells | requests | candidates | datagrams/s | KB/s | words | "
+      "busiest/mean | found full |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- "
+      "|\n");
+  std::vector<std::string> numbers = absl::StrSplit(FLAGS_scale, ',');
+  for (const std::string& text : numbers) {
+    size_t gateways = 0;
+    if (!absl::SimpleAtoi(text, &gateways) || gateways == 0) {
+      std::fprintf(stderr, "--scale: \"%s\" is no number of gateways\n", text.c_str());
+      return kUsageError;
+    }
+    for (bool cells : {false, true}) {
+      ScaleOptions options;
+      options.gateways = gateways;
+      options.engines = static_cast<size_t>(FLAGS_engines_each * static_cast<double>(gateways));
+      options.seed = FLAGS_seed;
+      options.mechanisms.cells = cells;
+      ScaleResult result = PlayScale(options);
+      std::printf("| %zu | %s | %lu | %.1f | %.0f | %.1f | %zu | %.2f | %.4f |\n", gateways,
+                  cells ? "yes" : "no", static_cast<unsigned long>(result.requests),
+                  result.candidates, result.datagrams_per_s, result.bytes_per_s / 1000,
+                  result.words_kept, result.busiest_to_mean, result.found_full);
+    }
+  }
+  return 0;
+}
+
 }  // namespace
 }  // namespace gullward
 
 int main(int argc, char** argv) {
   gullward::InitProcess("gullward-trial: measures the choice of endpoint", &argc, &argv);
+  if (!FLAGS_scale.empty()) return gullward::RunScale();
   return gullward::RunAll();
 }
--- /dev/null
+++ b/src/trial/scale_trial.cc
@@ -0,0 +1,237 @@
+// A loop over events in the order of their time: arrivals, ends of answers, words that
+// arrive, and each gateway's round.
+
+#include "trial/scale_trial.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "serving/fleet.h"
+#include "serving/peer_directory.h"
+#include "wire/load_digest.h"
+
+namespace gullward {
+namespace {
+
+constexpr char kService[] = "models";
+// How often a gateway tells everything and forgets what is old (gateway/load_exchange.h).
+constexpr Duration kRound = milliseconds(500);
+const Time kStart = Time{} + seconds(1000);
+
+struct Event {
+  Time at;
+  // Events of one moment happen in the order in which they were made.
+  uint64_t number = 0;
+  std::function<void()> happen;
+
+  bool operator<(const Event& other) const {
+    return std::tie(other.at, other.number) < std::tie(this->at, this->number);
+  }
+};
+
+struct Gateway {
+  Gateway(std::string box_name, std::string hall, const Mechanisms& mechanisms)
+      : box(std::move(box_name)),
+        data_centre(std::move(hall)),
+        fleet(RetryBounds{}, box, data_centre, mechanisms) {}
+
+  std::string box;
+  std::string data_centre;
+  Fleet fleet;
+  PeerDirectory peers;
+  uint64_t sequence = 0;
+};
+
+class World {
+ public:
+  explicit World(const ScaleOptions& trial_options)
+      : options(trial_options), random(trial_options.seed), now(kStart) {
+    this->service = {kService, "/healthz", 0, true, {}};
+    this->service.speed.slots = this->options.slots;
+    this->service.speed.memory_tokens = 450'000;
+    this->service.speed.steps_per_pass = 46;
+    this->service.speed.step_ms = 0.925;
+    for (size_t i = 0; i < this->options.gateways; ++i) this->AddGateway(i);
+    this->Introduce();
+  }
+
+  ScaleResult Play() {
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      this->ArriveNext(i);
+      this->RoundNext(i);
+    }
+    Time end = kStart + this->options.length;
+    while (!this->events.empty() && this->events.top().at < end) {
+      Event event = this->events.top();
+      this->events.pop();
+      this->now = event.at;
+      event.happen();
+    }
+    return this->Result();
+  }
+
+ private:
+  std::string Hall(size_t number) const {
+    return absl::StrCat("hall-", number % this->options.data_centres);
+  }
+
+  void AddGateway(size_t number) {
+    auto gateway = std::make_unique<Gateway>(absl::StrCat("box-", number), this->Hall(number),
+                                             this->options.mechanisms);
+    for (size_t i = 0; i < this->options.engines; ++i) {
+      gateway->fleet.directory().Update({absl::StrCat("e-", i),
+                                         kService,
+                                         {"10.0.0.1", 80},
+                                         this->Hall(i),
+                                         this->options.slots,
+                                         false,
+                                         0});
+    }
+    this->gateways.push_back(std::move(gateway));
+  }
+
+  // Everybody knows everybody.
+  void Introduce() {
+    for (auto& gateway : this->gateways) {
+      for (const auto& other : this->gateways) {
+        if (other == gateway) continue;
+        gateway->peers.Update({other->box, {"10.0.0.2", 90}, other->data_centre});
+        this->by_box[other->box] = other.get();
+      }
+      gateway->fleet.SetGateways(gateway->peers.Names());
+    }
+  }
+
+  void At(Time at, std::function<void()> happen) {
+    this->events.push({at, this->event_count++, std::move(happen)});
+  }
+
+  void ArriveNext(size_t number) {
+    std::exponential_distribution<double> pause(this->options.requests_per_s);
+    this->At(this->now + FromSeconds(pause(this->random)), [this, number] {
+      this->Arrive(this->gateways[number].get());
+      this->ArriveNext(number);
+    });
+  }
+
+  void Arrive(Gateway* gateway) {
+    Demand demand;
+    demand.prompt_tokens = this->options.prompt_tokens;
+    demand.pause_ms = 250;
+    std::optional<FleetChoice> choice =
+        gateway->fleet.Choose(this->service, demand, /*tried=*/{}, this->now);
+    if (!choice) return;
+    this->result.requests += 1;
+    this->candidates += static_cast<double>(choice->candidates);
+    const std::string engine = choice->engine.Incarnation();
+    this->arrivals[engine] += 1;
+    int& on_engine = this->running[engine];
+    bool room = this->all_running < static_cast<int>(this->options.engines) * this->options.slots;
+    if (on_engine >= this->options.slots && room) this->found_full += 1;
+    on_engine += 1;
+    this->all_running += 1;
+    uint64_t work = ++this->work_count;
+    WorkPart part{engine, demand.prompt_tokens, choice->placement.part_reading_ms, true,
+                  demand.pause_ms};
+    gateway->fleet.loads().Begin(work, {part}, this->now);
+    this->Tell(gateway, {engine});
+    this->At(this->now + FromSeconds(choice->placement.first_event_ms / 1000),
+             [gateway, work] { gateway->fleet.loads().FirstEvent(work); });
+    this->At(this->now + this->options.answer, [this, gateway, work, engine] {
+      this->running[engine] -= 1;
+      this->all_running -= 1;
+      gateway->fleet.loads().End(work);
+      this->Tell(gateway, {engine});
+    });
+  }
+
+  void RoundNext(size_t number) {
+    std::uniform_real_distribution<double> jitter(0.9, 1.1);
+    Duration pause = FromSeconds(ToSeconds(kRound) * jitter(this->random));
+    this->At(this->now + pause, [this, number] {
+      Gateway* gateway = this->gateways[number].get();
+      gateway->peers.BeginRound();
+      gateway->fleet.ForgetUnlisted(this->now);
+      std::vector<std::string> engines;
+      for (const auto& [engine, load] : gateway->fleet.loads().Own(this->now)) {
+        engines.push_back(engine);
+      }
+      this->Tell(gateway, engines);
+      this->RoundNext(number);
+    });
+  }
+
+  // The gateway's own work on these engines, to those that work there too.
+  void Tell(Gateway* gateway, const std::vector<std::string>& engines) {
+    if (engines.empty()) return;
+    LoadDigest digest;
+    digest.box = gateway->box;
+    digest.sequence = ++gateway->sequence;
+    std::map<std::string, EngineLoad> own = gateway->fleet.loads().Own(this->now);
+    for (const std::string& engine : engines) digest.loads[engine] = own[engine];
+    const WorkPlan& plan = gateway->fleet.plan(this->now);
+    const ServicePlan& mine = plan.Of(kService);
+    std::vector<const Peer*> members =
+        gateway->peers.NextOf(kService, mine.cells, mine.home, plan.revision());
+    this->datagrams += members.size();
+    this->bytes += members.size() * EncodeDigest(digest).size();
+    std::vector<Gateway*> receivers;
+    for (const Peer* peer : members) receivers.push_back(this->by_box[peer->box]);
+    this->At(this->now + this->options.told_after, [this, digest, receivers] {
+      for (Gateway* receiver : receivers) {
+        receiver->fleet.loads().ApplyPeer(digest.box, 0, digest.sequence, digest.loads, this->now);
+      }
+    });
+  }
+
+  ScaleResult Result() {
+    double requests = std::max<double>(static_cast<double>(this->result.requests), 1);
+    double gateway_seconds =
+        static_cast<double>(this->options.gateways) * ToSeconds(this->options.length);
+    this->result.candidates = this->candidates / requests;
+    this->result.datagrams_per_s = static_cast<double>(this->datagrams) / gateway_seconds;
+    this->result.bytes_per_s = static_cast<double>(this->bytes) / gateway_seconds;
+    uint64_t busiest = 0;
+    for (const auto& [engine, count] : this->arrivals) busiest = std::max(busiest, count);
+    this->result.busiest_to_mean =
+        static_cast<double>(busiest) * static_cast<double>(this->options.engines) / requests;
+    this->result.found_full = this->found_full / requests;
+    for (const auto& gateway : this->gateways) {
+      this->result.words_kept = std::max(this->result.words_kept, gateway->fleet.loads().words());
+    }
+    return this->result;
+  }
+
+  ScaleOptions options;
+  std::mt19937_64 random;
+  Time now;
+  Service service;
+  std::vector<std::unique_ptr<Gateway>> gateways;
+  std::map<std::string, Gateway*> by_box;
+  std::priority_queue<Event> events;
+  uint64_t event_count = 0;
+  uint64_t work_count = 0;
+  // What the engines really run, and all of them together.
+  std::map<std::string, int> running;
+  int all_running = 0;
+  std::map<std::string, uint64_t> arrivals;
+  double candidates = 0;
+  double found_full = 0;
+  size_t datagrams = 0;
+  size_t bytes = 0;
+  ScaleResult result;
+};
+
+}  // namespace
+
+ScaleResult PlayScale(const ScaleOptions& options) { return World(options).Play(); }
+
+}  // namespace gullward
