--- a/src/gateway/engine_list_copy.cc
+++ b/src/gateway/engine_list_copy.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "wire/engine_list.h"
+#include "serving/engine_list.h"
 
 namespace gullward {
 namespace {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -154,6 +154,7 @@
 void Exchange::SendAttempt(const FleetChoice& choice, Time now) {
   this->attempts += 1;
   this->state->counters.attempts += 1;
+  if (choice.spilled) this->state->counters.spilled += 1;
   this->tried.insert(choice.engine.Incarnation());
   this->BookLoad(choice, now);
   // What must not run twice must not meet a kept connection that is just being
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -57,6 +57,7 @@
           .Number("attempt", this->attempts)
           .Number("candidates", static_cast<double>(choice.candidates))
           .Number("readers", static_cast<double>(choice.readers.size() + 1))
+          .Number("spilled", choice.spilled ? 1 : 0)
           .Number("prompt_tokens", this->facts.prompt_tokens)
           .Number("engine_requests", choice.load.requests)
           .Number("engine_reading_ms", choice.load.ToReadMs())
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -32,6 +32,10 @@
 
 class GatewayServer {
  public:
+  // How long one read of the engines' list waits at the store for a change, where few
+  // gateways share the watch; it bounds how late a store that has gone silent is noticed.
+  static constexpr Duration kEngineListWait = seconds(5);
+
   GatewayServer(EventLoop* event_loop, const GatewaySettings& gateway_settings,
                 uint64_t random_seed);
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -31,6 +31,8 @@
   uint64_t callers_gone = 0;
   uint64_t events_passed = 0;
   uint64_t orders = 0;
+  // Attempts at engines of other cells.
+  uint64_t spilled = 0;
   // Entries of the engines' list that name no engine, and lives that followed another
   // one under the same id.
   uint64_t entries_unreadable = 0;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "wire/gateway_entry.h"
+#include "serving/gateway_entry.h"
 
 namespace gullward {
 namespace {
@@ -108,16 +108,14 @@
   Time now = Now();
   this->hooks.hear_engines_read_to(digest->engines_read_to);
   if (digest->engines_copied != 0) this->hooks.hear_engines_copied(digest->engines_copied);
-  bool loads_count = this->fleet->mechanisms().peer_loads;
-  if (loads_count) {
-    this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence,
-                                   digest->loads, now);
-  }
   if (digest->is_offer) {
-    this->fleet->HearOffer(digest->box, digest->loads, now);
-  } else {
-    this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+    this->fleet->HearOffer(digest->box, digest->incarnation, digest->sequence, digest->loads, now);
+    return;
   }
+  this->fleet->HearSetAside(digest->box, digest->set_aside, now);
+  if (!this->fleet->mechanisms().peer_loads) return;
+  this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
+                                 now);
 }
 
 void LoadExchange::HearNote(const LoadDigest& digest) {
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -36,9 +36,9 @@
 #include "gateway/topic_follower.h"
 #include "process/event_log.h"
 #include "serving/fleet.h"
+#include "serving/load_digest.h"
 #include "serving/peer_directory.h"
 #include "transport/udp_socket.h"
-#include "wire/load_digest.h"
 
 namespace gullward {
 
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -24,6 +24,12 @@
   count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_events_total", "Stream events passed on", counters.events_passed);
+  count("gullward_spilled_total", "Attempts at engines of other cells", counters.spilled);
+  count("gullward_datagrams_sent_total", "Datagrams to peers", figures.datagrams_sent);
+  count("gullward_datagram_bytes_sent_total", "Bytes of them", figures.datagram_bytes_sent);
+  count("gullward_datagrams_heard_total", "Datagrams of peers", figures.datagrams_heard);
+  count("gullward_peers_left_for_later_total", "Members of large cells told in a later round",
+        figures.peers_left_for_later);
   count("gullward_engine_orders_total", "Orders to engines", counters.orders);
   count("gullward_engine_entries_unreadable_total", "Entries that name no engine to use",
         counters.entries_unreadable);
@@ -70,6 +76,10 @@
   AddLatencies(counters, &text);
   text.Gauge("gullward_engines", "Engines on the list", {}, static_cast<double>(figures.engines));
   text.Gauge("gullward_peers", "Other gateways known", {}, static_cast<double>(figures.peers));
+  text.Gauge("gullward_neighbours", "Gateways of the home cell that are told at once", {},
+             static_cast<double>(figures.neighbours));
+  text.Gauge("gullward_home_engines", "Engines of the home cells", {},
+             static_cast<double>(figures.home_engines));
   AddProcess(&text);
   text.Gauge("gullward_config_version", "Configuration in force", {},
              static_cast<double>(figures.config_version));
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -22,9 +22,17 @@
   uint64_t engine_connections = 0;
   uint64_t log_lines_dropped = 0;
   uint64_t store_calls = 0;
+  uint64_t datagrams_sent = 0;
+  uint64_t datagram_bytes_sent = 0;
+  uint64_t datagrams_heard = 0;
+  // Members of a cell that had to wait for a later round.
+  uint64_t peers_left_for_later = 0;
   // At this moment.
   size_t engines = 0;
   size_t peers = 0;
+  // Of the home cell: the gateways that are told in one round, and the engines.
+  size_t neighbours = 0;
+  size_t home_engines = 0;
   // 0 while there is no configuration.
   uint64_t config_version = 0;
   // Since the configuration was proved current.
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -23,8 +23,8 @@
 #include "absl/strings/str_cat.h"
 #include "gateway/testing/gateway_world.h"
 #include "platform/headers.h"
-#include "wire/gateway_entry.h"
-#include "wire/load_digest.h"
+#include "serving/gateway_entry.h"
+#include "serving/load_digest.h"
 
 namespace gullward {
 namespace {
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -11,7 +11,7 @@
 #include "gateway/settings.h"
 #include "gateway/testing/gateway_world.h"
 #include "platform/headers.h"
-#include "wire/gateway_entry.h"
+#include "serving/gateway_entry.h"
 
 namespace gullward {
 namespace {
--- a/src/gateway/testing/retry_budget_test.cc
+++ b/src/gateway/testing/retry_budget_test.cc
@@ -37,8 +37,8 @@
 #include "gateway/testing/gateway_world.h"
 #include "platform/headers.h"
 #include "serving/fleet.h"
+#include "serving/gateway_entry.h"
 #include "testing/raw_http.h"
-#include "wire/gateway_entry.h"
 
 namespace gullward {
 namespace {
--- a/src/wire/engine_list.cc
+++ b/src/serving/engine_list.cc
@@ -1,6 +1,6 @@
 // To and from FlatBuffers; the schema is gullward.fbs.
 
-#include "wire/engine_list.h"
+#include "serving/engine_list.h"
 
 #include "wire/gullward_generated.h"
 
--- a/src/wire/engine_list.h
+++ b/src/serving/engine_list.h
@@ -3,8 +3,8 @@
 //   std::string value = EncodeEngineList(engines);
 //   std::optional<std::vector<EngineRecord>> engines = DecodeEngineList(value);
 
-#ifndef GULLWARD_WIRE_ENGINE_LIST_H_
-#define GULLWARD_WIRE_ENGINE_LIST_H_
+#ifndef GULLWARD_SERVING_ENGINE_LIST_H_
+#define GULLWARD_SERVING_ENGINE_LIST_H_
 
 #include <optional>
 #include <string>
@@ -22,4 +22,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_WIRE_ENGINE_LIST_H_
+#endif  // GULLWARD_SERVING_ENGINE_LIST_H_
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -187,11 +187,21 @@
   return offer;
 }
 
-void Fleet::HearOffer(const std::string& peer, const std::map<std::string, EngineLoad>& loads,
-                      Time now) {
+void Fleet::HearOffer(const std::string& peer, uint64_t incarnation, uint64_t sequence,
+                      const std::map<std::string, EngineLoad>& loads, Time now) {
   if (!this->switches.spill) return;
+  const WorkPlan& current = this->plan(now);
+  std::map<std::string, EngineLoad> elsewhere;
   std::set<std::string> offered;
-  for (const auto& [engine, load] : loads) offered.insert(engine);
+  for (const auto& [engine, load] : loads) {
+    const EngineRecord* record = this->engines.FindIncarnation(engine);
+    if (record == nullptr) continue;
+    const ServicePlan& service = current.Of(record->service);
+    if (service.cells.CellOf(*record) == service.home) continue;
+    elsewhere[engine] = load;
+    offered.insert(engine);
+  }
+  this->load_book.ApplyPeer(peer, incarnation, sequence, elsewhere, now);
   this->spill.Hear(peer, std::move(offered), now);
 }
 
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -71,11 +71,15 @@
 
   // What this process works on, by the list as it is.
   const WorkPlan& plan(Time now);
+  // Engines of the home cells, by the plan that was made last.
+  size_t home_engines() const { return this->work_plan.engines(); }
   // Engines of the home cell that have room, with all the work that is known there; to be
   // offered to gateways of other cells.
   std::map<std::string, EngineLoad> Offer(Time now);
-  // What a gateway of another cell offers.
-  void HearOffer(const std::string& peer, const std::map<std::string, EngineLoad>& loads, Time now);
+  // What a gateway of another cell offers, in a datagram of that life and sequence.  Of
+  // engines of the home cell it says nothing: their work is told by those who have it there.
+  void HearOffer(const std::string& peer, uint64_t incarnation, uint64_t sequence,
+                 const std::map<std::string, EngineLoad>& loads, Time now);
 
   // All other gateways that are known.
   void SetGateways(std::vector<GatewayName> others) {
--- a/src/wire/gateway_entry.cc
+++ b/src/serving/gateway_entry.cc
@@ -1,6 +1,6 @@
 // To and from FlatBuffers; the schema is gullward.fbs.
 
-#include "wire/gateway_entry.h"
+#include "serving/gateway_entry.h"
 
 #include "wire/gullward_generated.h"
 
--- a/src/wire/gateway_entry.h
+++ b/src/serving/gateway_entry.h
@@ -3,8 +3,8 @@
 //   std::string value = EncodeGatewayEntry(peer);
 //   std::optional<Peer> peer = DecodeGatewayEntry("box-2", value);
 
-#ifndef GULLWARD_WIRE_GATEWAY_ENTRY_H_
-#define GULLWARD_WIRE_GATEWAY_ENTRY_H_
+#ifndef GULLWARD_SERVING_GATEWAY_ENTRY_H_
+#define GULLWARD_SERVING_GATEWAY_ENTRY_H_
 
 #include <optional>
 #include <string>
@@ -21,4 +21,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_WIRE_GATEWAY_ENTRY_H_
+#endif  // GULLWARD_SERVING_GATEWAY_ENTRY_H_
--- a/src/wire/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -1,6 +1,6 @@
 // To and from FlatBuffers; the schema is gullward.fbs.
 
-#include "wire/load_digest.h"
+#include "serving/load_digest.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/wire/load_digest.h
+++ b/src/serving/load_digest.h
@@ -3,8 +3,8 @@
 //   std::string datagram = EncodeDigest(digest);
 //   std::optional<LoadDigest> digest = DecodeDigest(datagram);
 
-#ifndef GULLWARD_WIRE_LOAD_DIGEST_H_
-#define GULLWARD_WIRE_LOAD_DIGEST_H_
+#ifndef GULLWARD_SERVING_LOAD_DIGEST_H_
+#define GULLWARD_SERVING_LOAD_DIGEST_H_
 
 #include <cstdint>
 #include <map>
@@ -47,4 +47,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_WIRE_LOAD_DIGEST_H_
+#endif  // GULLWARD_SERVING_LOAD_DIGEST_H_
--- a/src/serving/retry_bucket.cc
+++ b/src/serving/retry_bucket.cc
@@ -42,20 +42,22 @@
   double windows = ToSeconds(now - this->filled_at) / ToSeconds(this->bounds.window);
   this->filled_at = std::max(this->filled_at, now);
   if (windows <= 0) return;
-  double flow = (1 - kSavedShare) * this->SlackPart() * windows;
-  this->from_slack = std::min(this->from_slack + flow, this->MostSavedSlack());
+  this->saved_share = std::min(this->saved_share + (1 - kSavedShare) * windows, kSavedShare);
 }
 
 double RetryBucket::Left(Time now) {
   this->Fill(now);
-  return this->from_requests + std::min(this->from_slack, this->MostSavedSlack());
+  return this->from_requests + this->saved_share * this->SlackPart();
 }
 
 bool RetryBucket::TakeRetry(Time now) {
   if (this->Left(now) < 1 - kRounding) return false;
   double of_requests = std::min(this->from_requests, 1.0);
   this->from_requests -= of_requests;
-  this->from_slack = std::max(0.0, this->from_slack - (1 - of_requests));
+  double of_slack = 1 - of_requests;
+  if (of_slack > 0) {
+    this->saved_share = std::max(0.0, this->saved_share - of_slack / this->SlackPart());
+  }
   return true;
 }
 
--- a/src/serving/retry_bucket.h
+++ b/src/serving/retry_bucket.h
@@ -93,7 +93,8 @@
   double sharers = kUnknownSharers;
   // When the slack last flowed in.
   Time filled_at;
-  double from_slack = 0;
+  // Of the part of the slack, so that it follows the number of processes.
+  double saved_share = 0;
   double from_requests = 0;
   Period current;
   Period before;
--- a/src/serving/testing/cell_test.cc
+++ b/src/serving/testing/cell_test.cc
@@ -7,8 +7,8 @@
 #include <set>
 
 #include "serving/fleet.h"
+#include "serving/gateway_entry.h"
 #include "serving/peer_directory.h"
-#include "wire/gateway_entry.h"
 
 namespace gullward {
 namespace {
@@ -223,8 +223,7 @@
     for (const EngineRecord& engine : Engines(150, 5)) offering.directory().Update(engine);
     std::map<std::string, EngineLoad> offer = offering.Offer(kStart);
     BOOST_TEST(offer.size() == Spill::kEnginesTold);
-    fleet.loads().ApplyPeer("box-9", 1, 1, offer, kStart);
-    fleet.HearOffer("box-9", offer, kStart);
+    fleet.HearOffer("box-9", 1, 1, offer, kStart);
     std::optional<FleetChoice> choice = fleet.Choose(kPool, {}, {}, kStart);
     BOOST_TEST(choice->spilled == spill);
     BOOST_TEST((choice->engine.data_centre == Hall(1)) == spill);
@@ -253,6 +252,15 @@
   BOOST_TEST(choice->engine.data_centre != Hall(0));
 }
 
+// Gateways that have read the list at different moments may offer each other the same
+// engines; the work there is not counted twice.
+BOOST_AUTO_TEST_CASE(AnOfferOfHomeEnginesSaysNothing) {
+  Fleet fleet = FleetOf(Engines(150, 5));
+  const std::string home = fleet.plan(kStart).Of("pool").engines.front().incarnation;
+  fleet.HearOffer("box-9", 1, 1, {{home, FullLoad()}}, kStart);
+  BOOST_TEST((fleet.loads().Of(home, kStart) == EngineLoad{}));
+}
+
 // What is kept of peers' words is bounded by what is current, not by all that was ever said.
 BOOST_AUTO_TEST_CASE(WordsOfPeersAreForgotten) {
   LoadBook book;
--- a/src/serving/testing/incarnation_test.cc
+++ b/src/serving/testing/incarnation_test.cc
@@ -6,8 +6,8 @@
 #include <map>
 #include <random>
 
+#include "serving/engine_list.h"
 #include "serving/fleet.h"
-#include "wire/engine_list.h"
 
 namespace gullward {
 namespace {
--- a/src/trial/scale_trial.cc
+++ b/src/trial/scale_trial.cc
@@ -15,8 +15,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "serving/fleet.h"
+#include "serving/load_digest.h"
 #include "serving/peer_directory.h"
-#include "wire/load_digest.h"
 
 namespace gullward {
 namespace {
