Sight: a line and a counter for attempts that break off, with the request's content and the engine's fate

Cause: the logs of the incident cannot tell which tries are of one content, nor whether an engine ended or only a connection. Ruled out: hashing each request (only those that break off, or are logged, pay for it); a probe by HTTP (waits for a slot, is priced): a refused connection says as much. Change: serving/request_content, gateway/lost_engine_check, StreamEnd::kRefused and the connected hook of TcpStream; attempt_broken in the log; no decision changed.

--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -36,7 +36,8 @@
                              .drained =
                                  [raw] {
                                    if (raw->hooks.drained) raw->hooks.drained();
-                                 }});
+                                 },
+                             .connected = {}});
   return channel;
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -163,6 +163,7 @@
   this->attempt = Attempt{};
   this->attempt->engine = choice.engine;
   this->attempt->readers = choice.readers;
+  this->attempt->sent = now;
   this->attempt->last_progress = now;
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
@@ -334,6 +335,9 @@
   this->attempt->ended = channel_result;
   AttemptResult result = this->ResultOf(channel_result);
   this->NoteHealth(result, channel_result);
+  bool broke_off = channel_result == ChannelResult::kBroken ||
+                   channel_result == ChannelResult::kClosedUnanswered;
+  if (broke_off) this->CheckLostEngine();
   if (channel_result == ChannelResult::kWholeAnswer) {
     this->state->pool.Give(this->attempt->engine, this->attempt->channel, Now());
   }
@@ -376,6 +380,29 @@
   }
 }
 
+ContentId Exchange::Content() {
+  if (!this->content) {
+    const RequestHead& head = this->request.head;
+    this->content =
+        ContentOf({this->admission.account, head.method, head.target, this->request.body});
+  }
+  return *this->content;
+}
+
+// The exchange may be over when the finding comes.
+void Exchange::CheckLostEngine() {
+  GatewayState* shared = this->state;
+  LogLine line = this->Line("attempt_broken");
+  line.Text("content", ContentName(this->Content()))
+      .Text("engine", this->attempt->engine.Incarnation())
+      .Number("worked_ms", ToSeconds(Now() - this->attempt->sent) * 1000);
+  shared->lost_engine_check.Ask(this->attempt->engine, [shared, line](EngineFinding finding) {
+    shared->counters.attempts_broken[finding] += 1;
+    LogLine found = line;
+    shared->log->Write(found.Text("found", NameOf(finding)));
+  });
+}
+
 RequestState Exchange::StateForDecision(Time now) const {
   RequestState decision;
   decision.repeat = this->admission.route->repeat;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -26,6 +26,7 @@
 #include "gateway/ticket_set.h"
 #include "serving/attempt_result.h"
 #include "serving/event_splitter.h"
+#include "serving/request_content.h"
 
 namespace gullward {
 
@@ -56,6 +57,7 @@
     // The id of the reader that the answer names as the cause of a refusal.
     std::optional<std::string> reader_at_fault;
     std::shared_ptr<RequestChannel> channel;
+    Time sent;
     Time last_progress;
     ResponseHead head;
     AttemptResult verdict = AttemptResult::kUnknown;
@@ -90,6 +92,8 @@
   std::optional<std::string> ReaderAtFault(const ResponseHead& head) const;
   void BlameReader(Time now);
   void NoteHealth(AttemptResult result, ChannelResult channel_result);
+  ContentId Content();
+  void CheckLostEngine();
   void AfterAttempt(AttemptResult result);
   void FollowUnsent(Time now);
   void Follow(NextStep step, AttemptResult result);
@@ -127,6 +131,8 @@
   int attempts_run = 0;
   bool may_have_run = false;
   std::optional<std::string> last_event_id;
+  // Worked out when it is first asked for; most requests never need it.
+  std::optional<ContentId> content;
   AnswerTimes times;
   bool answer_begun = false;
   bool is_finished = false;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -340,7 +340,8 @@
 
 std::string GatewayServer::Metrics() const {
   PageFigures figures;
-  figures.engine_connections = this->state.pool.opened();
+  figures.engine_connections =
+      this->state.pool.opened() + this->state.lost_engine_check.connections();
   figures.log_lines_dropped = this->log.dropped();
   figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
                         this->load_exchange.store_calls() + this->config_prover.calls() +
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -35,6 +35,11 @@
         counters.entries_unreadable);
   count("gullward_engine_restarts_total", "Engines seen to start again under their id",
         counters.engine_restarts);
+  for (const auto& [finding, attempts] : counters.attempts_broken) {
+    text->Counter("gullward_attempts_broken_total",
+                  "Attempts that broke off, by what had become of the engine",
+                  {{"engine", NameOf(finding)}}, static_cast<double>(attempts));
+  }
   count("gullward_engine_connections_total", "Connections opened", figures.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", figures.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", figures.store_calls);
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -34,7 +34,8 @@
   RequestChannel* raw = channel.get();
   channel->stream->SetHooks({.data = [raw](std::string_view bytes) { raw->OnData(bytes); },
                              .closed = [raw](StreamEnd end) { raw->OnClosed(end); },
-                             .drained = {}});
+                             .drained = {},
+                             .connected = {}});
   return channel;
 }
 
@@ -111,7 +112,7 @@
     if (this->idle_end) this->idle_end();
     return;
   }
-  if (end == StreamEnd::kNotConnected) {
+  if (end == StreamEnd::kNotConnected || end == StreamEnd::kRefused) {
     this->Finish(ChannelResult::kNotSent);
     return;
   }
--- a/src/soak/testing/loopback_proxy_test.cc
+++ b/src/soak/testing/loopback_proxy_test.cc
@@ -20,13 +20,14 @@
       this->server = TcpStream::Adopt(&this->loop, fd);
       this->server->SetHooks({.data = [this](std::string_view bytes) { this->got += bytes; },
                               .closed = [this](StreamEnd how) { this->ended = how; },
-                              .drained = {}});
+                              .drained = {},
+                              .connected = {}});
     });
     BOOST_REQUIRE(status.ok());
     this->proxy = std::make_unique<LoopbackProxy>(
         &this->loop, SocketAddress{"127.0.0.1", this->listener.port()});
     this->client = TcpStream::Connect(&this->loop, this->proxy->address());
-    this->client->SetHooks({.data = {}, .closed = {}, .drained = {}});
+    this->client->SetHooks({.data = {}, .closed = {}, .drained = {}, .connected = {}});
     this->client->Write("0");
     BOOST_REQUIRE(this->RunUntil([this] { return this->got == "0"; }));
   }
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -37,6 +37,11 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbesUnanswered, sizeof(kProbesUnanswered));
 }
 
+// How a connection ended that never stood, by the system's error.
+StreamEnd EndOf(int error) {
+  return error == ECONNREFUSED ? StreamEnd::kRefused : StreamEnd::kNotConnected;
+}
+
 }  // namespace
 
 std::shared_ptr<TcpStream> TcpStream::Adopt(EventLoop* loop, int fd) {
@@ -55,7 +60,8 @@
   if (begun) {
     stream->Start();
   } else {
-    loop->RunAfter(Duration(0), [stream] { stream->End(StreamEnd::kNotConnected); });
+    StreamEnd end = fd >= 0 ? EndOf(errno) : StreamEnd::kNotConnected;
+    loop->RunAfter(Duration(0), [stream, end] { stream->End(end); });
   }
   return stream;
 }
@@ -87,12 +93,13 @@
   socklen_t length = sizeof(error);
   getsockopt(this->fd, SOL_SOCKET, SO_ERROR, &error, &length);
   if (error != 0) {
-    this->End(StreamEnd::kNotConnected);
+    this->End(EndOf(error));
     return;
   }
   this->state = State::kOpen;
   this->SendSome();
   if (this->state != State::kClosed) this->UpdateInterest();
+  if (this->state == State::kOpen && this->hooks.connected) this->hooks.connected();
 }
 
 void TcpStream::Write(std::string_view bytes) {
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -32,6 +32,8 @@
   kBroken,
   // It never stood: the peer saw nothing.
   kNotConnected,
+  // It never stood: the peer's box answers, and nobody listens there.
+  kRefused,
 };
 
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
@@ -43,6 +45,8 @@
     std::function<void(StreamEnd)> closed;
     // Everything written has gone to the kernel.
     std::function<void()> drained;
+    // A connection that we began stands.
+    std::function<void()> connected;
   };
 
   // Takes over an accepted socket.
