--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -50,6 +50,7 @@
   for (int i = 0; i < this->options.engines; ++i) {
     EngineStandin::Options engine = this->options.engine;
     engine.id = absl::StrCat("engine-", i);
+    engine.ended = [this, number = static_cast<size_t>(i)] { this->OnEngineEnded(number); };
     this->engines.push_back(std::make_unique<EngineStandin>(&this->loop, engine));
     this->ListEngine(*this->engines.back(), kModels);
   }
@@ -63,6 +64,7 @@
 
 GatewayWorld::~GatewayWorld() {
   this->callers.clear();
+  this->more_gateways.clear();
   this->gateway.reset();
 }
 
@@ -89,9 +91,9 @@
   this->store.Put("keyed.servers", engine.id(), platform::EngineDocument(record));
 }
 
-void GatewayWorld::StartGateway() {
+std::unique_ptr<GatewayServer> GatewayWorld::NewGateway(size_t number) {
   GatewaySettings settings;
-  settings.box = "box-1";
+  settings.box = absl::StrCat("box-", number);
   settings.data_centre = "hall-1";
   settings.callers = settings.ready = settings.metrics = {"127.0.0.1", 0};
   settings.peers = this->peers_address;
@@ -100,10 +102,39 @@
   settings.key_trust_mode = this->options.key_trust_mode;
   settings.stop_grace = this->options.stop_grace;
   settings.retry = this->options.retry;
-  this->gateway = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/1);
-  absl::Status status = this->gateway->Start();
+  auto server = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/number);
+  absl::Status status = server->Start();
   CHECK(status.ok()) << status.message();
-  CHECK(this->RunUntil([this] { return this->gateway->IsReady(); }));
+  CHECK(this->RunUntil([&server] { return server->IsReady(); }));
+  return server;
+}
+
+void GatewayWorld::StartGateway() { this->gateway = this->NewGateway(1); }
+
+void GatewayWorld::AddGateway() {
+  this->more_gateways.push_back(this->NewGateway(this->more_gateways.size() + 2));
+  size_t others = this->more_gateways.size();
+  CHECK(this->RunUntil([this, others] {
+    bool known = this->gateway->peers() == others;
+    for (const auto& one : this->more_gateways) known = known && one->peers() == others;
+    return known;
+  }));
+}
+
+const GatewayServer& GatewayWorld::Gateway(size_t number) const {
+  return number == 0 ? *this->gateway : *this->more_gateways[number - 1];
+}
+
+void GatewayWorld::OnEngineEnded(size_t number) {
+  this->ended += 1;
+  if (!this->return_after) return;
+  EngineStandin* engine = this->engines[number].get();
+  std::string next_id = absl::StrCat("engine-", number, "-after-", this->ended);
+  this->loop.RunAfter(*this->return_after, [this, engine, next_id] {
+    this->store.Put("keyed.servers", engine->id(), "");
+    engine->StartAgain(next_id);
+    this->ListEngine(*engine, kModels);
+  });
 }
 
 bool GatewayWorld::RunUntil(const std::function<bool()>& condition) {
@@ -115,12 +146,12 @@
   return true;
 }
 
-std::string GatewayWorld::StreamRequest(const std::string& id,
-                                        const std::string& more_headers) const {
+std::string GatewayWorld::StreamRequest(const std::string& id, const std::string& more_headers,
+                                        const std::string& body) const {
   return absl::StrCat("POST /chat/x HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: ", id,
                       "\r\nModel: m\r\nToken-Count: 1000,80\r\nPrompt-Prefix: aa:1000\r\n",
                       "Deadline-Ms: 8000\r\nX-Api-Key: key-1\r\n", more_headers,
-                      "Content-Length: 5\r\n\r\nhello");
+                      "Content-Length: ", body.size(), "\r\n\r\n", body);
 }
 
 std::string GatewayWorld::SafeRequest(const std::string& id) const {
@@ -134,9 +165,10 @@
                       "\r\n\r\n", body);
 }
 
-std::shared_ptr<Reply> GatewayWorld::Send(const std::string& request) {
+std::shared_ptr<Reply> GatewayWorld::Send(const std::string& request, size_t gateway_number) {
   auto reply = std::make_shared<Reply>();
-  auto channel = RequestChannel::Open(&this->loop, {"127.0.0.1", this->gateway->callers_port()});
+  SocketAddress address{"127.0.0.1", this->Gateway(gateway_number).callers_port()};
+  auto channel = RequestChannel::Open(&this->loop, address);
   RequestChannel::Hooks hooks;
   hooks.head = [reply](const ResponseHead& head) { reply->head = head; };
   hooks.body = [reply](std::string_view bytes) { reply->body.append(bytes); };
@@ -149,8 +181,8 @@
   return reply;
 }
 
-Reply GatewayWorld::Call(const std::string& request) {
-  std::shared_ptr<Reply> reply = this->Send(request);
+Reply GatewayWorld::Call(const std::string& request, size_t gateway_number) {
+  std::shared_ptr<Reply> reply = this->Send(request, gateway_number);
   CHECK(this->RunUntil([&] { return reply->done; })) << request;
   return *reply;
 }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,20 +65,28 @@
 
   // Starts the gateway and waits until it is ready.
   void StartGateway();
+  // Starts one more and waits until it is ready and all of them know each other.
+  void AddGateway();
+
+  // Engines that end are back after `delay` each, under an id of their own.
+  void LetEnginesReturnAfter(Duration delay) { this->return_after = delay; }
+  // Engines that have ended so far.
+  int engines_ended() const { return this->ended; }
 
   // Whether the condition came true in time.
   bool RunUntil(const std::function<bool()>& condition);
 
   // A request for the stream route, the route that may be repeated, and the one
   // that may not.
-  std::string StreamRequest(const std::string& id, const std::string& more_headers = "") const;
+  std::string StreamRequest(const std::string& id, const std::string& more_headers = "",
+                            const std::string& body = "hello") const;
   std::string SafeRequest(const std::string& id) const;
   std::string OnceRequest(const std::string& id, const std::string& body = "order") const;
 
-  // Sends bytes on a new connection and returns at once.
-  std::shared_ptr<Reply> Send(const std::string& request);
+  // Sends bytes on a new connection, to one of the gateways, and returns at once.
+  std::shared_ptr<Reply> Send(const std::string& request, size_t gateway_number = 0);
   // Sends, and runs until the answer has ended.
-  Reply Call(const std::string& request);
+  Reply Call(const std::string& request, size_t gateway_number = 0);
   // Closes the connections of all callers.
   void DropCallers() { this->callers.clear(); }
 
@@ -89,11 +98,19 @@
   std::vector<std::unique_ptr<EngineStandin>> engines;
   std::vector<std::unique_ptr<EngineStandin>> apps;
   std::unique_ptr<GatewayServer> gateway;
+  // Those started by AddGateway; the first of them is number 1.
+  std::vector<std::unique_ptr<GatewayServer>> more_gateways;
   // Where the gateway hears its peers; port 0 is the kernel's choice.
   SocketAddress peers_address{"127.0.0.1", 0};
 
  private:
+  std::unique_ptr<GatewayServer> NewGateway(size_t number);
+  const GatewayServer& Gateway(size_t number) const;
+  void OnEngineEnded(size_t engine);
+
   WorldOptions options;
+  std::optional<Duration> return_after;
+  int ended = 0;
   std::vector<std::shared_ptr<RequestChannel>> callers;
 };
 
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -50,6 +50,10 @@
 
 EngineStandin::EngineStandin(EventLoop* event_loop, Options engine_options)
     : loop(event_loop), options(std::move(engine_options)) {
+  this->Listen();
+}
+
+void EngineStandin::Listen() {
   absl::Status status = this->listener.Listen(this->loop, {"127.0.0.1", 0}, [this](int fd) {
     auto connection = std::make_shared<Connection>();
     connection->channel = CallerChannel::Adopt(this->loop, fd, CallerLimits{});
@@ -72,6 +76,21 @@
     this->connections.push_back(connection);
   });
   CHECK(status.ok()) << status.message();
+  this->listens = true;
+}
+
+void EngineStandin::End() {
+  this->listens = false;
+  this->listener.Close();
+  for (const auto& connection : this->connections) connection->channel->BreakOff();
+  this->connections.clear();
+  this->reserved.clear();
+  if (this->options.ended) this->options.ended();
+}
+
+void EngineStandin::StartAgain(const std::string& new_id) {
+  this->options.id = new_id;
+  this->Listen();
 }
 
 EngineFault EngineStandin::TakeFault() {
@@ -120,7 +139,9 @@
   }
   this->requests.back().ran = true;
   this->loop->RunAfter(this->options.work, [this, connection, request, fault] {
-    if (!connection->channel->is_closed()) this->Run(connection, request, fault);
+    if (connection->channel->is_closed()) return;
+    bool deadly = this->options.ends_it && this->options.ends_it(request);
+    deadly ? this->End() : this->Run(connection, request, fault);
   });
 }
 
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -11,6 +11,7 @@
 #define GULLWARD_STANDINS_ENGINE_STANDIN_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,10 @@
     // From a request to the beginning of its answer.
     Duration work = milliseconds(2);
     uint64_t memory_tokens = 450'000;
+    // Whether the engine ends when it has worked on a request for `work`.
+    std::function<bool(const CallerRequest&)> ends_it = {};
+    // The engine has ended.
+    std::function<void()> ended = {};
   };
 
   EngineStandin(EventLoop* event_loop, Options engine_options);
@@ -70,6 +75,13 @@
   SocketAddress address() const { return {"127.0.0.1", this->listener.port()}; }
   const std::string& id() const { return this->options.id; }
 
+  // Ends at once, as a process that crashes: every connection is reset, and nobody listens
+  // any more.
+  void End();
+  bool is_up() const { return this->listens; }
+  // Starts again as another engine, which knows nothing of before, at another address.
+  void StartAgain(const std::string& new_id);
+
   // What happens to the next request, and so on, first in first out.
   void FailNext(EngineFault fault) { this->faults.push_back(fault); }
   // What happens to all others.
@@ -99,6 +111,7 @@
     std::optional<size_t> request;
   };
 
+  void Listen();
   void OnRequest(const std::shared_ptr<Connection>& connection, const CallerRequest& request);
   void OnOrder(CallerChannel* channel, const CallerRequest& request);
   void Run(const std::shared_ptr<Connection>& connection, const CallerRequest& request,
@@ -113,6 +126,7 @@
   EventLoop* loop;
   Options options;
   TcpListener listener;
+  bool listens = false;
   std::vector<std::shared_ptr<Connection>> connections;
   std::deque<EngineFault> faults;
   EngineFault every = EngineFault::kNone;
