--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,6 +1,8 @@
 // In the order of a request's course: admitted, an engine chosen, an attempt sent,
 // its answer passed on, and what follows when it ends.  What it writes to the log is
-// in exchange_log.cc; when it stops waiting, in exchange_timeouts.cc.
+// in exchange_log.cc; how it asks engines for memory, in exchange_tickets.cc; when it stops
+// waiting, in exchange_timeouts.cc; what it does about requests that end engines, in
+// exchange_crashes.cc.
 
 #include "gateway/exchange.h"
 
@@ -22,9 +24,6 @@
 // A caller that waits for less than this share of the route's time has spent the
 // rest on earlier tries.
 constexpr double kFirstTryShare = 0.95;
-// Sets of engines that are asked for memory before a request is refused.
-constexpr int kMostTicketRounds = 4;
-
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -111,54 +110,6 @@
   }
 }
 
-void Exchange::AcquireTickets(const FleetChoice& choice) {
-  this->ticket_rounds += 1;
-  std::vector<TicketWish> wishes;
-  // An engine may still hold tickets of an earlier life of this process, whose requests
-  // had the same numbers.
-  std::string round =
-      absl::StrCat(this->state->settings.box, "-", absl::Hex(this->state->incarnation), "-",
-                   this->id, "-", this->ticket_rounds);
-  for (const EngineRecord& reader : choice.readers) {
-    std::string ticket = absl::StrCat(round, "-", wishes.size());
-    wishes.push_back({reader, ticket, static_cast<uint64_t>(choice.placement.memory_tokens)});
-  }
-  // Booked from now on, so that peers do not plan with this memory.
-  this->BookLoad(choice, Now());
-  this->tickets = std::make_shared<TicketSet>(this->state, std::move(wishes));
-  std::weak_ptr<Exchange> weak = this->weak_from_this();
-  this->tickets->Acquire([weak, choice](bool all, const std::string& refused_by) {
-    if (auto self = weak.lock()) self->OnTickets(choice, all, refused_by);
-  });
-}
-
-void Exchange::OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by) {
-  if (this->is_finished) return;
-  Time now = Now();
-  if (all) {
-    this->SendAttempt(choice, now);
-    return;
-  }
-  this->state->log->Write(this->Line("ticket_refused")
-                              .Text("engine", refused_by)
-                              .Number("round", this->ticket_rounds)
-                              .Number("tokens", choice.placement.memory_tokens));
-  this->DropTickets();
-  this->state->fleet.loads().End(this->id);
-  this->tried.insert(refused_by);
-  if (this->ticket_rounds < kMostTicketRounds) {
-    this->StartAttempt(now);
-  } else {
-    this->FollowUnsent(now);
-  }
-}
-
-void Exchange::DropTickets() {
-  if (!this->tickets) return;
-  this->tickets->Release();
-  this->tickets.reset();
-}
-
 void Exchange::SendAttempt(const FleetChoice& choice, Time now) {
   this->attempts += 1;
   this->state->counters.attempts += 1;
@@ -386,46 +337,6 @@
   }
 }
 
-ContentId Exchange::Content() {
-  if (!this->content) {
-    const RequestHead& head = this->request.head;
-    this->content =
-        ContentOf({this->admission.account, head.method, head.target, this->request.body});
-  }
-  return *this->content;
-}
-
-// Its engine may be gone.
-void Exchange::NoteBrokenOff() {
-  LogLine line = this->Line("attempt_broken");
-  line.Text("content", ContentName(this->Content()))
-      .Text("engine", this->attempt->engine.Incarnation())
-      .Number("worked_ms", ToSeconds(Now() - this->attempt->sent) * 1000);
-  this->state->crash_watch->NoteBroken(this->attempt->engine, this->Content(), this->attempt->sent,
-                                       line);
-}
-
-// Only an answer of success shows that an engine can bear the request: one that fails part
-// of its requests does so without running them.
-void Exchange::NoteWhole(AttemptResult result) {
-  this->state->pool.Give(this->attempt->engine, this->attempt->channel, Now());
-  bool is_news = result == AttemptResult::kSuccess && this->state->crash_watch->knows_any();
-  if (is_news) this->state->crash_watch->NoteAnswered(this->Content(), Now());
-}
-
-// Whether a second engine must not get what the first has broken off.
-bool Exchange::MayEndAnother(Time now) {
-  CrashWatch& watch = *this->state->crash_watch;
-  if (!this->broke_off || !watch.knows_any()) return false;
-  return this->RefusesContent(now) || !watch.AllowsSecondAttempt(this->Content());
-}
-
-// Whether requests of this content have ended engines, so that no other gets it.
-bool Exchange::RefusesContent(Time now) {
-  CrashWatch& watch = *this->state->crash_watch;
-  return watch.knows_any() && watch.RefusedFor(this->Content(), now).has_value();
-}
-
 RequestState Exchange::StateForDecision(Time now) const {
   RequestState decision;
   decision.repeat = this->admission.route->repeat;
@@ -470,17 +381,6 @@
   this->Follow(step, result);
 }
 
-// What follows where another attempt would end another engine.
-void Exchange::FollowEnginesEnded(NextStep step, AttemptResult result) {
-  bool has_answer = step == NextStep::kDeliver || step == NextStep::kBreakOff;
-  if (has_answer) {
-    this->Follow(step, result);
-    return;
-  }
-  this->Refuse(this->may_have_run ? ResultCode::kEnginesEnded : ResultCode::kQuarantined,
-               this->state->crash_watch->RefusedFor(this->Content(), Now()));
-}
-
 // What follows where no attempt can be sent now.
 void Exchange::FollowUnsent(Time now) {
   this->Follow(WithoutRetry(AttemptResult::kNotRun, this->StateForDecision(now)),
--- a/src/serving/quarantine.cc
+++ b/src/serving/quarantine.cc
@@ -40,6 +40,7 @@
   Record& record = found->second;
   bool was_held = !record.crashes.empty() || record.quarantined_until;
   bool was_quarantined = record.quarantined_until.has_value();
+  bool was_rival = record.crashes.size() >= kCrashesNeeded;
   record = Record{};
   record.cleared_at = now;
   record.last_news = now;
@@ -48,12 +49,16 @@
     this->quarantined_count -= 1;
     this->WorkOutExplained();
   }
-  // Those whose rival it was are to be judged anew.
+  if (was_rival) this->AwaitJudgement();
+  return was_held;
+}
+
+// Those whose engines pointed at another as well are to be judged anew.
+void Quarantine::AwaitJudgement() {
   for (const auto& [other, other_record] : this->records) {
     bool is_open = !other_record.quarantined_until;
     if (is_open && this->IsToBeJudged(other_record)) this->awaiting.insert(other);
   }
-  return was_held;
 }
 
 std::vector<Quarantine::Crash> Quarantine::Unexplained(const Record& record) const {
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -158,6 +158,7 @@
 
   std::vector<Crash> Unexplained(const Record& record) const;
   bool IsToBeJudged(const Record& record) const;
+  void AwaitJudgement();
   static bool IsOneMoment(const Record& record);
   bool IsGuilty(ContentId content, const Record& record) const;
   size_t PointingAt(ContentId content, const std::vector<Crash>& crashes) const;
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -32,6 +32,9 @@
 constexpr char kApp[] = "app";
 constexpr char kModels[] = "models";
 constexpr char kPlainBody[] = "the whole answer";
+// The body of the request that ends engines, and how often it comes at most.
+constexpr char kDeadlyBody[] = "deadly";
+constexpr Duration kDeadlyPause = milliseconds(100);
 
 std::string WholeStream() {
   std::string text;
@@ -151,8 +154,9 @@
   engine.lives += 1;
   engine.name = absl::StrCat(engine.service, "-", place, "-", engine.lives);
   this->engine_outputs.push_back(engine.name);
-  this->processes.Start(engine.name, "standin-model-engine",
-                        {"--id=" + engine.name, absl::StrCat("--events=", kEvents)});
+  std::vector<std::string> flags = {"--id=" + engine.name, absl::StrCat("--events=", kEvents)};
+  if (this->options.deadly) flags.push_back(absl::StrCat("--ends_on=", kDeadlyBody));
+  this->processes.Start(engine.name, "standin-model-engine", flags);
   std::string name = engine.name;
   this->RunUntil([&] { return !this->processes.ReadyAddress(name).empty(); }, kStartPatience);
   absl::StatusOr<SocketAddress> address = SocketAddress::Parse(this->processes.ReadyAddress(name));
@@ -162,7 +166,8 @@
   } else {
     engine.proxy = std::make_unique<LoopbackProxy>(&this->loop, *address);
   }
-  EngineRecord record{name, engine.service, engine.proxy->address(), "hall", kSlots, false};
+  SocketAddress listed = this->options.deadly ? *address : engine.proxy->address();
+  EngineRecord record{name, engine.service, listed, "hall", kSlots, false};
   this->PutRecord(platform::kEnginesTopic, name, platform::EngineDocument(record));
 }
 
@@ -334,7 +339,9 @@
   }
   caller.id = absl::StrCat("soak-", this->options.seed, "-", ++this->sent_count);
   caller.kind = static_cast<Kind>(this->Draw(3));
-  bool use_revoked = !this->revoked.empty() && this->Draw(10) == 0;
+  bool deadly = this->IsDeadly(index);
+  if (deadly) caller.kind = Kind::kStream;
+  bool use_revoked = !deadly && !this->revoked.empty() && this->Draw(10) == 0;
   caller.key = use_revoked ? std::next(this->revoked.begin(),
                                        static_cast<long>(this->Draw(this->revoked.size())))
                                  ->first
@@ -356,8 +363,10 @@
   AppendHeader(&request, platform::kDeadlineMs, absl::StrCat(kDeadlineMs));
   AppendHeader(&request, platform::kApiKey, caller.key);
   AppendHeader(&request, platform::kTokenCount, "1000,80");
-  AppendHeader(&request, "Content-Length", "0");
-  request += "\r\n";
+  std::string body = deadly ? kDeadlyBody : "";
+  AppendHeader(&request, "Content-Length", absl::StrCat(body.size()));
+  request += "\r\n" + body;
+  if (deadly) this->NoteDeadlyTry(caller);
   RequestChannel::Hooks hooks;
   hooks.head = [this, index](const ResponseHead& head) { this->callers[index].head = head; };
   hooks.body = [this, index](std::string_view bytes) { this->callers[index].body.append(bytes); };
@@ -370,7 +379,11 @@
   if (!caller.waiting) return;
   caller.waiting = false;
   this->CheckAnswer(caller, result);
-  this->Later(milliseconds(this->Draw(20)), [this, index] { this->SendNext(index); });
+  bool refused = absl::StrContains(caller.body, "\"code\":2016");
+  if (refused && this->IsDeadly(index)) this->deadly_refused += 1;
+  if (refused && !this->IsDeadly(index)) this->Broken("deadly: " + caller.id + " was taken for it");
+  Duration pause = this->IsDeadly(index) ? kDeadlyPause : Duration(0);
+  this->Later(pause + milliseconds(this->Draw(20)), [this, index] { this->SendNext(index); });
 }
 
 void Soak::CheckAnswer(const Caller& caller, ChannelResult result) {
@@ -423,6 +436,32 @@
   for (const auto& [id, reason] : this->must_not_run) {
     if (runs[id] > 0) this->Broken(absl::StrCat("refused: ", id, " ran although ", reason));
   }
+  if (this->options.deadly) this->CheckDeadly(runs);
+}
+
+void Soak::NoteDeadlyTry(const Caller& caller) {
+  Time harmed = this->gateways[caller.gateway].harmed;
+  this->deadly_tries.push_back({caller.id, caller.sent, caller.sent - harmed > kExcusedAfterHarm});
+}
+
+// Each run of it ends an engine.  After the third, and the time in which gateways hear of it,
+// those that nobody has harmed may send it on three times more.
+void Soak::CheckDeadly(std::map<std::string, int>& runs) {
+  constexpr int kShown = 3;
+  constexpr int kMostAfter = 3;
+  int ran = 0;
+  int ran_after = 0;
+  Time third = Time::max();
+  for (const DeadlyTry& one : this->deadly_tries) {
+    bool later = third != Time::max() && one.sent - third > kExcusedAfterHarm;
+    if (later && one.in_touch) ran_after += runs[one.id];
+    ran += runs[one.id];
+    if (ran >= kShown && third == Time::max()) third = one.sent;
+  }
+  if (ran_after > kMostAfter) {
+    this->Broken(absl::StrCat("deadly: ran ", ran_after, " times more, ", ran, " in all"));
+  }
+  if (this->deadly_refused == 0) this->Broken("deadly: was never refused");
 }
 
 }  // namespace gullward
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -10,6 +10,7 @@
 //   once     what may not be repeated runs at most once
 //   refused  what was refused with a promise did not run and does not run later
 //   on time  a gateway that nobody harmed gives a final answer by the deadline
+//   deadly   a request that ends engines reaches few, and is refused by a code of its own
 //   revoked  no request runs with a key that was taken away longer ago than allowed
 //
 //   Soak soak({.seed = 7, .duration = seconds(10), .folder = "/tmp/soak"});
@@ -40,6 +41,9 @@
   int apps = 2;
   int gateways = 2;
   int callers = 12;
+  // One caller more sends a request that ends each engine that runs it, over and over.
+  // Gateways then reach engines directly: a proxy would hide that nobody listens any more.
+  bool deadly = false;
 };
 
 class Soak {
@@ -82,6 +86,13 @@
     ResponseHead head;
     std::string body;
   };
+  // A try of the request that ends engines.
+  struct DeadlyTry {
+    std::string id;
+    Time sent;
+    // The gateway had not been harmed for long.
+    bool in_touch = false;
+  };
 
   void StartAll();
   void StartEngine(size_t place);
@@ -103,6 +114,9 @@
   void CheckAnswer(const Caller& caller, ChannelResult result);
   void CheckDeadlines();
   void CheckRuns();
+  void NoteDeadlyTry(const Caller& caller);
+  void CheckDeadly(std::map<std::string, int>& runs);
+  bool IsDeadly(size_t caller) const { return this->options.deadly && caller == 0; }
   void Broken(const std::string& what);
   uint64_t Draw(uint64_t below) { return this->random() % below; }
 
@@ -124,6 +138,8 @@
   // Attempts that must not have run, with the reason; and those that may once.
   std::map<std::string, std::string> must_not_run;
   std::vector<std::string> once_ids;
+  std::vector<DeadlyTry> deadly_tries;
+  uint64_t deadly_refused = 0;
   std::vector<std::string> broken;
   uint64_t sent_count = 0;
   uint64_t served_count = 0;
--- a/src/standins/engine_process_main.cc
+++ b/src/standins/engine_process_main.cc
@@ -14,6 +14,7 @@
 DEFINE_string(id, "engine", "the engine's id");
 DEFINE_int32(events, 20, "events of a stream");
 DEFINE_int32(work_ms, 20, "how long a request takes before its answer");
+DEFINE_string(ends_on, "", "the process ends when it has worked on a request with this body");
 
 namespace gullward {
 namespace {
@@ -41,10 +42,15 @@
   options.id = FLAGS_id;
   options.events = FLAGS_events;
   options.work = milliseconds(FLAGS_work_ms);
+  if (!FLAGS_ends_on.empty()) {
+    options.ends_it = [](const CallerRequest& request) { return request.body == FLAGS_ends_on; };
+    options.ended = [&loop] { loop.Stop(); };
+  }
   EngineStandin engine(&loop, options);
   size_t told = 0;
   loop.RunEvery(milliseconds(1), [&] { TellRuns(engine, &told); });
   WriteReadyFile(engine.address().ToString());
   loop.Run();
+  TellRuns(engine, &told);
   return 0;
 }
