--- a/src/gateway/config_prover.cc
+++ b/src/gateway/config_prover.cc
@@ -21,7 +21,7 @@
                            StoreRecovery* store_recovery, std::string config_topic,
                            Duration key_trust, uint64_t seed, Hooks prover_hooks)
     : loop(event_loop),
-      client(event_loop, std::move(store)),
+      client(event_loop, std::move(store), &store_recovery->returns()),
       recovery(store_recovery),
       topic(std::move(config_topic)),
       schedule(key_trust, seed),
@@ -29,15 +29,23 @@
 
 void ConfigProver::Tick(Time proved_at, Time now) {
   std::optional<uint64_t> position = this->hooks.position();
-  if (position && this->schedule.IsDue(proved_at, now)) this->Ask(*position, now);
+  if (!position) return;
+  const StoreEpoch& epoch = this->recovery->returns().epoch();
+  bool proves_nothing_yet = epoch.is_known() && !epoch.IsSettledFor(now);
+  bool is_due = !proves_nothing_yet && this->schedule.IsDue(proved_at, now);
+  bool is_wanted_now = this->is_wanted && !this->schedule.is_asking();
+  if (is_due || is_wanted_now) this->Ask(*position, now);
 }
 
 void ConfigProver::Ask(uint64_t position, Time now) {
   this->schedule.NoteAsked();
+  this->is_wanted = false;
+  std::optional<uint64_t> epoch = this->recovery->returns().epoch().current();
   this->client.Call(
       platform::ReadFrom(this->topic, position, /*wait=*/Duration(0), TopicFollower::kGlanceKb),
-      StoreClient::kAnswerPatience,
-      [this, position, now](const StoreAnswer& answer) { this->OnAnswer(answer, position, now); });
+      StoreClient::kAnswerPatience, [this, position, epoch, now](const StoreAnswer& answer) {
+        this->OnAnswer(answer, position, epoch, now);
+      });
 }
 
 void ConfigProver::NotePace(Duration took) {
@@ -47,13 +55,19 @@
   this->hooks.pace_changed(slow, took);
 }
 
-void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent) {
+void ConfigProver::OnAnswer(const StoreAnswer& answer, uint64_t position,
+                            std::optional<uint64_t> epoch, Time sent) {
   if (!answer.ok() && answer.status != platform::kRecordsGone) {
     this->recovery->Wait([this] { this->schedule.NoteRetry(); });
     return;
   }
   this->recovery->NoteAnswer();
   this->NotePace(Now() - sent);
+  if (answer.epoch != epoch) {
+    // The place belongs to another epoch; the follower reads anew.
+    this->schedule.NoteRetry();
+    return;
+  }
   if (!EndsAt(position, answer)) {
     this->schedule.NoteBehind(Now());
     this->loop->RunAfter(TopicFollower::kNewsShouldHaveCome, [this, position] {
@@ -62,7 +76,7 @@
     return;
   }
   this->schedule.NoteProved();
-  this->hooks.proved(sent);
+  if (!this->hooks.proved(sent)) this->schedule.NoteBehind(Now());
 }
 
 }  // namespace gullward
--- a/src/gateway/config_prover.h
+++ b/src/gateway/config_prover.h
@@ -8,6 +8,9 @@
 // connection.  The question asks for next to nothing of the records: whole ones, thrown
 // away, took half of a thin link from the follower while it caught up.
 //
+// Right after the store's return from an older copy nothing is proved by it, so nothing is
+// asked (store_returns.h).
+//
 //   ConfigProver prover(&loop, store, topic, trust, seed, hooks);
 //   prover.Tick(proved_at, now);          // every few milliseconds
 
@@ -34,8 +37,9 @@
   struct Hooks {
     // The offset up to which all records are in force; nothing before the first are.
     std::function<std::optional<uint64_t>()> position;
-    // Nothing newer had been written at that time.
-    std::function<void(Time sent)> proved;
+    // Nothing newer had been written at that time.  Whether that proves the configuration
+    // current: it does not where a newer one is known of that the store lacks.
+    std::function<bool(Time sent)> proved;
     // The store has begun to answer slowly, or to answer as usual again.
     std::function<void(bool is_slow, Duration took)> pace_changed;
     // There are records that the follower has not brought yet.
@@ -47,13 +51,16 @@
 
   // Asks if it is time, given when the configuration was last proved current.
   void Tick(Time proved_at, Time now);
+  // A peer knows of a return of the store that we have not seen: asks at the next tick.
+  void AskSoon() { this->is_wanted = true; }
 
   uint64_t calls() const { return this->client.calls(); }
 
  private:
   void Ask(uint64_t position, Time now);
   void NotePace(Duration took);
-  void OnAnswer(const StoreAnswer& answer, uint64_t position, Time sent);
+  void OnAnswer(const StoreAnswer& answer, uint64_t position, std::optional<uint64_t> epoch,
+                Time sent);
 
   EventLoop* loop;
   StoreClient client;
@@ -62,6 +69,7 @@
   ProofSchedule schedule;
   Hooks hooks;
   bool store_is_slow = false;
+  bool is_wanted = false;
 };
 
 }  // namespace gullward
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -52,11 +52,26 @@
                        .Text("by", by)
                        .Number("engines", static_cast<double>(engines))
                        .Number("left_s", ToSeconds(word.left)));
+  this->Keep(word, by, this->witnessed.count(word.content) != 0, Now());
+}
+
+void CrashWatch::Keep(const QuarantineWord& word, const std::string& by, bool is_witness,
+                      Time now) {
   QuarantineEntry entry;
   entry.until_ms = UnixMillis() + static_cast<int64_t>(ToMillis(word.left));
   entry.judged_by = by;
-  entry.engines = static_cast<uint32_t>(engines);
-  this->kept.Keep(word.content, entry, this->witnessed.count(word.content) != 0, Now());
+  entry.engines = static_cast<uint32_t>(this->contents().EnginesOf(word.content));
+  this->kept.Keep(word.content, entry, is_witness, now);
+}
+
+// Everybody knows the contents, so everybody waits as long as those who are no witnesses; the
+// topic's word that an entry has outlived the return comes before.
+void CrashWatch::OnStoreReturn(Time now) {
+  this->kept.OnStoreReturn();
+  for (ContentId content : this->contents().Quarantined(now)) {
+    std::optional<Duration> left = this->contents().QuarantinedFor(content, now);
+    if (left) this->Keep({content, *left}, this->options.box, /*is_witness=*/false, now);
+  }
 }
 
 std::optional<Duration> CrashWatch::RefusedFor(ContentId content, Time now) const {
@@ -88,8 +103,8 @@
 
 void CrashWatch::OnRecord(ContentId content, const std::string& value, Time now) {
   std::optional<QuarantineEntry> entry = DecodeQuarantineEntry(value);
-  this->kept.OnRecord(content, entry);
-  if (!entry || !this->options.is_on) return;
+  bool counts = this->kept.OnRecord(content, entry);
+  if (!entry || !counts || !this->options.is_on) return;
   int64_t left_ms = entry->until_ms - UnixMillis();
   if (left_ms <= 0) return;
   left_ms = std::min<int64_t>(left_ms, static_cast<int64_t>(ToMillis(this->options.lasts)));
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -78,6 +78,10 @@
   // An entry of the topic that the quarantine is kept in.
   void OnRecord(ContentId content, const std::string& value, Time now);
 
+  // The store has returned without what was written lately: what is in quarantine is kept
+  // there again.
+  void OnStoreReturn(Time now);
+
   // Often: judges what is due.
   void Tick(Time now) { this->shared.Tick(now); }
   // A few times a second: forgets what is over, writes to the store.
@@ -94,6 +98,7 @@
  private:
   SharedQuarantine::Hooks EventHooks();
   void OnQuarantined(const QuarantineWord& word, const std::string& by);
+  void Keep(const QuarantineWord& word, const std::string& by, bool is_witness, Time now);
 
   Options options;
   EventLog* log;
--- a/src/gateway/engine_list_copy.cc
+++ b/src/gateway/engine_list_copy.cc
@@ -34,7 +34,7 @@
 EngineListCopy::EngineListCopy(EventLoop* event_loop, SocketAddress store,
                                StoreRecovery* store_recovery, EventLog* event_log, uint64_t seed,
                                Hooks copy_hooks)
-    : client(event_loop, std::move(store)),
+    : client(event_loop, std::move(store), &store_recovery->returns()),
       recovery(store_recovery),
       log(event_log),
       schedule(seed),
--- a/src/gateway/engine_list_copy.h
+++ b/src/gateway/engine_list_copy.h
@@ -57,6 +57,8 @@
 
   // The list as it is now.
   void NoteList(std::vector<EngineRecord> engines, Time now);
+  // The store has returned without what was written lately; it is written again.
+  void OnStoreReturn() { this->schedule.NoteLost(this->recovery->returns().epoch().settled_at()); }
   // A peer's word on the content of the copy.
   void HearCopied(uint64_t content) { this->schedule.NoteCopy(content); }
   // What we tell peers of it.
--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -39,6 +39,7 @@
                         .Number("code", static_cast<double>(ResultCode::kEntryUnreadable))
                         .Number("records", static_cast<double>(records)));
   };
+  hooks.pause_after_return = [this] { return this->DrawReadingPause(); };
   hooks.lost = [this, log_lost = hooks.lost](const std::string& reason) {
     log_lost(reason);
     if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Read();
@@ -95,7 +96,13 @@
     std::optional<EngineRecord> engine = this->ReadEngine(record);
     if (engine) engines.push_back(*std::move(engine));
   }
-  this->state.fleet.directory().Replace(engines, Now(), this->KeepLapsedUntil());
+  Time now = Now();
+  const StoreEpoch& epoch = this->store_recovery.returns().epoch();
+  if (epoch.IsSettledFor(now)) {
+    this->state.fleet.directory().Replace(engines, now, this->KeepLapsedUntil());
+  } else {
+    this->state.fleet.directory().ReplaceByOlder(engines, now, epoch.settled_at());
+  }
   this->engines_known = true;
   this->engine_list_changed = true;
   this->log.Write(LogLine("engines").Number("listed", static_cast<double>(engines.size())));
@@ -138,10 +145,13 @@
 
 // With the copy in hand, those who start together spread their reading of the list itself.
 void GatewayServer::StartReadingEngines() {
+  this->loop->RunAfter(this->DrawReadingPause(), [this] { this->engine_follower.Start(); });
+}
+
+Duration GatewayServer::DrawReadingPause() {
   double engines = static_cast<double>(this->state.fleet.directory().size());
   std::uniform_real_distribution<double> draw(0, ToSeconds(kSpreadForEngine) * engines);
-  this->loop->RunAfter(FromSeconds(draw(this->state.random)),
-                       [this] { this->engine_follower.Start(); });
+  return FromSeconds(draw(this->state.random));
 }
 
 Duration GatewayServer::DrawEngineListWait() {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -58,6 +58,7 @@
                       this->EngineFollowerHooks()),
       engine_list_copy(event_loop, settings.store, &this->store_recovery, &this->log, random_seed,
                        this->EngineListCopyHooks()),
+      epoch_marker(event_loop, settings.store, &this->store_recovery, random_seed),
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
                     &this->store_recovery, this->LoadExchangeHooks()),
       config_prover(event_loop, settings.store, &this->store_recovery,
@@ -65,6 +66,7 @@
                     this->ProverHooks()),
       operator_pages(event_loop, this->PageHooks()) {
   this->state.crash_watch = &this->crash_watch;
+  this->store_recovery.returns().OnReturn([this] { this->OnStoreReturn(); });
 }
 
 // What the followers of both topics have in common: the log.
@@ -91,7 +93,7 @@
     for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
   };
   hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
-  hooks.up_to_date = [this](Time sent) { this->state.keys.Confirm(sent); };
+  hooks.up_to_date = [this](Time sent) { this->NoteProof(sent); };
   return hooks;
 }
 
@@ -110,6 +112,10 @@
   hooks.hear_engines_copied = [this](uint64_t content) {
     this->engine_list_copy.HearCopied(content);
   };
+  hooks.hear_epoch = [this](uint64_t epoch, bool is_settled) {
+    this->HearEpoch(epoch, is_settled);
+  };
+  hooks.epoch_record = [this](const std::string& value) { this->epoch_marker.OnRecord(value); };
   hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
   hooks.hear_engines_read_to = [this](uint64_t offset) { this->OnLongerEngineList(offset); };
   hooks.take_news = [this] { return this->crash_watch.TakeNews(); };
@@ -147,8 +153,9 @@
   ConfigProver::Hooks hooks;
   hooks.position = [this] { return this->config_follower.position(); };
   hooks.proved = [this](Time sent) {
-    this->state.keys.Confirm(sent);
+    if (!this->NoteProof(sent)) return false;
     this->load_exchange.TellFreshness(Now());
+    return true;
   };
   hooks.pace_changed = [this](bool is_slow, Duration took) {
     this->log.Write(LogLine(is_slow ? "store_slow" : "store_as_usual")
@@ -168,11 +175,47 @@
   return hooks;
 }
 
+// The store held nothing newer than our configuration when it was asked at `sent`.  That
+// proves it current, but not right after a return from an older copy, nor where the store
+// lacks a version that a peer has had since before.
+bool GatewayServer::NoteProof(Time sent) {
+  bool is_settled = this->store_recovery.returns().epoch().IsSettledFor(sent);
+  bool lacks_newer = this->ConfigVersion() < this->state.newest_version_told &&
+                     this->state.newest_version_told_at <= sent;
+  if (!is_settled || lacks_newer) return false;
+  this->state.keys.Confirm(sent);
+  return true;
+}
+
+// The followers read anew by themselves.
+void GatewayServer::OnStoreReturn() {
+  const StoreEpoch& epoch = this->store_recovery.returns().epoch();
+  LogLine line("store_returned");
+  line.Number("returns", static_cast<double>(epoch.returns()));
+  if (epoch.current()) line.Number("epoch", static_cast<double>(*epoch.current()));
+  line.Number("settled_in_ms", ToSeconds(epoch.settled_at() - Now()) * 1000);
+  this->log.Write(line);
+  this->engine_list_copy.OnStoreReturn();
+  this->load_exchange.OnStoreReturn();
+  this->crash_watch.OnStoreReturn(Now());
+}
+
+// A peer's word on a return is looked into and not believed.
+void GatewayServer::HearEpoch(uint64_t epoch, bool is_settled) {
+  StoreReturns& returns = this->store_recovery.returns();
+  std::optional<uint64_t> own = returns.epoch().current();
+  if (own == epoch && is_settled) returns.Settle(epoch);
+  if (own && *own < epoch) this->config_prover.AskSoon();
+}
+
 // A peer has a version that our own read should have brought by now: the read may
 // hang on a connection that is dead.
 void GatewayServer::OnNewerVersion(uint64_t version) {
   Time now = Now();
-  this->state.newest_version_told = std::max(this->state.newest_version_told, version);
+  if (version > this->state.newest_version_told) {
+    this->state.newest_version_told = version;
+    this->state.newest_version_told_at = now;
+  }
   if (version != this->version_behind) {
     this->version_behind = version;
     this->behind_since = now;
@@ -286,6 +329,7 @@
     this->TickConnections(now);
     this->TickFleet(now);
     this->crash_watch.TickSlowly(now);
+    this->epoch_marker.Tick(now);
   }
   this->log.Flush();
 }
@@ -379,7 +423,9 @@
   figures.log_lines_dropped = this->log.dropped();
   figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
                         this->load_exchange.store_calls() + this->config_prover.calls() +
-                        this->engine_list_copy.store_calls() + this->crash_watch.store_calls();
+                        this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
+                        this->epoch_marker.store_calls();
+  figures.store_returns = this->store_recovery.returns().epoch().returns();
   figures.engines = this->state.fleet.directory().size();
   figures.peers = this->load_exchange.peers();
   figures.neighbours = this->load_exchange.neighbours();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -22,6 +22,7 @@
 #include "gateway/config_prover.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_list_copy.h"
+#include "gateway/epoch_marker.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_state.h"
 #include "gateway/load_exchange.h"
@@ -58,6 +59,9 @@
   // Gateways known besides this one.
   size_t peers() const { return this->load_exchange.peers(); }
 
+  // Engines that may get new work.
+  size_t UsableEngines() const { return this->state.fleet.directory().Usable().size(); }
+
   // Contents that are refused since they end engines.
   size_t quarantined() const { return this->crash_watch.contents().quarantined(); }
 
@@ -97,6 +101,9 @@
   CrashWatch::Hooks CrashWatchHooks();
   ConfigProver::Hooks ProverHooks();
   OperatorPages::Hooks PageHooks() const;
+  bool NoteProof(Time sent);
+  void OnStoreReturn();
+  void HearEpoch(uint64_t epoch, bool is_settled);
   void OnNewerVersion(uint64_t version);
   void OnLongerEngineList(uint64_t offset);
 
@@ -109,6 +116,7 @@
   void TickFleet(Time now);
   Duration DrawEngineListWait();
   void StartReadingEngines();
+  Duration DrawReadingPause();
   void TakeNoMore();
   void StopWhenIdle(Time now);
   // The pages that operators read: metrics as text, the process's state as JSON.
@@ -123,6 +131,7 @@
   TopicFollower config_follower;
   TopicFollower engine_follower;
   EngineListCopy engine_list_copy;
+  EpochMarker epoch_marker;
   LoadExchange load_exchange;
   ConfigProver config_prover;
   TcpListener callers_listener;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -74,6 +74,7 @@
   std::shared_ptr<const ConfigIndex> config;
   // The newest version that any peer has told of.
   uint64_t newest_version_told = 0;
+  Time newest_version_told_at{};
   KeyFreshness keys;
   Fleet fleet;
   EnginePool pool;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "serving/epoch_mark.h"
 #include "serving/gateway_entry.h"
 #include "serving/quarantine_entry.h"
 
@@ -17,6 +18,9 @@
 // as it has gateways.
 constexpr Duration kGatherPeers = seconds(2);
 constexpr Duration kRegisterPatience = seconds(1);
+// After the store's return every gateway reads the peers' topic anew and then writes its own
+// entry: so much time for each gateway, and the store has a hundred of each a second.
+constexpr Duration kReturnPauseForPeer = milliseconds(10);
 
 }  // namespace
 
@@ -31,7 +35,7 @@
       fleet(shared_fleet),
       log(event_log),
       recovery(store_recovery),
-      registrar(event_loop, settings.store),
+      registrar(event_loop, settings.store, &store_recovery->returns()),
       follower(
           event_loop, settings.store, store_recovery,
           {std::string(platform::kPeersTopic), kPeersWait, kGatherPeers},
@@ -44,7 +48,8 @@
            .lost = [this](const std::string&) { this->RegisterOnce(); },
            .regained = {},
            .read_short = {},
-           .unreadable = {}}),
+           .unreadable = {},
+           .pause_after_return = [this] { return this->DrawPauseAfterReturn(); }}),
       random(own_incarnation),
       hooks(std::move(exchange_hooks)),
       freshness(own_incarnation) {}
@@ -63,6 +68,12 @@
   return EncodeGatewayEntry({this->box, this->own_address, this->data_centre});
 }
 
+Duration LoadExchange::DrawPauseAfterReturn() {
+  double longest = ToSeconds(kReturnPauseForPeer) * static_cast<double>(this->directory.size());
+  std::uniform_real_distribution<double> draw(0, longest);
+  return FromSeconds(draw(this->random));
+}
+
 // The topic comes into being by the first record, so it may not be there to be read.
 void LoadExchange::RegisterOnce() {
   if (std::exchange(this->is_registered, true)) return;
@@ -95,6 +106,10 @@
     this->hooks.quarantine_record(*content, record.value);
     return;
   }
+  if (record.key == kEpochMarkKey) {
+    this->hooks.epoch_record(record.value);
+    return;
+  }
   if (record.key == this->box) return;
   std::optional<Peer> peer = DecodeGatewayEntry(record.key, record.value);
   if (!peer) {
@@ -113,8 +128,7 @@
   if (digest->freshness) this->HearNote(*digest);
   if (!digest->crash_news.empty()) this->HearNews(*digest);
   Time now = Now();
-  this->hooks.hear_engines_read_to(digest->engines_read_to);
-  if (digest->engines_copied != 0) this->hooks.hear_engines_copied(digest->engines_copied);
+  this->HearOfStore(*digest);
   if (digest->is_offer) {
     this->fleet->HearOffer(digest->box, digest->incarnation, digest->sequence, digest->loads, now);
     return;
@@ -125,6 +139,16 @@
                                  now);
 }
 
+// Offsets and copies of one epoch say nothing in another.
+void LoadExchange::HearOfStore(const LoadDigest& digest) {
+  if (digest.store_epoch) {
+    this->hooks.hear_epoch(*digest.store_epoch, digest.epoch_is_settled);
+  }
+  if (digest.store_epoch != this->recovery->returns().epoch().current()) return;
+  this->hooks.hear_engines_read_to(digest.engines_read_to);
+  if (digest.engines_copied != 0) this->hooks.hear_engines_copied(digest.engines_copied);
+}
+
 void LoadExchange::HearNote(const LoadDigest& digest) {
   uint64_t own_version = this->hooks.version();
   std::optional<Time> proved =
@@ -283,6 +307,9 @@
   digest.incarnation = this->incarnation;
   digest.engines_copied = this->hooks.engines_copied();
   digest.engines_read_to = this->hooks.engines_read_to();
+  const StoreEpoch& epoch = this->recovery->returns().epoch();
+  digest.store_epoch = epoch.current();
+  digest.epoch_is_settled = epoch.IsSettledFor(now);
   for (const std::string& engine : this->fleet->SetAside(now)) {
     if (digest.set_aside.size() < kMostSetAsideTold) digest.set_aside.insert(engine);
   }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -70,12 +70,16 @@
     // How far we have read the engines' list, and how far a peer has.
     std::function<uint64_t()> engines_read_to;
     std::function<void(uint64_t offset)> hear_engines_read_to;
+    // The store's epoch as a peer knows it, and whether it has for long enough.
+    std::function<void(uint64_t epoch, bool is_settled)> hear_epoch;
     // News of engines that ended, to be told to a few; nothing in it where there is none.
     std::function<CrashNews()> take_news;
     // A peer's news, and what to tell that peer in turn.
     std::function<CrashNews(const std::string& box, const CrashNews& news)> hear_news;
     // An entry of the peers' topic that is about a content in quarantine.
     std::function<void(ContentId content, const std::string& value)> quarantine_record;
+    // The entry of the peers' topic that says which epoch of the store is settled.
+    std::function<void(const std::string& value)> epoch_record;
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
@@ -90,6 +94,10 @@
   // The same after changes have gathered for a while; to be called often.
   void Tick(Time now);
 
+  // The store has returned without what was written lately: our entry is written again where
+  // the topic lacks it.
+  void OnStoreReturn() { this->is_registered = false; }
+
   // Tells how current our configuration is: at once after a proof of our own.
   void TellFreshness(Time now);
 
@@ -107,11 +115,13 @@
 
  private:
   std::string OwnEntry() const;
+  Duration DrawPauseAfterReturn();
   void RegisterOnce();
   void Register();
   void OnPeerRecords(const std::vector<platform::KeyedRecord>& records);
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
+  void HearOfStore(const LoadDigest& digest);
   void HearNote(const LoadDigest& digest);
   void HearNews(const LoadDigest& digest);
   void TellNews(Time now);
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -22,6 +22,8 @@
   uint64_t engine_connections = 0;
   uint64_t log_lines_dropped = 0;
   uint64_t store_calls = 0;
+  // Times that the store came back from an older copy.
+  uint64_t store_returns = 0;
   uint64_t datagrams_sent = 0;
   uint64_t datagram_bytes_sent = 0;
   uint64_t datagrams_heard = 0;
--- a/src/gateway/quarantine_store.cc
+++ b/src/gateway/quarantine_store.cc
@@ -29,10 +29,14 @@
 
 void QuarantineStore::Remove(ContentId content, bool is_witness, Time now) {
   this->wishes.erase(content);
-  if (this->kept.count(content) != 0) this->WishInTurn(content, "", is_witness, now);
+  auto entry = this->kept.find(content);
+  if (entry == this->kept.end()) return;
+  if (this->removed.size() >= kMostKept) this->removed.erase(this->removed.begin());
+  this->removed[content] = entry->second;
+  this->WishInTurn(content, "", is_witness, now);
 }
 
-void QuarantineStore::OnRecord(ContentId content, const std::optional<QuarantineEntry>& entry) {
+bool QuarantineStore::OnRecord(ContentId content, const std::optional<QuarantineEntry>& entry) {
   if (entry) {
     this->kept[content] = entry->until_ms;
   } else {
@@ -42,9 +46,16 @@
   bool is_fulfilled =
       wish != this->wishes.end() && wish->second.value.empty() == !entry.has_value();
   if (is_fulfilled) this->wishes.erase(wish);
+  auto before = this->removed.find(content);
+  bool is_back = entry && before != this->removed.end() && entry->until_ms <= before->second;
+  if (is_back && this->wishes.count(content) == 0) {
+    this->WishInTurn(content, "", /*is_witness=*/false, Now());
+  }
+  return !is_back;
 }
 
 void QuarantineStore::RemoveEnded(Time now, int64_t unix_ms) {
+  std::erase_if(this->removed, [&](const auto& entry) { return entry.second <= unix_ms; });
   for (const auto& [content, until_ms] : this->kept) {
     bool is_over = until_ms <= unix_ms;
     if (!is_over || this->wishes.count(content) != 0) continue;
--- a/src/gateway/quarantine_store.h
+++ b/src/gateway/quarantine_store.h
@@ -45,15 +45,21 @@
 
   QuarantineStore(EventLoop* event_loop, SocketAddress store, StoreRecovery* store_recovery,
                   uint64_t seed)
-      : client(event_loop, std::move(store)), recovery(store_recovery), random(seed) {}
+      : client(event_loop, std::move(store), &store_recovery->returns()),
+        recovery(store_recovery),
+        random(seed) {}
 
   // Sees to it that the entry is there.
   void Keep(ContentId content, const QuarantineEntry& entry, bool is_witness, Time now);
   // Sees to it that it is not.
   void Remove(ContentId content, bool is_witness, Time now);
 
-  // What the topic says: an entry, or nothing where it was removed or cannot be read.
-  void OnRecord(ContentId content, const std::optional<QuarantineEntry>& entry);
+  // What the topic says: an entry, or nothing where it was removed or cannot be read.  Whether
+  // it counts: not an entry that was removed before, which the store's return has brought back.
+  bool OnRecord(ContentId content, const std::optional<QuarantineEntry>& entry);
+
+  // The store has returned without what was written lately: nothing is known of it now.
+  void OnStoreReturn() { this->kept.clear(); }
 
   // Writes what is due.  `unix_ms` is the time of day.
   void Tick(Time now, int64_t unix_ms);
@@ -80,6 +86,8 @@
   // What the topic holds: until when, in Unix milliseconds.
   std::map<ContentId, int64_t> kept;
   std::map<ContentId, Wish> wishes;
+  // Entries that were removed, by their end in Unix milliseconds; at most kMostKept.
+  std::map<ContentId, int64_t> removed;
   bool is_busy = false;
   uint64_t unkept_count = 0;
 };
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -12,7 +12,7 @@
   bool usable = this->channel && this->channel->reusable();
   if (!usable) this->channel = RequestChannel::Open(this->loop, this->address);
   this->incoming = {};
-  this->heard_at = Now();
+  this->sent_at = this->heard_at = Now();
   this->waiting = std::move(done);
   uint64_t number = ++this->call_count;
 
@@ -27,16 +27,19 @@
   hooks.head = [this](const ResponseHead& head) {
     this->heard_at = Now();
     this->incoming.status = head.status;
+    this->incoming.epoch = platform::EpochOf(head.headers);
   };
   hooks.body = [this](std::string_view bytes) {
     this->heard_at = Now();
     this->incoming.body.append(bytes);
   };
   hooks.done = [this, number](ChannelResult result) {
-    if (result == ChannelResult::kWholeAnswer) {
-      this->Finish(number, StoreAnswer(this->incoming));
+    if (result != ChannelResult::kWholeAnswer) {
+      this->Finish(number, {0, "", "connection lost", std::nullopt});
+    } else if (!this->IsUsable(this->incoming)) {
+      this->Finish(number, {0, "", "of before the store's return", std::nullopt});
     } else {
-      this->Finish(number, {0, "", "connection lost"});
+      this->Finish(number, StoreAnswer(this->incoming));
     }
   };
   this->channel->Send(request, std::move(hooks), /*is_head=*/false);
@@ -52,10 +55,16 @@
       this->EndWhenOverdue(number, kStillComing);
       return;
     }
-    this->Finish(number, {0, "", "overdue"});
+    this->Finish(number, {0, "", "overdue", std::nullopt});
   });
 }
 
+// Whoever stands before the store and turns calls away need not know of epochs.
+bool StoreClient::IsUsable(const StoreAnswer& answer) {
+  bool tells = answer.epoch || answer.ok() || answer.status == platform::kRecordsGone;
+  return this->returns == nullptr || !tells || this->returns->Note(answer.epoch, this->sent_at);
+}
+
 void StoreClient::Drop() {
   this->waiting = nullptr;
   if (this->channel) this->channel->Close();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -4,15 +4,18 @@
 //   client.Call(call, seconds(1), [](const StoreAnswer& answer) { ... });
 //
 // Every call gets exactly one answer, from the store or from the clock; what
-// comes for a call after that is not heard any more.
+// comes for a call after that is not heard any more.  An answer of before the store's
+// return from an older copy counts as none (store_returns.h).
 
 #ifndef GULLWARD_GATEWAY_STORE_CLIENT_H_
 #define GULLWARD_GATEWAY_STORE_CLIENT_H_
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "gateway/store_returns.h"
 #include "http/request_channel.h"
 #include "platform/store_calls.h"
 #include "transport/event_loop.h"
@@ -24,6 +27,8 @@
   int status = 0;
   std::string body;
   std::string reason;
+  // The store's epoch as the answer tells it.
+  std::optional<uint64_t> epoch;
 
   // Whether the store did what was asked.
   bool ok() const { return this->status == 200; }
@@ -42,8 +47,9 @@
 
   using Done = std::function<void(const StoreAnswer&)>;
 
-  StoreClient(EventLoop* event_loop, SocketAddress store_address)
-      : loop(event_loop), address(std::move(store_address)) {}
+  // `store_returns` may be null: then epochs are not heeded.
+  StoreClient(EventLoop* event_loop, SocketAddress store_address, StoreReturns* store_returns)
+      : loop(event_loop), address(std::move(store_address)), returns(store_returns) {}
 
   // Only one call at a time.
   void Call(const platform::HttpCallText& call, Duration patience, Done done);
@@ -54,17 +60,23 @@
   // Drops the call under way: it gets no answer, and the next one a new connection.
   void Drop();
 
+  // Whether a call is under way.
+  bool is_busy() const { return this->waiting != nullptr; }
+
   uint64_t calls() const { return this->call_count; }
 
  private:
   void EndWhenOverdue(uint64_t number, Duration after);
+  bool IsUsable(const StoreAnswer& answer);
   void Finish(uint64_t number, const StoreAnswer& answer);
 
   EventLoop* loop;
   SocketAddress address;
+  StoreReturns* returns;
   std::shared_ptr<RequestChannel> channel;
   uint64_t call_count = 0;
   StoreAnswer incoming;
+  Time sent_at{};
   // When the call was sent, then when bytes last came for it.
   Time heard_at{};
   Done waiting;
--- a/src/gateway/store_recovery.h
+++ b/src/gateway/store_recovery.h
@@ -5,6 +5,8 @@
 // those who wait tries after each pause, in turn, and the first answer that anyone
 // gets lets all the others go on at once.
 //
+// It also keeps what all of them know of the store's returns (store_returns.h).
+//
 //   StoreRecovery recovery(&loop);
 //   recovery.Wait([this] { this->ReadAgain(); });   // after a failed call
 //   recovery.NoteAnswer();                          // after one that worked
@@ -18,6 +20,7 @@
 #include <functional>
 
 #include "base/clock.h"
+#include "gateway/store_returns.h"
 #include "transport/event_loop.h"
 
 namespace gullward {
@@ -29,7 +32,7 @@
   static constexpr Duration kFirstPause = milliseconds(100);
   static constexpr Duration kLongestPause = milliseconds(400);
 
-  explicit StoreRecovery(EventLoop* event_loop) : loop(event_loop) {}
+  explicit StoreRecovery(EventLoop* event_loop) : loop(event_loop), returns_seen(event_loop) {}
 
   // The caller's own call has failed: it may try again when `retry` is called.
   void Wait(std::function<void()> retry);
@@ -37,11 +40,15 @@
   // A call has worked: all who wait try at once.
   void NoteAnswer();
 
+  StoreReturns& returns() { return this->returns_seen; }
+  const StoreReturns& returns() const { return this->returns_seen; }
+
  private:
   void StartPause();
   void TryNext();
 
   EventLoop* loop;
+  StoreReturns returns_seen;
   std::deque<std::function<void()>> waiting;
   // The first again once the store has answered.
   Duration next_pause = kFirstPause;
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -90,7 +90,8 @@
                   .lost = {},
                   .regained = {},
                   .read_short = {},
-                  .unreadable = {}}) {}
+                  .unreadable = {},
+                  .pause_after_return = {}}) {}
 
   void Take(const platform::KeyedRecord& record) {
     this->taken += 1;
@@ -174,7 +175,11 @@
   bool is_behind = false;
   ConfigProver prover(&loop, store.address(), &recovery, kConfigTopic, seconds(5), /*seed=*/1,
                       {.position = [] { return std::optional<uint64_t>(0); },
-                       .proved = [](Time) { BOOST_ERROR("proved without the news"); },
+                       .proved =
+                           [](Time) {
+                             BOOST_ERROR("proved without the news");
+                             return true;
+                           },
                        .pace_changed = [](bool, Duration) {},
                        .behind = [&] { is_behind = true; }});
   for (int version = 0; version < kMissed; ++version) {
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -380,7 +380,8 @@
                   .lost = {},
                   .regained = {},
                   .read_short = {},
-                  .unreadable = {}}) {
+                  .unreadable = {},
+                  .pause_after_return = {}}) {
     this->follower.Start();
     while (!this->loaded) this->loop.RunOnce(milliseconds(20));
     this->loop.RunEvery(milliseconds(100), [this] {
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -91,7 +91,7 @@
   this->store.Put("keyed.servers", engine.id(), platform::EngineDocument(record));
 }
 
-std::unique_ptr<GatewayServer> GatewayWorld::NewGateway(size_t number) {
+std::unique_ptr<GatewayServer> GatewayWorld::NewUnreadyGateway(size_t number) {
   GatewaySettings settings;
   settings.box = absl::StrCat("box-", number);
   settings.data_centre = "hall-1";
@@ -105,6 +105,11 @@
   auto server = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/number);
   absl::Status status = server->Start();
   CHECK(status.ok()) << status.message();
+  return server;
+}
+
+std::unique_ptr<GatewayServer> GatewayWorld::NewGateway(size_t number) {
+  std::unique_ptr<GatewayServer> server = this->NewUnreadyGateway(number);
   CHECK(this->RunUntil([&server] { return server->IsReady(); }));
   return server;
 }
@@ -121,6 +126,10 @@
   }));
 }
 
+void GatewayWorld::AddGatewayUnready() {
+  this->more_gateways.push_back(this->NewUnreadyGateway(this->more_gateways.size() + 2));
+}
+
 const GatewayServer& GatewayWorld::Gateway(size_t number) const {
   return number == 0 ? *this->gateway : *this->more_gateways[number - 1];
 }
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -68,6 +68,9 @@
   // Starts one more and waits until it is ready and all of them know each other.
   void AddGateway();
 
+  // Starts one more and does not wait.
+  void AddGatewayUnready();
+
   // Engines that end are back after `delay` each, under an id of their own.
   void LetEnginesReturnAfter(Duration delay) { this->return_after = delay; }
   // Engines that have ended so far.
@@ -105,6 +108,7 @@
 
  private:
   std::unique_ptr<GatewayServer> NewGateway(size_t number);
+  std::unique_ptr<GatewayServer> NewUnreadyGateway(size_t number);
   const GatewayServer& Gateway(size_t number) const;
   void OnEngineEnded(size_t engine);
 
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -20,10 +20,47 @@
                              StoreRecovery* store_recovery, Options follower_options,
                              Hooks follower_hooks)
     : loop(event_loop),
-      client(event_loop, std::move(store_address)),
+      client(event_loop, std::move(store_address), &store_recovery->returns()),
       recovery(store_recovery),
       options(std::move(follower_options)),
-      hooks(std::move(follower_hooks)) {}
+      hooks(std::move(follower_hooks)) {
+  this->recovery->returns().OnReturn([this] { this->OnReturn(); });
+}
+
+void TopicFollower::Start() {
+  this->started = true;
+  this->ReadPage();
+}
+
+std::optional<uint64_t> TopicFollower::position() const {
+  bool holds = this->loaded && this->epoch == this->recovery->returns().epoch().current();
+  return holds ? std::optional<uint64_t>(this->next_offset) : std::nullopt;
+}
+
+// What waits or comes now belongs to a log that is no more.
+void TopicFollower::OnReturn() {
+  bool is_read_anew = !this->loaded && this->epoch == this->recovery->returns().epoch().current();
+  if (!this->started || is_read_anew) return;
+  this->loaded = false;
+  this->pages.clear();
+  // One that pauses, or waits for the store to answer, goes on with the pages by itself.
+  if (!this->client.is_busy()) return;
+  this->client.Drop();
+  bool waits = this->hooks.pause_after_return != nullptr;
+  this->ReadOnAfter(waits ? this->hooks.pause_after_return() : Duration(0));
+}
+
+void TopicFollower::ReadOnAfter(Duration pause) {
+  this->pausing = true;
+  this->loop->RunAfter(pause, [this] {
+    this->pausing = false;
+    if (this->loaded) {
+      this->WaitForNews();
+    } else {
+      this->ReadPage();
+    }
+  });
+}
 
 bool TopicFollower::ReadAgain() {
   if (this->client.SilentFor(Now()) < this->silence_limit) return false;
@@ -69,11 +106,18 @@
     this->Fail(std::string(page.status().message()));
     return;
   }
+  bool is_first = this->pages.empty();
+  if (!is_first && !this->IsOfThisEpoch(answer)) {
+    this->epoch = answer.epoch;
+    this->ReadPages();
+    return;
+  }
+  this->epoch = answer.epoch;
   this->Succeed();
   // Pages are no snapshot: what changes between them is read again from the
   // first page's end on.
   this->page_patience = StoreClient::kAnswerPatience;
-  if (this->pages.empty()) this->next_offset = page->end;
+  if (is_first) this->next_offset = page->end;
   this->TellUnreadable(page->unreadable);
   for (platform::KeyedRecord& record : page->records) this->pages.push_back(std::move(record));
   if (page->more && !page->records.empty()) {
@@ -97,7 +141,10 @@
 }
 
 void TopicFollower::OnTail(const StoreAnswer& answer) {
-  if (answer.status == platform::kRecordsGone) {
+  bool has_place = this->IsOfThisEpoch(answer) && answer.status != platform::kRecordsGone;
+  bool came = answer.ok() || answer.status == platform::kRecordsGone;
+  if (came && !has_place) {
+    this->epoch = answer.epoch;
     this->Succeed();
     this->ReadPages();
     return;
@@ -122,7 +169,7 @@
   if (tail->records.empty() || this->options.gather.count() == 0) {
     this->WaitForNews();
   } else {
-    this->loop->RunAfter(this->options.gather, [this] { this->WaitForNews(); });
+    this->ReadOnAfter(this->options.gather);
   }
 }
 
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -13,6 +13,10 @@
 // come next.  How much is missing after a failure is not known, so a glance (a read that
 // asks for next to nothing) comes first.
 //
+// Places in the log belong to the store's epoch in which they were read.  After the store's
+// return from an older copy (store_returns.h) the pages are read anew; pages of two epochs
+// are not put together.
+//
 // A gateway that had been cut off through 37 versions of a configuration of 52 KB read
 // 3.8 MB in 2.0 s on a link of 20 Mbit/s before that; the newest version is 70 KB, 0.03 s.
 //
@@ -76,12 +80,15 @@
     std::function<void(uint64_t read_to, uint64_t log_end)> read_short;
     // So many records of an answer could not be read; the others have been told.
     std::function<void(size_t records)> unreadable;
+    // How long to wait after the store's return before the pages are read anew, so that a
+    // large fleet does not ask all at once; absent: not at all.
+    std::function<Duration()> pause_after_return;
   };
 
   TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
                 Options options, Hooks hooks);
 
-  void Start() { this->ReadPage(); }
+  void Start();
 
   // How long the next reads wait.
   void SetWait(Duration wait) { this->options.wait = wait; }
@@ -96,19 +103,21 @@
   // When a call first succeeded after failures; in the past where none failed.
   Time regained_at() const { return this->regained; }
 
-  // The offset after the last record that was told; nothing before all pages were.
-  std::optional<uint64_t> position() const {
-    return this->loaded ? std::optional<uint64_t>(this->next_offset) : std::nullopt;
-  }
+  // The offset after the last record that was told; nothing before all pages were, nor where
+  // it was read before the store's return.
+  std::optional<uint64_t> position() const;
 
   uint64_t calls() const { return this->client.calls(); }
 
  private:
   void ReadOn();
+  void ReadOnAfter(Duration pause);
+  void OnReturn();
   void ReadPages();
   void ReadPage();
   void ReadTail(Duration wait, size_t most_kb);
   void WaitForNews();
+  bool IsOfThisEpoch(const StoreAnswer& answer) const { return answer.epoch == this->epoch; }
   void OnPage(const StoreAnswer& answer);
   void OnTail(const StoreAnswer& answer);
   void OnShortTail(const platform::KeyedTail& tail);
@@ -126,6 +135,11 @@
   std::vector<platform::KeyedRecord> pages;
   Duration page_patience = StoreClient::kAnswerPatience;
   Time pages_sent{};
+  // That of the pages, and of all that has been read since.
+  std::optional<uint64_t> epoch;
+  bool started = false;
+  // A pause is under way, after which reading goes on.
+  bool pausing = false;
   bool loaded = false;
   // How many keys the topic had when its pages were last read.
   size_t keys = 0;
--- a/src/serving/copy_schedule.h
+++ b/src/serving/copy_schedule.h
@@ -36,8 +36,7 @@
   void NoteList(uint64_t fingerprint, Time now) {
     if (fingerprint == this->listed) return;
     this->listed = fingerprint;
-    std::uniform_int_distribution<int64_t> spread(0, kSpread.count());
-    this->due_at = now + kSettle + Duration(spread(this->random));
+    this->due_at = now + kSettle + this->DrawSpread();
   }
 
   // The copy has this content, as a peer says.
@@ -52,6 +51,12 @@
   // The write failed: it is due again after the usual pause.
   void NoteFailed() { this->copied = 0; }
 
+  // The store has lost what it held, and is to be left alone until then.
+  void NoteLost(Time left_alone_until) {
+    this->copied = 0;
+    this->due_at = left_alone_until + this->DrawSpread();
+  }
+
   bool IsDue(Time now) const {
     if (this->listed == 0 || this->listed == this->copied) return false;
     return now >= this->due_at && now - this->written_at >= kLeastPause;
@@ -61,6 +66,11 @@
   uint64_t copied_content() const { return this->copied; }
 
  private:
+  Duration DrawSpread() {
+    std::uniform_int_distribution<int64_t> spread(0, kSpread.count());
+    return Duration(spread(this->random));
+  }
+
   std::mt19937_64 random;
   uint64_t listed = 0;
   uint64_t copied = 0;
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -3,6 +3,7 @@
 #include "serving/engine_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -16,7 +17,10 @@
 void EngineDirectory::Update(const EngineRecord& record) {
   const EngineRecord* known = this->Find(record.id);
   bool is_late = known != nullptr && record.born < known->born;
-  if (is_late) return;
+  bool undoes_leaving =
+      known != nullptr && record.born == known->born && known->draining && !record.draining;
+  if (is_late || undoes_leaving) return;
+  this->doubted.erase(record.id);
   bool is_same = known != nullptr && *known == record;
   if (!is_same) this->changes += 1;
   this->engines[record.id] = Entry{record, std::nullopt};
@@ -29,10 +33,12 @@
 }
 
 void EngineDirectory::Remove(const std::string& id, Time now, Time keep_until) {
+  this->doubted.erase(id);
   auto found = this->engines.find(id);
   if (found == this->engines.end()) return;
   bool keep = keep_until > now && !found->second.record.draining;
   if (!keep) {
+    this->departures.Note(found->second.record.Incarnation(), now);
     this->engines.erase(found);
     this->changes += 1;
     return;
@@ -43,25 +49,50 @@
 }
 
 void EngineDirectory::Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until) {
-  std::set<std::string> listed;
+  for (const EngineRecord& record : records) this->Update(record);
+  this->RemoveMissing(records, now, keep_until);
+}
+
+void EngineDirectory::ReplaceByOlder(const std::vector<EngineRecord>& records, Time now,
+                                     Time settled_at) {
+  this->doubted.clear();
+  this->doubted_until = settled_at;
   for (const EngineRecord& record : records) {
-    listed.insert(record.id);
-    this->Update(record);
+    if (this->departures.Has(record.Incarnation(), now)) {
+      this->doubted[record.id] = record;
+    } else {
+      this->Update(record);
+    }
   }
+  this->RemoveMissing(records, now, settled_at);
+}
+
+void EngineDirectory::RemoveMissing(const std::vector<EngineRecord>& listed, Time now,
+                                    Time keep_until) {
+  std::set<std::string> ids;
+  for (const EngineRecord& record : listed) ids.insert(record.id);
   std::vector<std::string> missing;
   for (const auto& [id, engine] : this->engines) {
-    if (listed.count(id) == 0) missing.push_back(id);
+    if (ids.count(id) == 0) missing.push_back(id);
   }
   for (const std::string& id : missing) this->Remove(id, now, keep_until);
 }
 
+// An engine whose entry had only lapsed does not write what stands there already.
+void EngineDirectory::TakeDoubted(Time now) {
+  if (this->doubted.empty() || now < this->doubted_until) return;
+  for (const auto& [id, record] : std::exchange(this->doubted, {})) this->Update(record);
+}
+
 void EngineDirectory::Expire(Time now) {
+  this->TakeDoubted(now);
   if (now < this->next_gone) return;
   this->next_gone = Time::max();
   for (auto it = this->engines.begin(); it != this->engines.end();) {
     const std::optional<Time>& gone_at = it->second.gone_at;
     bool gone = gone_at && *gone_at <= now;
     if (gone) this->changes += 1;
+    if (gone) this->departures.Note(it->second.record.Incarnation(), now);
     if (gone_at && !gone) this->next_gone = std::min(this->next_gone, *gone_at);
     it = gone ? this->engines.erase(it) : std::next(it);
   }
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -6,6 +6,10 @@
 // reach: then entries of living engines lapse and come back a moment later, so
 // an engine is kept that long on its old record.
 //
+// After the store's return from an older copy the list is older than what is known
+// (serving/store_epoch.h): lives that have left stay away, and engines that it lacks are kept,
+// until the engines have written again.
+//
 // An engine may start again under its id.  The later life replaces the earlier one
 // whole, and never the other way round, though the list and its copy may be read in
 // any order.
@@ -26,6 +30,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "serving/departures.h"
 #include "transport/socket_address.h"
 
 namespace gullward {
@@ -63,7 +68,8 @@
   // Until when removals that are read after the list's return are not believed.
   static Time KeepUntil(Time list_regained_at) { return list_regained_at + kLapseGrace; }
 
-  // Takes one entry.  One of an earlier life than the known one is dropped.
+  // Takes one entry.  One of an earlier life than the known one is dropped, as is one of the
+  // same life that would undo its leaving.
   void Update(const EngineRecord& record);
   // Removes an engine, at `keep_until` if that is later than now.
   void Remove(const std::string& id, Time now, Time keep_until);
@@ -71,11 +77,16 @@
   // Takes a whole list: what is not on it is removed.
   void Replace(const std::vector<EngineRecord>& records, Time now, Time keep_until);
 
+  // Takes a whole list of which it is not known whether it is as old as a copy from which the
+  // store has returned.  At `settled_at` what it says will have been put right.
+  void ReplaceByOlder(const std::vector<EngineRecord>& records, Time now, Time settled_at);
+
   // A life that is not what its address once was: gone at once.  A later life of the
   // same id stays.
   void Forget(const EngineRecord& record);
 
-  // Drops the engines that are missing from the list and whose time has come.
+  // Drops the engines that are missing from the list and whose time has come, and takes those
+  // that an older list had, that had left before, and that are listed still.
   void Expire(Time now);
 
   // All that may get new work, in the order of their ids.
@@ -102,6 +113,9 @@
   size_t size() const { return this->engines.size(); }
 
  private:
+  void RemoveMissing(const std::vector<EngineRecord>& listed, Time now, Time keep_until);
+  void TakeDoubted(Time now);
+
   struct Entry {
     EngineRecord record;
     // Set while the engine is missing from the list: when it counts as gone.
@@ -109,6 +123,10 @@
   };
 
   std::map<std::string, Entry> engines;
+  Departures departures;
+  // Lives on an older list that had left, by id, and when they are believed after all.
+  std::map<std::string, EngineRecord> doubted;
+  Time doubted_until{};
   uint64_t changes = 0;
   // When the next engine that is missing from the list counts as gone; never: the end of
   // time.
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -38,6 +38,10 @@
   return builder->CreateVectorOfStructs(entries);
 }
 
+flatbuffers::Optional<uint64_t> ToPacked(std::optional<uint64_t> value) {
+  return value ? flatbuffers::Optional<uint64_t>(*value) : flatbuffers::nullopt;
+}
+
 CrashNews ReadNews(const fb::LoadDigest& packed) {
   CrashNews news;
   if (packed.crashes() != nullptr) {
@@ -91,13 +95,13 @@
   for (const QuarantineWord& word : news.quarantined) {
     quarantined.emplace_back(word.content, ToMillis(word.left));
   }
-  builder.Finish(
-      fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
-                           digest.sequence, builder.CreateVector(entries), freshness,
-                           builder.CreateVector(set_aside), digest.engines_copied,
-                           digest.engines_read_to, digest.is_offer, VectorOrNone(&builder, crashes),
-                           news.answered.empty() ? 0 : builder.CreateVector(news.answered),
-                           VectorOrNone(&builder, quarantined)));
+  builder.Finish(fb::CreateLoadDigest(
+      builder, builder.CreateString(digest.box), digest.incarnation, digest.sequence,
+      builder.CreateVector(entries), freshness, builder.CreateVector(set_aside),
+      digest.engines_copied, digest.engines_read_to, digest.is_offer,
+      VectorOrNone(&builder, crashes),
+      news.answered.empty() ? 0 : builder.CreateVector(news.answered),
+      VectorOrNone(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -113,6 +117,8 @@
   digest.sequence = packed->sequence();
   digest.engines_copied = packed->engines_copied();
   digest.engines_read_to = packed->engines_read_to();
+  if (packed->store_epoch()) digest.store_epoch = *packed->store_epoch();
+  digest.epoch_is_settled = packed->epoch_is_settled();
   digest.is_offer = packed->is_offer();
   digest.crash_news = ReadNews(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -34,6 +34,10 @@
   uint64_t engines_copied = 0;
   // The offset after the last change of the engines' list that the sender has read.
   uint64_t engines_read_to = 0;
+  // The store's epoch to which that offset belongs, nothing where the store tells none, and
+  // whether the sender has seen it for long enough (serving/store_epoch.h).
+  std::optional<uint64_t> store_epoch;
+  bool epoch_is_settled = false;
   // Whether `loads` are engines on offer, with all work that the sender knows there
   // (serving/spill.h), instead of its own work.
   bool is_offer = false;
--- a/src/serving/proof_schedule.h
+++ b/src/serving/proof_schedule.h
@@ -40,6 +40,7 @@
     return !this->asking && now >= this->due && now >= this->not_before;
   }
 
+  bool is_asking() const { return this->asking; }
   void NoteAsked() { this->asking = true; }
   void NoteProved() { this->asking = false; }
   // The store did not answer, and may be asked again.
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -126,7 +126,8 @@
     return address.ok() ? *address : SocketAddress{};
   };
   SocketAddress store_address = ready("store");
-  this->store = std::make_unique<StoreClient>(&this->loop, store_address);
+  this->store =
+      std::make_unique<StoreClient>(&this->loop, store_address, /*store_returns=*/nullptr);
   auto models = static_cast<size_t>(this->options.engines);
   this->engines.resize(models + static_cast<size_t>(this->options.apps));
   for (size_t i = 0; i < this->engines.size(); ++i) {
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -11,6 +11,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_split.h"
+#include "platform/headers.h"
 
 namespace gullward {
 namespace {
@@ -22,13 +23,6 @@
 // A read is answered with this much at most, or one record, unless it says otherwise.
 constexpr size_t kUsualReadKb = 1024;
 
-AnswerHead Head(int status) {
-  AnswerHead head;
-  head.status = status;
-  head.reason = "Status";
-  return head;
-}
-
 // The parameters of a query.  The names used here need no decoding.
 std::map<std::string, std::string> Query(const std::string& target) {
   std::map<std::string, std::string> query;
@@ -45,6 +39,41 @@
 
 }  // namespace
 
+AnswerHead StoreStandin::Head(int status) const {
+  AnswerHead head;
+  head.status = status;
+  head.reason = "Status";
+  if (this->epoch.empty()) return head;
+  for (absl::string_view line : absl::StrSplit(this->epoch, '\n')) {
+    head.headers.emplace_back(platform::kStoreEpoch, std::string(line));
+  }
+  return head;
+}
+
+void StoreStandin::ReturnFromCopy(const std::string& next) {
+  this->topics = this->copy;
+  this->epoch = next;
+}
+
+void StoreStandin::DropConnections() {
+  this->waiting.clear();
+  for (const std::shared_ptr<CallerChannel>& channel : std::exchange(this->channels, {})) {
+    if (!channel->is_closed()) channel->BreakOff();
+  }
+}
+
+// The answer is made now and sent later.
+void StoreStandin::Hold(const std::shared_ptr<CallerChannel>& channel, const std::string& body) {
+  this->held_topic.clear();
+  this->held_answer = [channel, head = this->Head(200), body] {
+    if (!channel->is_closed()) channel->Answer(head, body);
+  };
+}
+
+void StoreStandin::LetGo() {
+  if (this->held_answer) std::exchange(this->held_answer, nullptr)();
+}
+
 StoreStandin::StoreStandin(EventLoop* event_loop) : loop(event_loop) {
   absl::Status status = this->listener.Listen(this->loop, {"127.0.0.1", 0}, [this](int fd) {
     auto channel = CallerChannel::Adopt(this->loop, fd, CallerLimits{});
@@ -123,6 +152,7 @@
   if (this->trouble == StoreTrouble::kReset) return channel->BreakOff();
   if (this->trouble == StoreTrouble::kBusy) return channel->Answer(Head(503), "");
   std::map<std::string, std::string> query = Query(request.head.target);
+  this->holds_this = !this->held_topic.empty() && query["topic"] == this->held_topic;
   if (!this->turned_away.empty() && query["topic"] == this->turned_away) {
     return channel->Answer(Head(503), "");
   }
@@ -163,6 +193,9 @@
 
 void StoreStandin::Answer(CallerChannel* channel, const std::string& body) {
   this->answered_bytes += body.size();
+  if (std::exchange(this->holds_this, false)) {
+    return this->Hold(channel->shared_from_this(), body);
+  }
   if (this->trouble != StoreTrouble::kSlowBody) return channel->Answer(Head(200), body);
   channel->BeginAnswer(Head(200), body.size());
   this->AnswerInPieces(channel->shared_from_this(), body);
@@ -185,7 +218,8 @@
                               bool even_if_none) {
   uint64_t from = read.from;
   uint64_t end = topic.first + topic.records.size();
-  if (from < topic.first) {
+  bool is_ahead = !this->epoch.empty() && from > end;
+  if (from < topic.first || is_ahead) {
     channel->Answer(Head(410), "{\"first\":" + std::to_string(topic.first) + "}");
     return true;
   }
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -11,6 +11,7 @@
 #ifndef GULLWARD_STANDINS_STORE_STANDIN_H_
 #define GULLWARD_STANDINS_STORE_STANDIN_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -59,6 +60,24 @@
   // however long they wanted to wait.
   void MissNextChange(const std::string& topic) { this->unheard = topic; }
 
+  // What the header of all answers says of the epoch from now on, in any form; by default
+  // there is no such header.  A number, or two of them on two lines.
+  void SetEpoch(const std::string& text) { this->epoch = text; }
+
+  // Keeps a copy of all topics as they are now.
+  void SaveCopy() { this->copy = this->topics; }
+  // Comes back from that copy, under the epoch `next`: offsets go back and are given out
+  // again.  Reads that wait stay open, as those of a store whose process lives.
+  void ReturnFromCopy(const std::string& next);
+
+  // Breaks off all connections, those of waiting reads too.
+  void DropConnections();
+
+  // Holds back the answer to the next call on a topic until LetGo.
+  void HoldNextAnswer(const std::string& topic) { this->held_topic = topic; }
+  bool IsHolding() const { return this->held_answer != nullptr; }
+  void LetGo();
+
   // The newest value of a key; empty where there is none.
   std::string Newest(const std::string& topic, const std::string& key);
 
@@ -99,11 +118,13 @@
     uint64_t wakes_at = 0;
   };
 
+  AnswerHead Head(int status) const;
   void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
   void AnswerNewest(CallerChannel* channel, const Topic& topic, const std::string& after);
   bool AnswerTail(CallerChannel* channel, const Topic& topic, const Waiting& read,
                   bool even_if_none);
   void Answer(CallerChannel* channel, const std::string& body);
+  void Hold(const std::shared_ptr<CallerChannel>& channel, const std::string& body);
   void AnswerInPieces(const std::shared_ptr<CallerChannel>& channel, const std::string& body);
   void SleepThrough(const std::string& topic_name);
   void WakeWaiting(Time now);
@@ -116,6 +137,13 @@
   StoreTrouble trouble = StoreTrouble::kNone;
   std::string turned_away;
   std::string unheard;
+  std::string epoch;
+  std::map<std::string, Topic> copy;
+  std::string held_topic;
+  // Whether the answer to the call under way is the one to hold back.
+  bool holds_this = false;
+  // The answer that is held back, with the head that it had when it was made.
+  std::function<void()> held_answer;
   size_t page_size = 500;
   uint64_t given_up = 0;
   uint64_t call_count = 0;
