A gateway that the store turns away gets the configuration from a peer

Ruled out: a longer trust in keys (the bound is the operator's); being unready earlier (a store that is away for all would take out every gateway at once); a Retry-After of nothing (callers have one retry, and eleven of thirty would refuse it again). Change: gateway/config_from_peers: each gateway serves the record that it read last, over TCP at its peers' address; one that has been behind for 0.4 s (1.2 s for peers of other data centres) asks the peer that told it. Versions only rise; how current they are, the peers' notes prove as ever. Switch use_config_from_peers. OperatorPages becomes a maker for the general HttpPages.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -36,6 +36,8 @@
 // A balancer takes a process out after two missed questions, one a second; until
 // then it sends new callers, and they are served.
 constexpr Duration kBalancerNotices = milliseconds(2600);
+// From when a gateway that is behind asks peers of other data centres too.
+constexpr Duration kFarPeersTurn = milliseconds(1200);
 // Kept back from the stop's grace for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
 
@@ -64,7 +66,8 @@
       config_prover(event_loop, settings.store, &this->store_recovery,
                     std::string(platform::kConfigTopic), settings.key_trust, random_seed,
                     this->ProverHooks()),
-      operator_pages(event_loop, this->PageHooks()) {
+      operator_pages(event_loop, OperatorPages(this->PageHooks())),
+      config_from_peers(event_loop, this->ConfigHooks()) {
   this->state.crash_watch = &this->crash_watch;
   this->store_recovery.returns().OnReturn([this] { this->OnStoreReturn(); });
 }
@@ -107,7 +110,9 @@
   hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
   hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
-  hooks.behind = [this](uint64_t version) { this->OnNewerVersion(version); };
+  hooks.behind = [this](uint64_t version, const Peer& peer) {
+    this->OnNewerVersion(version, peer);
+  };
   hooks.engines_copied = [this] { return this->engine_list_copy.copied(); };
   hooks.hear_engines_copied = [this](uint64_t content) {
     this->engine_list_copy.HearCopied(content);
@@ -149,6 +154,15 @@
   return hooks;
 }
 
+ConfigFromPeers::Hooks GatewayServer::ConfigHooks() {
+  ConfigFromPeers::Hooks hooks;
+  hooks.own_record = [this] { return this->state.config_record; };
+  hooks.received = [this](const std::string& record) {
+    this->OnConfigRecord({std::string(platform::kConfigKey), record});
+  };
+  return hooks;
+}
+
 ConfigProver::Hooks GatewayServer::ProverHooks() {
   ConfigProver::Hooks hooks;
   hooks.position = [this] { return this->config_follower.position(); };
@@ -167,8 +181,8 @@
   return hooks;
 }
 
-OperatorPages::Hooks GatewayServer::PageHooks() const {
-  OperatorPages::Hooks hooks;
+OperatorPageHooks GatewayServer::PageHooks() const {
+  OperatorPageHooks hooks;
   hooks.metrics = [this] { return this->Metrics(); };
   hooks.state = [this] { return this->StateDump(); };
   hooks.is_ready = [this] { return this->IsReady(); };
@@ -210,7 +224,7 @@
 
 // A peer has a version that our own read should have brought by now: the read may
 // hang on a connection that is dead.
-void GatewayServer::OnNewerVersion(uint64_t version) {
+void GatewayServer::OnNewerVersion(uint64_t version, const Peer& peer) {
   Time now = Now();
   if (version > this->state.newest_version_told) {
     this->state.newest_version_told = version;
@@ -218,13 +232,25 @@
   }
   if (version != this->version_behind) {
     this->version_behind = version;
-    this->behind_since = now;
+    this->behind_since = this->looked_for_news = now;
     return;
   }
-  if (now - this->behind_since < TopicFollower::kNewsShouldHaveCome) return;
-  this->behind_since = now;
-  if (!this->config_follower.ReadAgain()) return;
-  this->log.Write(LogLine("config_behind").Number("peer_version", static_cast<double>(version)));
+  if (now - this->looked_for_news < TopicFollower::kNewsShouldHaveCome) return;
+  this->looked_for_news = now;
+  bool read_again = this->config_follower.ReadAgain();
+  bool asked = this->AsksForConfig(peer, now) && this->config_from_peers.Ask(peer.address);
+  if (!read_again && !asked) return;
+  this->log.Write(LogLine("config_behind")
+                      .Number("peer_version", static_cast<double>(version))
+                      .Text("asked", asked ? peer.box : ""));
+}
+
+// Peers of the own data centre come first: a configuration is large.
+bool GatewayServer::AsksForConfig(const Peer& peer, Time now) const {
+  if (!this->state.fleet.mechanisms().config_from_peers || peer.address.port == 0) return false;
+  bool is_near = peer.data_centre == this->state.settings.data_centre;
+  Duration waits = is_near ? TopicFollower::kNewsShouldHaveCome : kFarPeersTurn;
+  return now - this->behind_since >= waits;
 }
 
 absl::Status GatewayServer::Start() {
@@ -239,6 +265,10 @@
   if (!status.ok()) return status;
   status = this->load_exchange.Start();
   if (!status.ok()) return status;
+  status = this->config_from_peers.Listen(this->load_exchange.address());
+  if (!status.ok()) {
+    this->log.Write(LogLine("no_config_for_peers").Text("reason", StdView(status.message())));
+  }
   this->state.tell_peers = [this] { this->load_exchange.Tell(Now()); };
   this->config_follower.Start();
   if (this->state.fleet.mechanisms().copy_engine_list) {
@@ -314,6 +344,7 @@
                       .Number("routes", static_cast<double>(config->routes.size()))
                       .Number("accounts", static_cast<double>(config->accounts.size())));
   this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
+  this->state.config_record = std::make_shared<const std::string>(record.value);
 }
 
 void GatewayServer::Tick() {
@@ -360,6 +391,7 @@
     it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
   }
   this->operator_pages.Tick(now);
+  this->config_from_peers.Tick(now);
 }
 
 void GatewayServer::TickFleet(Time now) {
@@ -425,6 +457,7 @@
                         this->load_exchange.store_calls() + this->config_prover.calls() +
                         this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
                         this->epoch_marker.store_calls();
+  figures.configs_from_peers = this->config_from_peers.received();
   figures.store_returns = this->store_recovery.returns().epoch().returns();
   figures.engines = this->state.fleet.directory().size();
   figures.peers = this->load_exchange.peers();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "gateway/config_from_peers.h"
 #include "gateway/config_prover.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_list_copy.h"
@@ -99,12 +100,14 @@
   LoadExchange::Hooks LoadExchangeHooks();
   CrashWatch::Options CrashWatchOptions() const;
   CrashWatch::Hooks CrashWatchHooks();
+  ConfigFromPeers::Hooks ConfigHooks();
   ConfigProver::Hooks ProverHooks();
-  OperatorPages::Hooks PageHooks() const;
+  OperatorPageHooks PageHooks() const;
   bool NoteProof(Time sent);
   void OnStoreReturn();
   void HearEpoch(uint64_t epoch, bool is_settled);
-  void OnNewerVersion(uint64_t version);
+  void OnNewerVersion(uint64_t version, const Peer& peer);
+  bool AsksForConfig(const Peer& peer, Time now) const;
   void OnLongerEngineList(uint64_t offset);
 
   // Looks at every clock.  The steps are in the order in which it takes them, the
@@ -138,7 +141,8 @@
   TcpListener ready_listener;
   TcpListener metrics_listener;
   std::map<uint64_t, Caller> callers;
-  OperatorPages operator_pages;
+  HttpPages operator_pages;
+  ConfigFromPeers config_from_peers;
   uint64_t next_id = 1;
   uint64_t ticks = 0;
   bool engines_known = false;
@@ -149,6 +153,7 @@
   // The newer version that a peer told of, and since when.
   uint64_t version_behind = 0;
   Time behind_since{};
+  Time looked_for_news{};
   Time stop_began{};
 };
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -72,6 +72,8 @@
   EventLog* log;
   // Null until a configuration has been read.
   std::shared_ptr<const ConfigIndex> config;
+  // The record that it was decoded from.
+  std::shared_ptr<const std::string> config_record;
   // The newest version that any peer has told of.
   uint64_t newest_version_told = 0;
   Time newest_version_told_at{};
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -154,9 +154,10 @@
   std::optional<Time> proved =
       this->freshness.Hear(digest.box, digest.incarnation, *digest.freshness, own_version, Now());
   if (proved) this->hooks.confirm(*proved);
-  if (digest.freshness->config_version > own_version) {
-    this->hooks.behind(digest.freshness->config_version);
-  }
+  if (digest.freshness->config_version <= own_version) return;
+  const Peer* peer = this->directory.Find(digest.box);
+  this->hooks.behind(digest.freshness->config_version,
+                     peer != nullptr ? *peer : Peer{digest.box, {}, {}});
 }
 
 void LoadExchange::HearNews(const LoadDigest& digest) {
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -63,7 +63,7 @@
     // A peer has proved our version current at that time.
     std::function<void(Time)> confirm;
     // A peer has a newer version than we.
-    std::function<void(uint64_t version)> behind;
+    std::function<void(uint64_t version, const Peer& peer)> behind;
     // The content of the copy of the engines' list, as we know it and as a peer does.
     std::function<uint64_t()> engines_copied;
     std::function<void(uint64_t content)> hear_engines_copied;
@@ -98,6 +98,9 @@
   // the topic lacks it.
   void OnStoreReturn() { this->is_registered = false; }
 
+  // Where peers reach us; the port is known once Start has been called.
+  const SocketAddress& address() const { return this->own_address; }
+
   // Tells how current our configuration is: at once after a proof of our own.
   void TellFreshness(Time now);
 
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -38,6 +38,8 @@
   count("gullward_engine_connections_total", "Connections opened", figures.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", figures.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", figures.store_calls);
+  count("gullward_configs_from_peers_total", "Configurations that peers have handed on",
+        figures.configs_from_peers);
   count("gullward_store_returns_total", "Returns of the store from an older copy",
         figures.store_returns);
   for (const auto& [code, failures] : counters.failures) {
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -22,6 +22,8 @@
   uint64_t engine_connections = 0;
   uint64_t log_lines_dropped = 0;
   uint64_t store_calls = 0;
+  // Configurations that peers have handed on.
+  uint64_t configs_from_peers = 0;
   // Times that the store came back from an older copy.
   uint64_t store_returns = 0;
   uint64_t datagrams_sent = 0;
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -65,6 +65,12 @@
   return this->returns == nullptr || !tells || this->returns->Note(answer.epoch, this->sent_at);
 }
 
+void StoreClient::MoveTo(SocketAddress next) {
+  if (next == this->address) return;
+  this->Drop();
+  this->address = std::move(next);
+}
+
 void StoreClient::Drop() {
   this->waiting = nullptr;
   if (this->channel) this->channel->Close();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -60,6 +60,9 @@
   // Drops the call under way: it gets no answer, and the next one a new connection.
   void Drop();
 
+  // The next calls go to another server.  Only where no call is under way.
+  void MoveTo(SocketAddress next);
+
   // Whether a call is under way.
   bool is_busy() const { return this->waiting != nullptr; }
 
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -91,13 +91,15 @@
   this->store.Put("keyed.servers", engine.id(), platform::EngineDocument(record));
 }
 
-std::unique_ptr<GatewayServer> GatewayWorld::NewUnreadyGateway(size_t number) {
+std::unique_ptr<GatewayServer> GatewayWorld::NewUnreadyGateway(size_t number,
+                                                               const SocketAddress& at_store) {
   GatewaySettings settings;
   settings.box = absl::StrCat("box-", number);
   settings.data_centre = "hall-1";
   settings.callers = settings.ready = settings.metrics = {"127.0.0.1", 0};
   settings.peers = this->peers_address;
-  settings.store = this->store.address();
+  settings.store = at_store;
+  settings.mechanisms = this->options.mechanisms;
   settings.key_trust = this->options.key_trust;
   settings.key_trust_mode = this->options.key_trust_mode;
   settings.stop_grace = this->options.stop_grace;
@@ -108,16 +110,18 @@
   return server;
 }
 
-std::unique_ptr<GatewayServer> GatewayWorld::NewGateway(size_t number) {
-  std::unique_ptr<GatewayServer> server = this->NewUnreadyGateway(number);
+std::unique_ptr<GatewayServer> GatewayWorld::NewGateway(size_t number,
+                                                        const SocketAddress& at_store) {
+  std::unique_ptr<GatewayServer> server = this->NewUnreadyGateway(number, at_store);
   CHECK(this->RunUntil([&server] { return server->IsReady(); }));
   return server;
 }
 
-void GatewayWorld::StartGateway() { this->gateway = this->NewGateway(1); }
+void GatewayWorld::StartGateway() { this->gateway = this->NewGateway(1, this->store.address()); }
 
 void GatewayWorld::AddGateway() {
-  this->more_gateways.push_back(this->NewGateway(this->more_gateways.size() + 2));
+  this->more_gateways.push_back(
+      this->NewGateway(this->more_gateways.size() + 2, this->store.address()));
   size_t others = this->more_gateways.size();
   CHECK(this->RunUntil([this, others] {
     bool known = this->gateway->peers() == others;
@@ -127,7 +131,12 @@
 }
 
 void GatewayWorld::AddGatewayUnready() {
-  this->more_gateways.push_back(this->NewUnreadyGateway(this->more_gateways.size() + 2));
+  this->more_gateways.push_back(
+      this->NewUnreadyGateway(this->more_gateways.size() + 2, this->store.address()));
+}
+
+void GatewayWorld::AddGatewayAt(const SocketAddress& other_store) {
+  this->more_gateways.push_back(this->NewGateway(this->more_gateways.size() + 2, other_store));
 }
 
 const GatewayServer& GatewayWorld::Gateway(size_t number) const {
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -38,6 +38,7 @@
   Duration key_trust = seconds(5);
   KeyTrust key_trust_mode = KeyTrust::kBounded;
   Duration stop_grace = seconds(8);
+  Mechanisms mechanisms = {};
   // Every attempt that one request may need, from the first moment on, though a process
   // that has just started has no slack yet: what fleets may retry together is not what
   // tests of single requests are about.
@@ -70,6 +71,8 @@
 
   // Starts one more and does not wait.
   void AddGatewayUnready();
+  // Starts one more that has a store of its own, and waits until it is ready.
+  void AddGatewayAt(const SocketAddress& other_store);
 
   // Engines that end are back after `delay` each, under an id of their own.
   void LetEnginesReturnAfter(Duration delay) { this->return_after = delay; }
@@ -107,8 +110,8 @@
   SocketAddress peers_address{"127.0.0.1", 0};
 
  private:
-  std::unique_ptr<GatewayServer> NewGateway(size_t number);
-  std::unique_ptr<GatewayServer> NewUnreadyGateway(size_t number);
+  std::unique_ptr<GatewayServer> NewGateway(size_t number, const SocketAddress& at_store);
+  std::unique_ptr<GatewayServer> NewUnreadyGateway(size_t number, const SocketAddress& at_store);
   const GatewayServer& Gateway(size_t number) const;
   void OnEngineEnded(size_t engine);
 
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -70,6 +70,9 @@
   // engines that gateways of other cells offer.  Off: only where the home cell has no
   // engine at all does work leave it.
   bool spill = true;
+  // A gateway that the store turns away gets a newer configuration from a peer.  Off: it
+  // waits for the store, and refuses what needs a key once its last proof is too old.
+  bool config_from_peers = true;
   // Requests that end the engines that run them are kept from further ones (quarantine.h).
   // Off: each is sent on like any other, and the users' bound on such requests is broken.
   bool quarantine = true;
@@ -101,6 +104,7 @@
     {"catch_up_with_peers", &Mechanisms::catch_up_with_peers},
     {"cells", &Mechanisms::cells},
     {"spill", &Mechanisms::spill},
+    {"config_from_peers", &Mechanisms::config_from_peers},
     {"quarantine", &Mechanisms::quarantine},
 };
 
