The engines' list is copied once a pause by the whole fleet: words on the copy carry a revision

A gateway took a peer's last word for the newest, so two contents went round, and everybody whose list was the other one wrote; and thirty that spread over 1.2 s do not hear of a write in time. Ruled out: comparing lists by engine (the contents do differ for seconds); an appointed writer. Change: CopyMark: each write has a revision, and only a higher one replaces what is known; the pause of two seconds is the fleet's, not each gateway's; the spread grows with the gateways. Test: serving_test, a list that never rests among 5, 30 and 100 gateways; old words.

--- a/src/gateway/engine_list_copy.h
+++ b/src/gateway/engine_list_copy.h
@@ -60,9 +60,11 @@
   // The store has returned without what was written lately; it is written again.
   void OnStoreReturn() { this->schedule.NoteLost(this->recovery->returns().epoch().settled_at()); }
   // A peer's word on the content of the copy.
-  void HearCopied(uint64_t content) { this->schedule.NoteCopy(content); }
+  void HearCopied(const CopyMark& mark, Time now) { this->schedule.NoteCopy(mark, now); }
   // What we tell peers of it.
-  uint64_t copied() const { return this->schedule.copied_content(); }
+  const CopyMark& copied() const { return this->schedule.copy(); }
+  // How many gateways tell each other of it.
+  void SetGateways(size_t count) { this->schedule.SetGateways(count); }
 
   // Writes the copy when that is due.
   void Tick(Time now);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -114,8 +114,8 @@
     this->OnNewerVersion(version, peer);
   };
   hooks.engines_copied = [this] { return this->engine_list_copy.copied(); };
-  hooks.hear_engines_copied = [this](uint64_t content) {
-    this->engine_list_copy.HearCopied(content);
+  hooks.hear_engines_copied = [this](const CopyMark& mark) {
+    this->engine_list_copy.HearCopied(mark, Now());
   };
   hooks.hear_epoch = [this](uint64_t epoch, bool is_settled) {
     this->HearEpoch(epoch, is_settled);
@@ -400,6 +400,7 @@
   this->engine_follower.SetWait(this->DrawEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
+  this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
     this->engine_list_copy.NoteList(this->state.fleet.directory().Listed(), now);
   }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -146,7 +146,7 @@
   }
   if (digest.store_epoch != this->recovery->returns().epoch().current()) return;
   this->hooks.hear_engines_read_to(digest.engines_read_to);
-  if (digest.engines_copied != 0) this->hooks.hear_engines_copied(digest.engines_copied);
+  if (digest.engines_copied.content != 0) this->hooks.hear_engines_copied(digest.engines_copied);
 }
 
 void LoadExchange::HearNote(const LoadDigest& digest) {
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -64,9 +64,9 @@
     std::function<void(Time)> confirm;
     // A peer has a newer version than we.
     std::function<void(uint64_t version, const Peer& peer)> behind;
-    // The content of the copy of the engines' list, as we know it and as a peer does.
-    std::function<uint64_t()> engines_copied;
-    std::function<void(uint64_t content)> hear_engines_copied;
+    // What the copy of the engines' list holds, as we know it and as a peer does.
+    std::function<CopyMark()> engines_copied;
+    std::function<void(const CopyMark& mark)> hear_engines_copied;
     // How far we have read the engines' list, and how far a peer has.
     std::function<uint64_t()> engines_read_to;
     std::function<void(uint64_t offset)> hear_engines_read_to;
--- a/src/serving/copy_schedule.h
+++ b/src/serving/copy_schedule.h
@@ -1,18 +1,25 @@
 // When a gateway writes the engines' list to the copy that all gateways share.
 //
 // Every gateway has the same list, so one write serves all, and nobody is appointed to
-// make it.  After a change each waits for a time of its own choice; whoever comes first
-// writes, and tells the others by its datagrams which content the copy has.  Two that
-// write at the same moment write the same.
+// make it.  After a change each waits for a time of its own drawing, the longer the more
+// gateways hear of one another; whoever comes first writes, and tells the others by its
+// datagrams what the copy holds.  Two that write at the same moment write the same.
+//
+// Words on the copy pass from gateway to gateway and may be old when they come.  So each
+// write has a revision, one more than the highest that its writer knew, and only a higher
+// one replaces what is known: else two contents would go round and round, and everybody
+// whose list is the other one would write.
 //
 //   CopySchedule schedule(seed);
 //   schedule.NoteList(fingerprint, now);         // our list has changed
-//   schedule.NoteCopy(fingerprint);              // a peer says what the copy has
+//   schedule.NoteCopy(mark, now);                // a peer says what the copy has
 //   if (schedule.IsDue(now)) { write; schedule.NoteWritten(now); }
 
 #ifndef GULLWARD_SERVING_COPY_SCHEDULE_H_
 #define GULLWARD_SERVING_COPY_SCHEDULE_H_
 
+#include <algorithm>
+#include <compare>
 #include <cstdint>
 #include <random>
 
@@ -20,62 +27,89 @@
 
 namespace gullward {
 
+// What the copy holds, as far as a gateway knows.
+struct CopyMark {
+  // Of the write that it is from; 0 where none is known.
+  uint64_t revision = 0;
+  // The list's fingerprint; 0 where it is not known.
+  uint64_t content = 0;
+
+  auto operator<=>(const CopyMark&) const = default;
+};
+
 class CopySchedule {
  public:
   // Engines come and go in groups; each write is a call to the store.
   static constexpr Duration kSettle = milliseconds(300);
-  // Over which the gateways spread: a datagram of a peer takes milliseconds, and five
-  // gateways then write 1.1 times on the mean.
-  static constexpr Duration kSpread = milliseconds(1200);
-  // Between two writes of one gateway.
+  // Over which the gateways spread, at least and for each of them: the news of a write takes
+  // a third of a second, within which one more of them should come on the mean.
+  static constexpr Duration kLeastSpread = milliseconds(1200);
+  static constexpr Duration kSpreadForGateway = milliseconds(400);
+  // Between two writes of the copy, whoever makes them.
   static constexpr Duration kLeastPause = seconds(2);
 
   explicit CopySchedule(uint64_t seed) : random(seed) {}
 
+  // How many gateways tell each other of the copy.
+  void SetGateways(size_t count) {
+    this->spread = std::max<Duration>(kLeastSpread, count * kSpreadForGateway);
+  }
+
   // Our list has this content now.
   void NoteList(uint64_t fingerprint, Time now) {
     if (fingerprint == this->listed) return;
     this->listed = fingerprint;
-    this->due_at = now + kSettle + this->DrawSpread();
+    this->due_at = std::max(now + kSettle, this->paused_until) + this->DrawSpread();
   }
 
-  // The copy has this content, as a peer says.
-  void NoteCopy(uint64_t fingerprint) { this->copied = fingerprint; }
+  // The copy holds this, as a peer says.
+  void NoteCopy(const CopyMark& mark, Time now) {
+    if (mark <= this->copied) return;
+    this->copied = mark;
+    this->Pause(now);
+  }
 
   // We have begun to write our list.
   void NoteWritten(Time now) {
-    this->copied = this->listed;
-    this->written_at = now;
+    this->copied = {this->copied.revision + 1, this->listed};
+    this->Pause(now);
   }
 
   // The write failed: it is due again after the usual pause.
-  void NoteFailed() { this->copied = 0; }
+  void NoteFailed() { this->copied.content = 0; }
 
   // The store has lost what it held, and is to be left alone until then.
   void NoteLost(Time left_alone_until) {
-    this->copied = 0;
+    this->copied.content = 0;
+    this->paused_until = left_alone_until;
     this->due_at = left_alone_until + this->DrawSpread();
   }
 
   bool IsDue(Time now) const {
-    if (this->listed == 0 || this->listed == this->copied) return false;
-    return now >= this->due_at && now - this->written_at >= kLeastPause;
+    bool is_wanted = this->listed != 0 && this->listed != this->copied.content;
+    return is_wanted && now >= this->due_at;
   }
 
-  // The content that the copy has, as far as known; 0 where it is not.
-  uint64_t copied_content() const { return this->copied; }
+  // What we tell peers.
+  const CopyMark& copy() const { return this->copied; }
 
  private:
   Duration DrawSpread() {
-    std::uniform_int_distribution<int64_t> spread(0, kSpread.count());
-    return Duration(spread(this->random));
+    std::uniform_int_distribution<int64_t> draw(0, this->spread.count());
+    return Duration(draw(this->random));
+  }
+
+  void Pause(Time now) {
+    this->paused_until = now + kLeastPause;
+    this->due_at = this->paused_until + this->DrawSpread();
   }
 
   std::mt19937_64 random;
+  Duration spread = kLeastSpread;
   uint64_t listed = 0;
-  uint64_t copied = 0;
+  CopyMark copied;
   Time due_at{};
-  Time written_at{};
+  Time paused_until{};
 };
 
 }  // namespace gullward
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -95,13 +95,14 @@
   for (const QuarantineWord& word : news.quarantined) {
     quarantined.emplace_back(word.content, ToMillis(word.left));
   }
-  builder.Finish(fb::CreateLoadDigest(
-      builder, builder.CreateString(digest.box), digest.incarnation, digest.sequence,
-      builder.CreateVector(entries), freshness, builder.CreateVector(set_aside),
-      digest.engines_copied, digest.engines_read_to, digest.is_offer,
-      VectorOrNone(&builder, crashes),
-      news.answered.empty() ? 0 : builder.CreateVector(news.answered),
-      VectorOrNone(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled));
+  builder.Finish(
+      fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
+                           digest.sequence, builder.CreateVector(entries), freshness,
+                           builder.CreateVector(set_aside), digest.engines_copied.content,
+                           digest.engines_read_to, digest.is_offer, VectorOrNone(&builder, crashes),
+                           news.answered.empty() ? 0 : builder.CreateVector(news.answered),
+                           VectorOrNone(&builder, quarantined), ToPacked(digest.store_epoch),
+                           digest.epoch_is_settled, digest.engines_copied.revision));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -115,7 +116,7 @@
   digest.box = packed->box()->str();
   digest.incarnation = packed->incarnation();
   digest.sequence = packed->sequence();
-  digest.engines_copied = packed->engines_copied();
+  digest.engines_copied = {packed->engines_copied_revision(), packed->engines_copied()};
   digest.engines_read_to = packed->engines_read_to();
   if (packed->store_epoch()) digest.store_epoch = *packed->store_epoch();
   digest.epoch_is_settled = packed->epoch_is_settled();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "serving/copy_schedule.h"
 #include "serving/crash_news.h"
 #include "serving/engine_load.h"
 #include "serving/peer_freshness.h"
@@ -30,8 +31,8 @@
   std::optional<FreshnessNote> freshness;
   // Engines that the sender has set aside; serving/peer_suspicion.h.
   std::set<std::string> set_aside;
-  // The content of the copy of the engines' list; gateway/engine_list_copy.h.
-  uint64_t engines_copied = 0;
+  // What the copy of the engines' list holds; gateway/engine_list_copy.h.
+  CopyMark engines_copied;
   // The offset after the last change of the engines' list that the sender has read.
   uint64_t engines_read_to = 0;
   // The store's epoch to which that offset belongs, nothing where the store tells none, and
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -436,16 +436,18 @@
   for (int change = 1; change <= kChanges; ++change) {
     uint64_t content = static_cast<uint64_t>(change);
     for (CopySchedule& schedule : schedules) schedule.NoteList(content, now);
-    Time until = now + CopySchedule::kLeastPause + CopySchedule::kSettle + CopySchedule::kSpread;
+    Time until =
+        now + CopySchedule::kLeastPause + CopySchedule::kSettle + CopySchedule::kLeastSpread;
     for (; now < until; now += milliseconds(1)) {
       for (CopySchedule& schedule : schedules) {
         if (!schedule.IsDue(now)) continue;
         schedule.NoteWritten(now);
         writes += 1;
-        for (CopySchedule& other : schedules) other.NoteCopy(content);
+        const CopyMark mark = schedule.copy();
+        for (CopySchedule& other : schedules) other.NoteCopy(mark, now);
       }
     }
-    for (const CopySchedule& schedule : schedules) BOOST_TEST(schedule.copied_content() == content);
+    for (const CopySchedule& schedule : schedules) BOOST_TEST(schedule.copy().content == content);
   }
   BOOST_TEST(writes >= kChanges);
   BOOST_TEST(writes <= kChanges + kChanges / 4);
@@ -456,15 +458,64 @@
   BOOST_TEST(!schedule.IsDue(kStart));
   schedule.NoteList(7, kStart);
   BOOST_TEST(!schedule.IsDue(kStart));
-  Time due = kStart + CopySchedule::kSettle + CopySchedule::kSpread;
+  Time due = kStart + CopySchedule::kSettle + CopySchedule::kLeastSpread;
   BOOST_TEST(schedule.IsDue(due));
   schedule.NoteWritten(due);
-  BOOST_TEST(!schedule.IsDue(due + CopySchedule::kLeastPause));
+  Time next_due = due + CopySchedule::kLeastPause + CopySchedule::kLeastSpread;
+  BOOST_TEST(!schedule.IsDue(next_due));
   schedule.NoteFailed();
   BOOST_TEST(!schedule.IsDue(due));
-  BOOST_TEST(schedule.IsDue(due + CopySchedule::kLeastPause));
-  schedule.NoteCopy(7);
-  BOOST_TEST(!schedule.IsDue(due + CopySchedule::kLeastPause));
+  BOOST_TEST(!schedule.IsDue(due + CopySchedule::kLeastPause - milliseconds(1)));
+  BOOST_TEST(schedule.IsDue(next_due));
+  schedule.NoteCopy({2, 7}, next_due);
+  BOOST_TEST(!schedule.IsDue(next_due + seconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(AnOldWordOnTheCopyReplacesNoNewerOne) {
+  CopySchedule schedule(1);
+  schedule.NoteCopy({5, 50}, kStart);
+  schedule.NoteCopy({4, 40}, kStart);
+  BOOST_TEST(schedule.copy().content == 50u);
+  schedule.NoteCopy({6, 60}, kStart);
+  BOOST_TEST(schedule.copy().content == 60u);
+}
+
+// Engines come and go twice a second, each gateway reads of it at a moment of its own, and
+// words on the copy take up to half a second and pass on what was heard before.
+BOOST_AUTO_TEST_CASE(AListThatNeverRestsIsCopiedOnceInTheUsualPause) {
+  const Duration time = seconds(60);
+  for (size_t gateways : {5, 30, 100}) {
+    std::mt19937_64 random(gateways);
+    auto within = [&](int ms) { return milliseconds(random() % static_cast<uint64_t>(ms)); };
+    std::vector<CopySchedule> schedules;
+    std::vector<Time> tells(gateways, kStart);
+    std::vector<Time> reads(gateways, kStart);
+    for (size_t i = 0; i < gateways; ++i) {
+      schedules.emplace_back(i + 1);
+      schedules.back().SetGateways(gateways);
+    }
+    int writes = 0;
+    for (Time now = kStart; now < kStart + time; now += milliseconds(10)) {
+      uint64_t list = 1 + static_cast<uint64_t>(ToSeconds(now - kStart) * 2);
+      for (size_t i = 0; i < gateways; ++i) {
+        if (now >= reads[i]) {
+          schedules[i].NoteList(list, now);
+          reads[i] = now + milliseconds(500) + within(1000);
+        }
+        if (schedules[i].IsDue(now)) {
+          schedules[i].NoteWritten(now);
+          writes += 1;
+        }
+        if (now < tells[i]) continue;
+        tells[i] = now + milliseconds(250) + within(250);
+        const CopyMark mark = schedules[i].copy();
+        for (CopySchedule& other : schedules) other.NoteCopy(mark, now);
+      }
+    }
+    double pauses = ToSeconds(time) / ToSeconds(CopySchedule::kLeastPause);
+    BOOST_TEST(writes <= 1.5 * pauses, gateways << " gateways: " << writes);
+    BOOST_TEST(writes >= pauses / 3, gateways << " gateways: " << writes);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(KeysAreTrustedFromTheSendingOfTheRead) {
