--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -57,9 +57,8 @@
     this->Refuse(ResultCode::kNoEndpoint);
     return;
   }
-  if (this->RefusesContent(now)) {
-    this->Refuse(ResultCode::kQuarantined,
-                 this->state->crash_watch->RefusedFor(this->Content(), now));
+  if (std::optional<Duration> wait = this->ContentRefusedFor(now)) {
+    this->Refuse(ResultCode::kQuarantined, wait);
     return;
   }
   this->state->fleet.RetriesOf(this->service->name)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,7 +95,7 @@
   ContentId Content();
   void NoteBrokenOff();
   void NoteWhole(AttemptResult result);
-  bool RefusesContent(Time now);
+  std::optional<Duration> ContentRefusedFor(Time now);
   bool MayEndAnother(Time now);
   void FollowEnginesEnded(NextStep step, AttemptResult result);
   void AfterAttempt(AttemptResult result);
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -36,13 +36,13 @@
 bool Exchange::MayEndAnother(Time now) {
   CrashWatch& watch = *this->state->crash_watch;
   if (!this->broke_off || !watch.knows_any()) return false;
-  return this->RefusesContent(now) || !watch.AllowsSecondAttempt(this->Content());
+  return this->ContentRefusedFor(now) || !watch.AllowsSecondAttempt(this->Content());
 }
 
-// Whether requests of this content have ended engines, so that no other gets it.
-bool Exchange::RefusesContent(Time now) {
+// For how long no engine gets this content, since requests of it have ended engines.
+std::optional<Duration> Exchange::ContentRefusedFor(Time now) {
   CrashWatch& watch = *this->state->crash_watch;
-  return watch.knows_any() && watch.RefusedFor(this->Content(), now).has_value();
+  return watch.knows_any() ? watch.RefusedFor(this->Content(), now) : std::nullopt;
 }
 
 // What follows where another attempt would end another engine.
@@ -53,7 +53,7 @@
     return;
   }
   this->Refuse(this->may_have_run ? ResultCode::kEnginesEnded : ResultCode::kQuarantined,
-               this->state->crash_watch->RefusedFor(this->Content(), Now()));
+               this->ContentRefusedFor(Now()));
 }
 
 }  // namespace gullward
--- a/src/serving/quarantine.cc
+++ b/src/serving/quarantine.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 namespace gullward {
+
 EngineKey EngineKeyOf(std::string_view incarnation) {
   return XXH3_64bits(incarnation.data(), incarnation.size());
 }
@@ -21,6 +22,8 @@
   if (record.cleared_at && now - *record.cleared_at < kClearedFor) return false;
   auto is_same = [&](const Crash& crash) { return crash.engine == report.engine; };
   if (std::any_of(record.crashes.begin(), record.crashes.end(), is_same)) return false;
+  // From now on the content is remembered as a suspect, no longer as one that was answered.
+  record.cleared_at.reset();
   if (record.crashes.size() == kMostEnginesKept) record.crashes.erase(record.crashes.begin());
   bool sent_on = sent && !record.crashes.empty() && *sent > record.crashes.front().heard;
   record.was_sent_on = record.was_sent_on || sent_on;
@@ -96,9 +99,7 @@
 bool Quarantine::IsGuilty(ContentId content, const Record& record) const {
   if (!this->IsToBeJudged(record)) return false;
   if (record.crashes.size() >= kMostCrashes) return true;
-  std::vector<Crash> crashes = this->Unexplained(record);
-  return crashes.size() >= kCrashesBeyondDoubt ||
-         this->PointingAt(content, crashes) >= kCrashesNeeded;
+  return this->PointingAt(content, this->Unexplained(record)) >= kCrashesNeeded;
 }
 
 // Those with most engines come first: they may explain the engines of the others.
@@ -130,6 +131,7 @@
   }
   Record& record = found->second;
   if (record.cleared_at && now - *record.cleared_at < kClearedFor) return false;
+  record.cleared_at.reset();
   record.last_news = now;
   this->awaiting.erase(content);
   this->PutInto(&record, std::min(left, this->lasts), now);
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -19,8 +19,7 @@
 //     point at it: it has lost more engines than anything else that was there.  Else it is sent
 //     on, since the next engine will tell; the placement sends such contents to different
 //     engines (Demand::scatter_by).
-//   - With kCrashesBeyondDoubt unexplained engines it is put into quarantine in spite of
-//     company, and with kMostCrashes in spite of explanations.
+//   - With kMostCrashes engines it is put into quarantine in spite of company and explanations.
 //
 // A quarantine ends by itself after the time that the settings say, since engines get new
 // software; by an answer that had been under way, at once.
@@ -66,10 +65,8 @@
   // Engines lost under one content before it is kept from others.  Two may be chance: what is
   // on an engine that ends is sent to another, and that one may end as well.
   static constexpr size_t kCrashesNeeded = 3;
-  // Where chance or company cannot be the reason any more: each further engine costs
-  // everybody who is on it an answer.
-  static constexpr size_t kCrashesBeyondDoubt = 5;
-  // Whatever else explains them.  The users allow three engines more after the third; two
+  // Where neither chance nor company counts as the reason any more: each further engine costs
+  // everybody who is on it an answer.  The users allow three engines more after the third; two
   // gateways may each send a content on before they hear of one another's.
   static constexpr size_t kMostCrashes = 5;
   // From an engine's end until its news has come from all gateways: four hops of 25 ms each
--- a/src/serving/testing/quarantine_test.cc
+++ b/src/serving/testing/quarantine_test.cc
@@ -139,6 +139,21 @@
   BOOST_TEST(quarantine.NoteCrash({kInnocent, 10}, answered + Quarantine::kClearedFor));
 }
 
+// A content that was answered once is held against like any other from then on: what is noted
+// before the record of the answer is dropped must last as long.
+BOOST_AUTO_TEST_CASE(AnEndSoonAfterAnAnswerIsRememberedAsLongAsAnyOther) {
+  for (Duration after : {Quarantine::kClearedFor, Quarantine::kClearedFor + milliseconds(400)}) {
+    Quarantine quarantine(kLasts);
+    quarantine.NoteCrash({kInnocent, 1}, kStart);
+    quarantine.NoteAnswered(kInnocent, kStart);
+    BOOST_TEST(quarantine.NoteCrash({kInnocent, 2}, kStart + after));
+    quarantine.Tick(kStart + after + Quarantine::kClearedFor);
+    BOOST_TEST(quarantine.EnginesOf(kInnocent) == 1u);
+    quarantine.Tick(kStart + after + Quarantine::kSuspicionLasts);
+    BOOST_TEST(quarantine.EnginesOf(kInnocent) == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerLiftsAQuarantine) {
   Quarantine quarantine(kLasts);
   EndThree(&quarantine, kInnocent, kStart);
--- a/src/soak/main.cc
+++ b/src/soak/main.cc
@@ -16,6 +16,7 @@
 DEFINE_int32(engines, 4, "model engines");
 DEFINE_int32(gateways, 2, "gateways");
 DEFINE_int32(callers, 12, "callers");
+DEFINE_bool(returns, false, "the store comes back from older copies");
 DEFINE_bool(deadly, false, "one caller more sends a request that ends engines");
 
 int main(int argc, char** argv) {
@@ -31,6 +32,7 @@
     options.gateways = FLAGS_gateways;
     options.callers = FLAGS_callers;
     options.deadly = FLAGS_deadly;
+    options.returns = FLAGS_returns;
     Soak soak(options);
     std::vector<std::string> broken = soak.Run();
     std::printf("seed %lu: %lu sent, %lu served, %zu broken\n", seed, soak.sent(), soak.served(),
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -66,6 +66,11 @@
   return speed;
 }
 
+// Of the store's returns: how long it is away, and within what time the operator and the
+// engines have written again.
+constexpr Duration kMostOutage = milliseconds(900);
+constexpr Duration kWriteAgainWithin = milliseconds(1900);
+
 bool PromisesNotRun(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
@@ -81,7 +86,10 @@
 }  // namespace
 
 Soak::Soak(const SoakOptions& soak_options)
-    : options(soak_options), random(soak_options.seed), processes(soak_options.folder) {}
+    : options(soak_options),
+      random(soak_options.seed),
+      processes(soak_options.folder),
+      return_random(soak_options.seed) {}
 
 void Soak::Broken(const std::string& what) { this->broken.push_back(what); }
 
@@ -104,6 +112,7 @@
     this->loop.RunOnce(milliseconds(10));
     this->KeepRunning();
     this->CheckDeadlines();
+    if (this->options.returns) this->PlayReturns();
     if (Now() < next_harm) continue;
     this->HarmSomething();
     next_harm = Now() + milliseconds(50 + this->Draw(500));
@@ -117,7 +126,9 @@
 // ------------------------------------------------------------------ programs
 
 void Soak::StartAll() {
-  this->processes.Start("store", "standin-store", {});
+  std::vector<std::string> store_arguments;
+  if (this->options.returns) store_arguments.emplace_back("--epoch=1");
+  this->processes.Start("store", "standin-store", store_arguments);
   auto ready = [this](const std::string& name) {
     this->RunUntil([&] { return !this->processes.ReadyAddress(name).empty(); }, kStartPatience);
     absl::StatusOr<SocketAddress> address =
@@ -197,6 +208,7 @@
 }
 
 void Soak::PutRecord(std::string_view topic, const std::string& key, const std::string& value) {
+  this->since_copy[{std::string(topic), key}] = value;
   this->store_calls.emplace_back(platform::AppendKeyed(topic, {key, value}), nullptr);
   this->NextStoreCall();
 }
@@ -233,6 +245,8 @@
   config.services = {{kModels, "", 0, true, SpeedOfModels()}, {kApp, "", 0, false, {}}};
   config.accounts = {{"shop", {this->keys.begin(), this->keys.end()}, -1}};
   std::string text = platform::ConfigDocument(config).dump();
+  const std::string config_key(platform::kConfigKey);
+  this->since_copy[{std::string(platform::kConfigTopic), config_key}] = text;
   this->store_calls.emplace_back(
       platform::AppendKeyed(platform::kConfigTopic, {std::string(platform::kConfigKey), text}),
       [this, dropped] {
@@ -320,6 +334,38 @@
   }
 }
 
+// A copy, a while of work, a short outage, the return, and then everybody writes again.
+void Soak::PlayReturns() {
+  constexpr uint64_t kMostWorkMs = 3000;
+  constexpr uint64_t kMostRestMs = 4000;
+  if (Now() < this->next_return) return;
+  Duration work = milliseconds(200 + this->return_random() % kMostWorkMs);
+  Duration rest = milliseconds(this->return_random() % kMostRestMs);
+  this->next_return = Now() + work + kMostOutage + kWriteAgainWithin + rest;
+  this->processes.Signal("store", SIGHUP);
+  this->since_copy.clear();
+  this->Later(work, [this] { this->ReturnStore(); });
+}
+
+void Soak::ReturnStore() {
+  this->processes.Signal("store", SIGSTOP);
+  Duration outage = milliseconds(this->return_random() % kMostOutage.count() / 1000);
+  this->Later(outage, [this] {
+    this->processes.Signal("store", SIGHUP);
+    this->processes.Signal("store", SIGCONT);
+    this->WriteAgain();
+  });
+}
+
+void Soak::WriteAgain() {
+  for (const auto& [place, value] : this->since_copy) {
+    Duration after = Duration(this->return_random() % kWriteAgainWithin.count());
+    this->Later(after, [this, place = place] {
+      this->PutRecord(place.first, place.second, this->since_copy[place]);
+    });
+  }
+}
+
 // ------------------------------------------------------------------- callers
 
 void Soak::SendNext(size_t index) {
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/store_client.h"
@@ -44,6 +45,9 @@
   // One caller more sends a request that ends each engine that runs it, over and over.
   // Gateways then reach engines directly: a proxy would hide that nobody listens any more.
   bool deadly = false;
+  // The store comes back from older copies; what was written meanwhile, the operator and the
+  // engines write again.
+  bool returns = false;
 };
 
 class Soak {
@@ -106,6 +110,9 @@
   void HarmEngine();
   void HarmGateway();
   void HarmStore();
+  void PlayReturns();
+  void ReturnStore();
+  void WriteAgain();
   void Later(Duration delay, std::function<void()> task);
   void KeepRunning();
 
@@ -127,6 +134,11 @@
   std::unique_ptr<StoreClient> store;
   std::deque<std::pair<platform::HttpCallText, std::function<void()>>> store_calls;
   bool store_busy = false;
+  // Returns are drawn apart, so that a seed's other faults are the same with and without.
+  std::mt19937_64 return_random;
+  Time next_return{};
+  // The newest of each record written since the store's last copy, by topic and key.
+  std::map<std::pair<std::string, std::string>, std::string> since_copy;
   std::vector<EnginePlace> engines;
   std::vector<GatewayPlace> gateways;
   std::vector<Caller> callers;
