Soak: a shell that ends while a program stands still no longer ends the run

Where the shell that started it ends meanwhile, the group is orphaned with a stopped member, and the kernel sends SIGHUP to all of it: the soak ends without a line, and gateways, which take the signal as a reload, stay. Change: a handler that does nothing (programs would inherit an ignored signal).

--- a/src/soak/main.cc
+++ b/src/soak/main.cc
@@ -3,6 +3,7 @@
 //   gullward-soak --seed 1 --runs 50 --seconds 10 --folder /tmp/soak
 
 #include <gflags/gflags.h>
+#include <signal.h>
 
 #include <cstdio>
 
@@ -22,6 +23,10 @@
 int main(int argc, char** argv) {
   using namespace gullward;
   InitProcess("gullward-soak: real programs under faults", &argc, &argv);
+  // A shell that ends while one of our programs stands still would end this one: the kernel
+  // hangs up on a group that nobody minds any more.  A handler, since programs inherit it if
+  // the signal is ignored.
+  signal(SIGHUP, [](int) {});
   uint64_t failed = 0;
   for (uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_runs; ++seed) {
     SoakOptions options;
