Soak: what the operator and engines had not been told of counts as unwritten

Records queued while the store took its copy were struck off the list of those to be written again. Change: a record is on that list from its acknowledgement; one that a later copy holds is not written again.

--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -208,8 +208,10 @@
 }
 
 void Soak::PutRecord(std::string_view topic, const std::string& key, const std::string& value) {
-  this->since_copy[{std::string(topic), key}] = value;
-  this->store_calls.emplace_back(platform::AppendKeyed(topic, {key, value}), nullptr);
+  this->store_calls.emplace_back(platform::AppendKeyed(topic, {key, value}),
+                                 [this, place = std::pair(std::string(topic), key), value] {
+                                   this->since_copy[place] = value;
+                                 });
   this->NextStoreCall();
 }
 
@@ -245,11 +247,11 @@
   config.services = {{kModels, "", 0, true, SpeedOfModels()}, {kApp, "", 0, false, {}}};
   config.accounts = {{"shop", {this->keys.begin(), this->keys.end()}, -1}};
   std::string text = platform::ConfigDocument(config).dump();
-  const std::string config_key(platform::kConfigKey);
-  this->since_copy[{std::string(platform::kConfigTopic), config_key}] = text;
   this->store_calls.emplace_back(
       platform::AppendKeyed(platform::kConfigTopic, {std::string(platform::kConfigKey), text}),
-      [this, dropped] {
+      [this, dropped, text] {
+        this->since_copy[{std::string(platform::kConfigTopic), std::string(platform::kConfigKey)}] =
+            text;
         if (!dropped.empty()) this->revoked[dropped] = Now();
       });
   this->NextStoreCall();
@@ -361,7 +363,9 @@
   for (const auto& [place, value] : this->since_copy) {
     Duration after = Duration(this->return_random() % kWriteAgainWithin.count());
     this->Later(after, [this, place = place] {
-      this->PutRecord(place.first, place.second, this->since_copy[place]);
+      auto newest = this->since_copy.find(place);
+      bool is_in_a_later_copy = newest == this->since_copy.end();
+      if (!is_in_a_later_copy) this->PutRecord(place.first, place.second, newest->second);
     });
   }
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -137,7 +137,7 @@
   // Returns are drawn apart, so that a seed's other faults are the same with and without.
   std::mt19937_64 return_random;
   Time next_return{};
-  // The newest of each record written since the store's last copy, by topic and key.
+  // The newest of each record acknowledged since the store's last copy, by topic and key.
   std::map<std::pair<std::string, std::string>, std::string> since_copy;
   std::vector<EnginePlace> engines;
   std::vector<GatewayPlace> gateways;
