--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -109,7 +109,6 @@
   LoadExchange::Hooks hooks;
   hooks.version = [this] { return this->ConfigVersion(); };
   hooks.proved = [this] { return this->state.keys.confirmed_at(); };
-  hooks.store_answered = [this](Time at) { this->store_recovery.NoteAnswerElsewhere(at); };
   hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
   hooks.behind = [this](uint64_t version, const Peer& peer) {
     this->OnNewerVersion(version, peer);
@@ -402,7 +401,6 @@
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
   this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
-  this->store_recovery.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
     this->engine_list_copy.NoteList(this->state.fleet.directory().Listed(), now);
   }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -154,7 +154,6 @@
   std::optional<Time> proved =
       this->freshness.Hear(digest.box, digest.incarnation, *digest.freshness, own_version, Now());
   if (proved) this->hooks.confirm(*proved);
-  this->hooks.store_answered(Now() - digest.freshness->proved_ago);
   if (digest.freshness->config_version <= own_version) return;
   const Peer* peer = this->directory.Find(digest.box);
   this->hooks.behind(digest.freshness->config_version,
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -60,8 +60,6 @@
     std::function<uint64_t()> version;
     // When our own version was last proved current.
     std::function<Time()> proved;
-    // The store answered a peer at about that time.
-    std::function<void(Time)> store_answered;
     // A peer has proved our version current at that time.
     std::function<void(Time)> confirm;
     // A peer has a newer version than we.
--- a/src/gateway/store_recovery.cc
+++ b/src/gateway/store_recovery.cc
@@ -8,7 +8,6 @@
 namespace gullward {
 
 void StoreRecovery::Wait(std::function<void()> retry) {
-  if (this->waiting.empty()) this->last_try = Now();
   this->waiting.push_back(std::move(retry));
   this->StartPause();
 }
@@ -19,15 +18,11 @@
   for (const std::function<void()>& retry : all) retry();
 }
 
-void StoreRecovery::NoteAnswerElsewhere(Time at) {
-  if (at > this->last_try) this->TryNext();
-}
-
 void StoreRecovery::StartPause() {
   if (this->pausing || this->waiting.empty()) return;
   this->pausing = true;
   Duration pause = this->next_pause;
-  this->next_pause = std::min(2 * pause, this->longest_pause);
+  this->next_pause = std::min(2 * pause, kLongestPause);
   this->loop->RunAfter(pause, [this] {
     this->pausing = false;
     this->TryNext();
@@ -38,7 +33,6 @@
   if (this->waiting.empty()) return;
   std::function<void()> retry = std::move(this->waiting.front());
   this->waiting.pop_front();
-  this->last_try = Now();
   retry();
   this->StartPause();
 }
--- a/src/gateway/store_recovery.h
+++ b/src/gateway/store_recovery.h
@@ -5,10 +5,6 @@
 // those who wait tries after each pause, in turn, and the first answer that anyone
 // gets lets all the others go on at once.
 //
-// The same holds among gateways: the more there are, the longer each pauses, and a peer's word
-// that the store has answered it lets one of those who wait here try at once.  Where the
-// store turns this gateway alone away, that costs one call for each of the peers' proofs.
-//
 // It also keeps what all of them know of the store's returns (store_returns.h).
 //
 //   StoreRecovery recovery(&loop);
@@ -20,7 +16,6 @@
 #ifndef GULLWARD_GATEWAY_STORE_RECOVERY_H_
 #define GULLWARD_GATEWAY_STORE_RECOVERY_H_
 
-#include <algorithm>
 #include <deque>
 #include <functional>
 
@@ -36,8 +31,6 @@
   // must be noticed within a fraction of a second.
   static constexpr Duration kFirstPause = milliseconds(100);
   static constexpr Duration kLongestPause = milliseconds(400);
-  // The longest pause of a larger fleet, for each of its gateways: so often one of them tries.
-  static constexpr Duration kPauseForGateway = milliseconds(20);
 
   explicit StoreRecovery(EventLoop* event_loop) : loop(event_loop), returns_seen(event_loop) {}
 
@@ -47,15 +40,6 @@
   // A call has worked: all who wait try at once.
   void NoteAnswer();
 
-  // The store answered a peer at that time: one who waits tries at once, unless the last try
-  // was later.
-  void NoteAnswerElsewhere(Time at);
-
-  // How many gateways tell each other when the store answers.
-  void SetGateways(size_t count) {
-    this->longest_pause = std::max<Duration>(kLongestPause, count * kPauseForGateway);
-  }
-
   StoreReturns& returns() { return this->returns_seen; }
   const StoreReturns& returns() const { return this->returns_seen; }
 
@@ -68,8 +52,6 @@
   std::deque<std::function<void()>> waiting;
   // The first again once the store has answered.
   Duration next_pause = kFirstPause;
-  Duration longest_pause = kLongestPause;
-  Time last_try{};
   bool pausing = false;
 };
 
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -368,30 +368,6 @@
   BOOST_TEST(freed == 4);
 }
 
-// In a large fleet each waits for longer, and a peer's word lets one try; a word that is older
-// than the last try says nothing new.
-BOOST_AUTO_TEST_CASE(InALargeFleetAPeersWordTakesThePlaceOfTries) {
-  EventLoop loop;
-  StoreRecovery recovery(&loop);
-  recovery.SetGateways(100);
-  int tries = 0;
-  std::function<void()> try_once = [&] {
-    tries += 1;
-    recovery.Wait(try_once);
-  };
-  recovery.Wait(try_once);
-  loop.RunAfter(milliseconds(3000), [&loop] { loop.Stop(); });
-  loop.Run();
-  // 0.1, 0.3, 0.7 and 1.5 s; with the pauses of a small fleet there would be eight.
-  BOOST_TEST(tries <= 4);
-  BOOST_TEST(tries >= 3);
-  int before = tries;
-  recovery.NoteAnswerElsewhere(Now() - seconds(60));
-  BOOST_TEST(tries == before);
-  recovery.NoteAnswerElsewhere(Now());
-  BOOST_TEST(tries == before + 1);
-}
-
 // Peers that have the news remind a gateway ten times a second that it is behind.
 struct RemindedFollower {
   RemindedFollower()
