Refusals in a file of their own; one port number for peers; comments tell no tuning

And a finding of the whole test run: the TCP port of the same number as a datagram port that the kernel chose was taken 20 times in one run of the tests (line no_config_for_peers), so config_from_peers_test failed once: nobody handed anything on. Trace: the line in its log.

--- a/src/gateway/config_from_peers.h
+++ b/src/gateway/config_from_peers.h
@@ -46,6 +46,8 @@
   ConfigFromPeers(EventLoop* event_loop, Hooks config_hooks);
 
   absl::Status Listen(const SocketAddress& address);
+  // The port that it listens on.
+  uint16_t port() const { return this->listener.port(); }
 
   // Asks a peer, unless a question is under way.  Whether it did.
   bool Ask(const SocketAddress& peer);
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -10,9 +10,6 @@
 //   watch.NoteBroken(engine, content, sent, line); // an attempt broke off
 //   watch.NoteAnswered(content, now);              // one was answered whole
 //   watch.Tick(now);
-//
-// On a simulated day of 18 engines and five gateways, on which requests of four contents ended
-// every engine that ran them, 116 engines were lost in a day without this.
 
 #ifndef GULLWARD_GATEWAY_CRASH_WATCH_H_
 #define GULLWARD_GATEWAY_CRASH_WATCH_H_
--- a/src/gateway/engine_list_copy.h
+++ b/src/gateway/engine_list_copy.h
@@ -17,10 +17,8 @@
 //   copy.Tick(now);                   // a few times a second
 //   copy.Read();                      // the list cannot be read
 //
-// On a day on which all boxes lose power while a third of the store is away, the worth
-// served in the two worst windows of two seconds rose from 0.15 to 0.37 of what was owed,
-// and that of the whole day by 0.02 (ten simulated days).  It costs a call
-// of the store for each change of the list, at most one every two seconds.
+// It costs the fleet a call of the store for each change of the list, at most about one every
+// two seconds.
 
 #ifndef GULLWARD_GATEWAY_ENGINE_LIST_COPY_H_
 #define GULLWARD_GATEWAY_ENGINE_LIST_COPY_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -12,6 +12,7 @@
 #include "gateway/failure_answer.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
+#include "serving/refusal.h"
 
 namespace gullward {
 namespace {
--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -15,8 +15,7 @@
 // The engines' list has no prover.  But whoever reads anew and finds news tells how far it
 // has read, and its neighbours read anew as well: so it is enough that in each cell one read
 // ends every now and then.  Each waits the longer the more neighbours there are, up to what
-// the store allows, for a time of its own drawing.  With the configuration's longer wait
-// this is 1,200 calls fewer of 3,400, for 103 gateways in 48 simulated seconds.
+// the store allows, for a time of its own drawing.
 constexpr double kNeighboursAWait = 4;
 constexpr Duration kLongestListWait = seconds(24);
 // Over which gateways that start together spread their reading of the list, for each engine
@@ -60,8 +59,7 @@
 
 // A peer has read a change of the engines' list that our waiting read did not bring.
 // The store answers such reads late now and then, with the change after that: an engine
-// that leaves must be left alone within two seconds, and 24 of 120 reads of one such
-// change came 2.5 s late.
+// that leaves must be left alone within two seconds.
 void GatewayServer::OnLongerEngineList(uint64_t offset) {
   if (!this->state.fleet.mechanisms().catch_up_with_peers) return;
   std::optional<uint64_t> own = this->engine_follower.position();
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -263,12 +263,16 @@
   if (!status.ok()) return status;
   status = this->metrics_listener.Listen(this->loop, settings.metrics, operators_hook);
   if (!status.ok()) return status;
-  status = this->load_exchange.Start();
-  if (!status.ok()) return status;
-  status = this->config_from_peers.Listen(this->load_exchange.address());
-  if (!status.ok()) {
+  // One number for both: first the one of which more are taken.
+  uint16_t peers_port = settings.peers.port;
+  status = this->config_from_peers.Listen(settings.peers);
+  if (status.ok()) {
+    peers_port = this->config_from_peers.port();
+  } else {
     this->log.Write(LogLine("no_config_for_peers").Text("reason", StdView(status.message())));
   }
+  status = this->load_exchange.Start(peers_port);
+  if (!status.ok()) return status;
   this->state.tell_peers = [this] { this->load_exchange.Tell(Now()); };
   this->config_follower.Start();
   if (this->state.fleet.mechanisms().copy_engine_list) {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -54,7 +54,8 @@
       hooks(std::move(exchange_hooks)),
       freshness(own_incarnation) {}
 
-absl::Status LoadExchange::Start() {
+absl::Status LoadExchange::Start(uint16_t port) {
+  this->own_address.port = port;
   absl::Status status =
       this->socket.Bind(this->loop, this->own_address,
                         [this](std::string_view datagram) { this->OnDatagram(datagram); });
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -86,7 +86,8 @@
                Fleet* shared_fleet, EventLog* event_log, StoreRecovery* store_recovery,
                Hooks exchange_hooks);
 
-  absl::Status Start();
+  // Hears peers at `port`; 0 leaves the choice to the kernel.
+  absl::Status Start(uint16_t port);
 
   // Sends what has changed since it was last told: at once, for new work that others
   // must not plan over.
@@ -98,9 +99,6 @@
   // the topic lacks it.
   void OnStoreReturn() { this->is_registered = false; }
 
-  // Where peers reach us; the port is known once Start has been called.
-  const SocketAddress& address() const { return this->own_address; }
-
   // Tells how current our configuration is: at once after a proof of our own.
   void TellFreshness(Time now);
 
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -17,9 +17,6 @@
 // return from an older copy (store_returns.h) the pages are read anew; pages of two epochs
 // are not put together.
 //
-// A gateway that had been cut off through 37 versions of a configuration of 52 KB read
-// 3.8 MB in 2.0 s on a link of 20 Mbit/s before that; the newest version is 70 KB, 0.03 s.
-//
 //   TopicFollower follower(&loop, store, {.topic = ..., .wait = seconds(2)}, hooks);
 //   follower.Start();
 
--- a/src/serving/cell_map.h
+++ b/src/serving/cell_map.h
@@ -29,10 +29,8 @@
 //   Cell home = cells.HomeOf("box-7", "hall-1");
 //   bool mine = cells.CellOf(engine) == home;
 //
-// At 103 gateways and 150 engines in five data centres, telling and pricing all took 110 s of
-// processor time and 0.95 GB between data centres in a simulated day of 48 s, with cells 33 s
-// and 0.05 GB; the worth served rose from 0.54 to 0.75 of what was owed, since the gateways'
-// small boxes answer sooner and fewer of them choose the same engine at once.
+// What a gateway tells and prices then depends on its cell and not on the fleet, and fewer
+// gateways choose the same engine in the same instant.
 
 #ifndef GULLWARD_SERVING_CELL_MAP_H_
 #define GULLWARD_SERVING_CELL_MAP_H_
--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -24,9 +24,8 @@
 // for than is known, such as work that others sent in the same instant.
 constexpr double kWaitSafety = 0.6;
 // The same for prompts that take longer to read than one pass: others that come right
-// after are read first.  Under bursts of vast prompts their first event came at twice
-// the predicted time (quiet-1 of the grown sites: 2,300 ms predicted, 4,000 to 5,000
-// seen).  More engines then read each of them.
+// after are read first, so that under bursts of them a first event may take twice the
+// predicted time.  More engines then read each of them.
 constexpr double kLongReadSafety = 0.3;
 // Small preferences, that decide among equals only: for an early first event, for a
 // place in the shared order, for each reader.
--- a/src/serving/engine_patience.h
+++ b/src/serving/engine_patience.h
@@ -38,10 +38,8 @@
 }
 
 // A first event that is late anyway is waited for up to so many times its objective.
-// Callers leave at four times, and another engine needs time too.  Prompts of 120,000
-// to 260,000 tokens whose helpers had newer work to do first were left at 2.2 to 4.4 s
-// and read again from their start: 0.006 of all worth at a site whose engines are 70 to
-// 95 in 100 busy (60 simulated days, standard error 0.003).
+// Callers leave at four times, and another engine needs time too.  Without it prompts whose
+// helpers have newer work to do first would be left and read again from their start.
 inline constexpr double kLateObjectives = 2;
 
 // The same for a first event with an objective: where a second engine, left to at the
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "serving/refusal.h"
+
 namespace gullward {
 namespace {
 
--- a/src/serving/freshness.h
+++ b/src/serving/freshness.h
@@ -8,10 +8,7 @@
 // An operator who does not bound the taking away of keys is served better by
 // keys that hold until a newer configuration says otherwise: while the store is
 // down, every box would otherwise refuse every request that needs a key once the
-// bound has passed, though all engines are free.  Measured on five boxes whose
-// store was down for eight seconds: 459 such refusals, the two worst two-second
-// windows at 0.15 and 0.06 of their worth, the day's worth 0.48; with keys that
-// hold until changed, 0.69.
+// bound has passed, though all engines are free.
 //
 //   KeyFreshness freshness(seconds(5), KeyTrust::kBounded);
 //   freshness.Confirm(read_sent_at);
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -1,11 +1,10 @@
 // Switches for the mechanisms by which a gateway chooses engines and refuses
 // work, each on by default.
 //
-// Every mechanism can be switched off alone, so that what it is worth can be
-// measured: play the same day with and without it, and compare.  Switched off,
-// a mechanism falls back to the plainest choice that still serves (see each
-// field); only the last one lets a rule be broken.  docs/WORTH.md holds the table of
-// what each was worth when it was last measured.
+// Every mechanism can be switched off alone, so that the same day can be played with
+// and without it.  Switched off, a mechanism falls back to the plainest choice that
+// still serves (see each field); only the last one lets a rule be broken.
+// docs/WORTH.md says what each is worth.
 //
 //   Mechanisms mechanisms;
 //   mechanisms.refusal_by_cost = false;     // refuse only what cannot be run
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -12,25 +12,10 @@
 namespace gullward {
 namespace {
 
-// What a second of an engine earns when all are busy: shorts earn about nine,
-// prompts of 210,000 tokens six and a half (both sheets' worths over the engine
-// time that the published figures give).
-constexpr double kWorthPerEngineSecond = 8;
-// A request that was refused before may cost others so many times what it earns.
-constexpr double kComeBackShare = 1.2;
-// A request is refused for being late only from this share of its aim on: here a wrong
-// guess loses the whole answer, among placements only some engine time.
-constexpr double kRefusalSafety = 0.6;
-// A wait for a slot of this share of the objective counts as the cause of a late
-// answer.
-constexpr double kHopelessSlotShare = 0.8;
 // Streams are kept together: among engines that would do, a long prompt is sent to one
 // that has streams already, and its helpers are those that have few.  So more engines
 // have none and can read in long passes, and streams end sooner.  By how much a held-up
-// stream weighs in these orders, but not in the price.  Worth 0.008 of all worth at a
-// site of 18 engines that are 70 to 95 in 100 busy with vast prompts (132 simulated days,
-// standard error 0.003); twice the weight gains the same, five times nothing.  Weighed in
-// the price it cost 0.02 to 0.08: fewer engines read each prompt.
+// stream weighs in these orders.  Not in the price: fewer engines would read each prompt.
 constexpr double kTogetherWeight = 0.06;
 
 // A request that takes more of an engine than this is spread over its readers.
@@ -159,17 +144,6 @@
   return best;
 }
 
-bool ShouldRefuse(const Placement& placement, const Demand& demand) {
-  double late = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
-  double earned = WorthOf(demand.prompt_tokens) * (1 - kLateLoss * late);
-  double taken = kWorthPerEngineSecond * placement.engine_seconds;
-  double price = placement.harm + placement.busy * placement.busy * taken;
-  double share = demand.came_back ? kComeBackShare : 1;
-  if (price > share * earned) return true;
-  bool slots_bind = placement.slot_wait_ms > kHopelessSlotShare * demand.objective_ms;
-  return slots_bind && placement.first_event_ms > demand.objective_ms;
-}
-
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates) {
   Placement best;
   best.cost = std::numeric_limits<double>::infinity();
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -115,12 +115,6 @@
 Placement Choose(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
                  const Demand& demand, const PlacementOptions& options = {});
 
-// Whether a request is better refused at once and told when to come back: what it
-// would cost others (pauses of their streams, and engine time that busy engines
-// have not got) is more than it would earn, or every slot is taken and the wait for
-// one alone makes its answer late.  Never on engines that are idle.
-bool ShouldRefuse(const Placement& placement, const Demand& demand);
-
 // For plain services: the least loaded for its slots.
 Placement ChooseLeastLoaded(const std::vector<Candidate>& candidates);
 
--- a/src/serving/retry_bucket.h
+++ b/src/serving/retry_bucket.h
@@ -15,8 +15,8 @@
 // In any window, and through any number of restarts, the lives of one process then spend no
 // more than the ratio of the requests of that window, and what was saved at its begin, and
 // what flowed in: the part of the slack, as long as a fifth of a window's requests earns less
-// than half of it.  Saving the ratio of a whole window of requests instead, five processes
-// that died after seconds of failures exceeded the bound in 40 of 40 simulated runs.
+// than half of it.  With the ratio of a whole window of requests, processes that die after
+// seconds of failures would exceed the bound.
 //
 //   RetryBucket bucket(bounds, process_started);
 //   bucket.AddRequest(sent, now);
--- a/src/serving/spill.h
+++ b/src/serving/spill.h
@@ -11,9 +11,7 @@
 //   spill.Hear("box-40", {"e-7", "e-9"}, now);
 //   for (const std::string& engine : spill.Engines(now)) ...
 //
-// On three simulated days of 103 gateways, without the price of processor time, it was worth
-// 0.02, 0.01 and -0.02 of what was owed (one play each, which differ by up to 0.02 by luck); it
-// is kept for what it protects, a cell whose data centre has more callers than engines.
+// It protects a cell whose data centre has more callers than engines.
 //
 // What is kept is bounded: the last kSenders who told, for as long as it holds.
 
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "serving/refusal.h"
+
 namespace gullward {
 namespace {
 
