--- a/src/gateway/testing/store_return_test.cc
+++ b/src/gateway/testing/store_return_test.cc
@@ -6,15 +6,20 @@
 // be in: reading pages, waiting at the tail, proving, starting, cut off.
 
 #define BOOST_TEST_MODULE store_return
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/crash_watch.h"
 #include "gateway/testing/gateway_world.h"
-#include "platform/headers.h"
+#include "serving/quarantine_entry.h"
 
 namespace gullward {
 namespace {
@@ -304,5 +309,65 @@
   BOOST_TEST(world.store.appended(kOwnTopic) <= 4);
 }
 
+// A gateway's watch over contents in quarantine, beside a store that has lost their entries.
+struct WatchedStore {
+  WatchedStore() : store(&loop), recovery(&loop), log(STDOUT_FILENO) {
+    CrashWatch::Options options;
+    options.box = "box-1";
+    options.store = this->store.address();
+    CrashWatch::Hooks hooks;
+    hooks.was_in_use = [](const EngineRecord&) { return true; };
+    this->watch =
+        std::make_unique<CrashWatch>(&this->loop, options, &this->recovery, &this->log, hooks);
+  }
+
+  // An entry of the topic that lasts for an hour.
+  static std::string Entry() {
+    QuarantineEntry entry;
+    auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    entry.until_ms = std::chrono::duration_cast<milliseconds>(since_epoch).count() + 3'600'000;
+    entry.judged_by = "box-2";
+    return EncodeQuarantineEntry(entry);
+  }
+
+  EventLoop loop;
+  StoreStandin store;
+  StoreRecovery recovery;
+  EventLog log;
+  std::unique_ptr<CrashWatch> watch;
+};
+
+constexpr ContentId kContent = 7;
+
+BOOST_AUTO_TEST_CASE(WhatIsInQuarantineIsWrittenAgain) {
+  WatchedStore world;
+  Time now = Now();
+  world.watch->OnRecord(kContent, WatchedStore::Entry(), now);
+  BOOST_TEST(world.watch->RefusedFor(kContent, now).has_value());
+  world.watch->OnStoreReturn(now);
+  Time all_drawn = now + QuarantineStore::kOthersWait + QuarantineStore::kOthersSpread;
+  world.watch->TickSlowly(all_drawn + seconds(1));
+  Time until = Now() + kTestPatience;
+  while (world.store.appended(kOwnTopic) == 0 && Now() < until) {
+    world.loop.RunOnce(milliseconds(5));
+  }
+  BOOST_TEST(!world.store.Newest(kOwnTopic, QuarantineKey(kContent)).empty());
+  // The topic shows it: nothing more is written.
+  world.watch->TickSlowly(all_drawn + seconds(2));
+  BOOST_TEST(world.store.appended(kOwnTopic) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AQuarantineThatWasLiftedDoesNotReturn) {
+  WatchedStore world;
+  const std::string entry = WatchedStore::Entry();
+  Time now = Now();
+  world.watch->OnRecord(kContent, entry, now);
+  world.watch->NoteAnswered(kContent, now);
+  Time after_return = now + 2 * Quarantine::kClearedFor;
+  world.watch->OnStoreReturn(after_return);
+  world.watch->OnRecord(kContent, entry, after_return);
+  BOOST_TEST(!world.watch->RefusedFor(kContent, after_return).has_value());
+}
+
 }  // namespace
 }  // namespace gullward
