A flag that nobody read goes; the soak draws its outage in one step

Cause: read once more, TopicFollower::pausing was set and never read: what is under way is told by the client alone. The soak's outage was drawn by a remainder and a division. Ruled out: joining FollowedStore (store_return_test) with Follower (catch_up_test): they keep different things of what they are told. Behaviour is the same.

--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -51,9 +51,7 @@
 }
 
 void TopicFollower::ReadOnAfter(Duration pause) {
-  this->pausing = true;
   this->loop->RunAfter(pause, [this] {
-    this->pausing = false;
     if (this->loaded) {
       this->WaitForNews();
     } else {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -135,8 +135,6 @@
   // That of the pages, and of all that has been read since.
   std::optional<uint64_t> epoch;
   bool started = false;
-  // A pause is under way, after which reading goes on.
-  bool pausing = false;
   bool loaded = false;
   // How many keys the topic had when its pages were last read.
   size_t keys = 0;
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -351,7 +351,7 @@
 
 void Soak::ReturnStore() {
   this->processes.Signal("store", SIGSTOP);
-  Duration outage = milliseconds(this->return_random() % kMostOutage.count() / 1000);
+  Duration outage = Duration(this->return_random() % kMostOutage.count());
   this->Later(outage, [this] {
     this->processes.Signal("store", SIGHUP);
     this->processes.Signal("store", SIGCONT);
