Sight: what engines say of themselves in answers is decoded, kept, logged and counted

Cause looked for: three hypotheses of the incident differ in which words a gateway has had and which later attempts it made against them; no line told either. Change: platform/engine_notice decodes limit, leaving and rest; serving/engine_notices keeps what holds under the engine's life; the line engine_notice tells each change, attempts at engines with notices always get their line with what was known, counters and gauges by kind, code 4007 for fields that cannot be read. No decision reads any of it yet. Ruled out meanwhile: nothing. Run: engine_notices_test, platform_test, decoder_fuzz_test, gateway_test, serving_test, engine_restart_test, crashing_request_test, result_code_test pass.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -67,6 +67,8 @@
       {ResultCode::kPlatformUnavailable, "platform_unavailable", 0, "the platform did not answer"},
       {ResultCode::kEntryUnreadable, "entry_unreadable", 0,
        "an entry of the engines' list names no engine to use"},
+      {ResultCode::kNoticeUnreadable, "notice_unreadable", 0,
+       "a field of an engine's answer that tells its state cannot be read"},
       {ResultCode::kBadFrame, "bad_frame", 0, "a peer sent a frame that fails verification"},
       {ResultCode::kInternal, "internal", 500, "a fault of gullward itself"},
   };
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -68,6 +68,7 @@
   kUnknownSchema = 4004,
   kPlatformUnavailable = 4005,
   kEntryUnreadable = 4006,
+  kNoticeUnreadable = 4007,
 
   kBadFrame = 5001,
   kInternal = 5002,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway/failure_answer.h"
+#include "gateway/notice_listener.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
 #include "serving/refusal.h"
@@ -126,7 +127,7 @@
   this->attempt->last_progress = now;
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
-  this->LogAttempt(choice);
+  this->LogAttempt(choice, now);
   this->attempt->channel->Send(EngineRequestText(this->request, this->OrdersFor(choice, now)),
                                this->AttemptHooks(), this->request.head.method == "HEAD");
 }
@@ -190,6 +191,7 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   this->attempt->head = head;
+  HearNotice(this->state, this->attempt->engine, head, this->attempt->sent);
   AnswerFacts answer;
   answer.status = head.status;
   answer.sealed = FindHeader(head.headers, platform::kSeal).has_value();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,7 +76,7 @@
   void DropTickets();
   void SendAttempt(const FleetChoice& choice, Time now);
   EngineOrders OrdersFor(const FleetChoice& choice, Time now) const;
-  void LogAttempt(const FleetChoice& choice);
+  void LogAttempt(const FleetChoice& choice, Time now);
   void LogOverload(const Placement& placement, const Demand& demand);
   RequestChannel::Hooks AttemptHooks();
   void BookLoad(const FleetChoice& choice, Time now);
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -48,12 +48,19 @@
                               .Number("engine_seconds", placement.engine_seconds));
 }
 
-// Second attempts always get their line, first ones a sample.
-void Exchange::LogAttempt(const FleetChoice& choice) {
-  if (this->attempts <= 1 && !this->state->log->Sample()) return;
+// Second attempts and those at engines with notices always get their line, others a sample.
+void Exchange::LogAttempt(const FleetChoice& choice, Time now) {
+  const EngineNotices& notices = this->state->fleet.notices();
+  std::string engine = choice.engine.Incarnation();
+  bool is_told = this->attempts > 1 || notices.Has(engine);
+  if (!is_told && !this->state->log->Sample()) return;
+  LogLine line = this->Line("attempt");
+  if (std::optional<double> limit = notices.LimitOf(engine)) line.Number("limit_per_s", *limit);
+  if (notices.IsLeaving(engine)) line.Number("leaving", 1);
+  Duration rest = notices.RestLeft(engine, now);
+  if (rest > Duration::zero()) line.Number("rest_left_ms", ToSeconds(rest) * 1000);
   this->state->log->Write(
-      this->Line("attempt")
-          .Text("engine", choice.engine.Incarnation())
+      line.Text("engine", choice.engine.Incarnation())
           .Number("attempt", this->attempts)
           .Number("candidates", static_cast<double>(choice.candidates))
           .Number("readers", static_cast<double>(choice.readers.size() + 1))
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,19 +1,18 @@
 // Takes connections, hands requests to exchanges and records of the store to the
 // core, looks at every clock once a tick, and stops in an order that callers do
-// not notice.
+// not notice.  How its parts are joined is in gateway_server_hooks.cc, what operators read in
+// gateway_server_pages.cc, and what it does with the engines' list in gateway_engine_list.cc.
 
 #include "gateway/gateway_server.h"
 
 #include <unistd.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "base/absl_view.h"
 #include "gateway/failure_answer.h"
-#include "gateway/metrics_page.h"
 #include "platform/documents.h"
 
 namespace gullward {
@@ -72,123 +71,11 @@
   this->store_recovery.returns().OnReturn([this] { this->OnStoreReturn(); });
 }
 
-// What the followers of both topics have in common: the log.
-TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
-  TopicFollower::Hooks hooks;
-  hooks.lost = [this, topic](const std::string& reason) {
-    this->log.Write(LogLine("store_lost").Text("topic", topic).Text("reason", reason));
-  };
-  hooks.regained = [this, topic] {
-    this->log.Write(LogLine("store_regained").Text("topic", topic));
-  };
-  hooks.read_short = [this, topic](uint64_t read_to, uint64_t log_end) {
-    this->log.Write(LogLine("read_short")
-                        .Text("topic", topic)
-                        .Number("read_to", static_cast<double>(read_to))
-                        .Number("log_end", static_cast<double>(log_end)));
-  };
-  return hooks;
-}
-
-TopicFollower::Hooks GatewayServer::ConfigFollowerHooks() {
-  TopicFollower::Hooks hooks = this->LoggingHooks("config");
-  hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
-    for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
-  };
-  hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
-  hooks.up_to_date = [this](Time sent) { this->NoteProof(sent); };
-  return hooks;
-}
-
 // 0 where none has been read.
 uint64_t GatewayServer::ConfigVersion() const {
   return this->state.config ? this->state.config->config().version : 0;
 }
 
-LoadExchange::Hooks GatewayServer::LoadExchangeHooks() {
-  LoadExchange::Hooks hooks;
-  hooks.version = [this] { return this->ConfigVersion(); };
-  hooks.proved = [this] { return this->state.keys.confirmed_at(); };
-  hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
-  hooks.behind = [this](uint64_t version, const Peer& peer) {
-    this->OnNewerVersion(version, peer);
-  };
-  hooks.engines_copied = [this] { return this->engine_list_copy.copied(); };
-  hooks.hear_engines_copied = [this](const CopyMark& mark) {
-    this->engine_list_copy.HearCopied(mark, Now());
-  };
-  hooks.hear_epoch = [this](uint64_t epoch, bool is_settled) {
-    this->HearEpoch(epoch, is_settled);
-  };
-  hooks.epoch_record = [this](const std::string& value) { this->epoch_marker.OnRecord(value); };
-  hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
-  hooks.hear_engines_read_to = [this](uint64_t offset) { this->OnLongerEngineList(offset); };
-  hooks.take_news = [this] { return this->crash_watch.TakeNews(); };
-  hooks.hear_news = [this](const std::string& box, const CrashNews& news) {
-    return this->crash_watch.Hear(box, news, Now());
-  };
-  hooks.quarantine_record = [this](ContentId content, const std::string& value) {
-    this->crash_watch.OnRecord(content, value, Now());
-  };
-  return hooks;
-}
-
-CrashWatch::Options GatewayServer::CrashWatchOptions() const {
-  const GatewaySettings& settings = this->state.settings;
-  CrashWatch::Options options;
-  options.is_on = settings.mechanisms.quarantine;
-  options.box = settings.box;
-  options.lasts = settings.quarantine;
-  options.store = settings.store;
-  options.seed = this->state.incarnation;
-  return options;
-}
-
-// An engine that was leaving, or is off the list, has ended by plan.
-CrashWatch::Hooks GatewayServer::CrashWatchHooks() {
-  CrashWatch::Hooks hooks;
-  hooks.was_in_use = [this](const EngineRecord& engine) {
-    const EngineRecord* known = this->state.fleet.directory().Find(engine.id);
-    return known != nullptr && known->Incarnation() == engine.Incarnation() && !known->draining;
-  };
-  return hooks;
-}
-
-ConfigFromPeers::Hooks GatewayServer::ConfigHooks() {
-  ConfigFromPeers::Hooks hooks;
-  hooks.own_record = [this] { return this->state.config_record; };
-  hooks.received = [this](const std::string& record) {
-    this->OnConfigRecord({std::string(platform::kConfigKey), record});
-  };
-  return hooks;
-}
-
-ConfigProver::Hooks GatewayServer::ProverHooks() {
-  ConfigProver::Hooks hooks;
-  hooks.position = [this] { return this->config_follower.position(); };
-  hooks.proved = [this](Time sent) {
-    if (!this->NoteProof(sent)) return false;
-    this->load_exchange.TellFreshness(Now());
-    return true;
-  };
-  hooks.pace_changed = [this](bool is_slow, Duration took) {
-    this->log.Write(LogLine(is_slow ? "store_slow" : "store_as_usual")
-                        .Number("took_ms", ToSeconds(took) * 1000));
-  };
-  hooks.behind = [this] {
-    if (this->config_follower.ReadAgain()) this->log.Write(LogLine("config_read_hangs"));
-  };
-  return hooks;
-}
-
-OperatorPageHooks GatewayServer::PageHooks() const {
-  OperatorPageHooks hooks;
-  hooks.metrics = [this] { return this->Metrics(); };
-  hooks.state = [this] { return this->StateDump(); };
-  hooks.is_ready = [this] { return this->IsReady(); };
-  return hooks;
-}
-
 // The store held nothing newer than our configuration when it was asked at `sent`.  That
 // proves it current, but not right after a return from an older copy, nor where the store
 // lacks a version that a peer has had since before.
@@ -453,47 +340,4 @@
   this->log.Write(LogLine("reloaded"));
 }
 
-std::string GatewayServer::Metrics() const {
-  PageFigures figures;
-  figures.engine_connections = this->state.pool.opened() + this->crash_watch.connections();
-  figures.crashes = &this->crash_watch;
-  figures.log_lines_dropped = this->log.dropped();
-  figures.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
-                        this->load_exchange.store_calls() + this->config_prover.calls() +
-                        this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
-                        this->epoch_marker.store_calls();
-  figures.configs_from_peers = this->config_from_peers.received();
-  figures.store_returns = this->store_recovery.returns().epoch().returns();
-  figures.engines = this->state.fleet.directory().size();
-  figures.peers = this->load_exchange.peers();
-  figures.neighbours = this->load_exchange.neighbours();
-  figures.home_engines = this->state.fleet.home_engines();
-  figures.datagrams_sent = this->load_exchange.datagrams_sent();
-  figures.datagram_bytes_sent = this->load_exchange.bytes_sent();
-  figures.datagrams_heard = this->load_exchange.datagrams_heard();
-  figures.peers_left_for_later = this->load_exchange.left_for_later();
-  figures.config_version = this->ConfigVersion();
-  figures.config_age = Now() - this->state.keys.confirmed_at();
-  return MetricsPage(this->state.counters, figures);
-}
-
-std::string GatewayServer::StateDump() const {
-  nlohmann::json dump;
-  dump["box"] = this->state.settings.box;
-  dump["ready"] = this->IsReady();
-  dump["stopping"] = this->stopping;
-  dump["callers"] = this->callers.size();
-  dump["config_version"] = this->ConfigVersion();
-  dump["peers"] = this->load_exchange.peers();
-  dump["neighbours"] = this->load_exchange.neighbours();
-  dump["engines"] = this->state.fleet.directory().size();
-  dump["home_engines"] = this->state.fleet.home_engines();
-  std::vector<std::string> quarantined;
-  for (ContentId content : this->crash_watch.contents().Quarantined(Now())) {
-    quarantined.push_back(ContentName(content));
-  }
-  dump["quarantined"] = quarantined;
-  return dump.dump(2) + "\n";
-}
-
 }  // namespace gullward
--- /dev/null
+++ b/src/gateway/gateway_server_hooks.cc
@@ -0,0 +1,121 @@
+// How the gateway server's parts are joined: what each of them asks for and tells.
+
+#include <utility>
+
+#include "gateway/gateway_server.h"
+
+namespace gullward {
+
+// What the followers of both topics have in common: the log.
+TopicFollower::Hooks GatewayServer::LoggingHooks(const std::string& topic) {
+  TopicFollower::Hooks hooks;
+  hooks.lost = [this, topic](const std::string& reason) {
+    this->log.Write(LogLine("store_lost").Text("topic", topic).Text("reason", reason));
+  };
+  hooks.regained = [this, topic] {
+    this->log.Write(LogLine("store_regained").Text("topic", topic));
+  };
+  hooks.read_short = [this, topic](uint64_t read_to, uint64_t log_end) {
+    this->log.Write(LogLine("read_short")
+                        .Text("topic", topic)
+                        .Number("read_to", static_cast<double>(read_to))
+                        .Number("log_end", static_cast<double>(log_end)));
+  };
+  return hooks;
+}
+
+TopicFollower::Hooks GatewayServer::ConfigFollowerHooks() {
+  TopicFollower::Hooks hooks = this->LoggingHooks("config");
+  hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
+    for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
+  };
+  hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
+  hooks.up_to_date = [this](Time sent) { this->NoteProof(sent); };
+  return hooks;
+}
+
+LoadExchange::Hooks GatewayServer::LoadExchangeHooks() {
+  LoadExchange::Hooks hooks;
+  hooks.version = [this] { return this->ConfigVersion(); };
+  hooks.proved = [this] { return this->state.keys.confirmed_at(); };
+  hooks.confirm = [this](Time proved) { this->state.keys.Confirm(proved); };
+  hooks.behind = [this](uint64_t version, const Peer& peer) {
+    this->OnNewerVersion(version, peer);
+  };
+  hooks.engines_copied = [this] { return this->engine_list_copy.copied(); };
+  hooks.hear_engines_copied = [this](const CopyMark& mark) {
+    this->engine_list_copy.HearCopied(mark, Now());
+  };
+  hooks.hear_epoch = [this](uint64_t epoch, bool is_settled) {
+    this->HearEpoch(epoch, is_settled);
+  };
+  hooks.epoch_record = [this](const std::string& value) { this->epoch_marker.OnRecord(value); };
+  hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
+  hooks.hear_engines_read_to = [this](uint64_t offset) { this->OnLongerEngineList(offset); };
+  hooks.take_news = [this] { return this->crash_watch.TakeNews(); };
+  hooks.hear_news = [this](const std::string& box, const CrashNews& news) {
+    return this->crash_watch.Hear(box, news, Now());
+  };
+  hooks.quarantine_record = [this](ContentId content, const std::string& value) {
+    this->crash_watch.OnRecord(content, value, Now());
+  };
+  return hooks;
+}
+
+CrashWatch::Options GatewayServer::CrashWatchOptions() const {
+  const GatewaySettings& settings = this->state.settings;
+  CrashWatch::Options options;
+  options.is_on = settings.mechanisms.quarantine;
+  options.box = settings.box;
+  options.lasts = settings.quarantine;
+  options.store = settings.store;
+  options.seed = this->state.incarnation;
+  return options;
+}
+
+// An engine that was leaving, or is off the list, has ended by plan.
+CrashWatch::Hooks GatewayServer::CrashWatchHooks() {
+  CrashWatch::Hooks hooks;
+  hooks.was_in_use = [this](const EngineRecord& engine) {
+    const EngineRecord* known = this->state.fleet.directory().Find(engine.id);
+    return known != nullptr && known->Incarnation() == engine.Incarnation() && !known->draining;
+  };
+  return hooks;
+}
+
+ConfigFromPeers::Hooks GatewayServer::ConfigHooks() {
+  ConfigFromPeers::Hooks hooks;
+  hooks.own_record = [this] { return this->state.config_record; };
+  hooks.received = [this](const std::string& record) {
+    this->OnConfigRecord({std::string(platform::kConfigKey), record});
+  };
+  return hooks;
+}
+
+ConfigProver::Hooks GatewayServer::ProverHooks() {
+  ConfigProver::Hooks hooks;
+  hooks.position = [this] { return this->config_follower.position(); };
+  hooks.proved = [this](Time sent) {
+    if (!this->NoteProof(sent)) return false;
+    this->load_exchange.TellFreshness(Now());
+    return true;
+  };
+  hooks.pace_changed = [this](bool is_slow, Duration took) {
+    this->log.Write(LogLine(is_slow ? "store_slow" : "store_as_usual")
+                        .Number("took_ms", ToSeconds(took) * 1000));
+  };
+  hooks.behind = [this] {
+    if (this->config_follower.ReadAgain()) this->log.Write(LogLine("config_read_hangs"));
+  };
+  return hooks;
+}
+
+OperatorPageHooks GatewayServer::PageHooks() const {
+  OperatorPageHooks hooks;
+  hooks.metrics = [this] { return this->Metrics(); };
+  hooks.state = [this] { return this->StateDump(); };
+  hooks.is_ready = [this] { return this->IsReady(); };
+  return hooks;
+}
+
+}  // namespace gullward
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -38,6 +38,12 @@
   // one under the same id.
   uint64_t entries_unreadable = 0;
   uint64_t engine_restarts = 0;
+  // Notices of engines (serving/engine_notices.h) that changed what was known, by what they
+  // said, and fields of them that could not be read.
+  uint64_t limits_heard = 0;
+  uint64_t leavings_heard = 0;
+  uint64_t rests_heard = 0;
+  uint64_t notices_unreadable = 0;
   // By the length of the prompt (LengthName).
   std::map<std::string, LatencyHistogram> first_event;
   std::map<std::string, LatencyHistogram> longest_pause;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -35,6 +35,17 @@
         counters.entries_unreadable);
   count("gullward_engine_restarts_total", "Engines seen to start again under their id",
         counters.engine_restarts);
+  const char* const notices_help = "Changes of what engines say of themselves, by kind";
+  for (const auto& [kind, changes] :
+       {std::pair("limit", counters.limits_heard), std::pair("leaving", counters.leavings_heard),
+        std::pair("rest", counters.rests_heard)}) {
+    text->Counter("gullward_engine_notices_total", notices_help, {{"kind", kind}},
+                  static_cast<double>(changes));
+  }
+  count("gullward_engine_notices_unreadable_total", "Fields of notices that cannot be read",
+        counters.notices_unreadable);
+  count("gullward_engine_notices_forgotten_total", "Engines whose notices had to make room",
+        figures.notices_forgotten);
   count("gullward_engine_connections_total", "Connections opened", figures.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", figures.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", figures.store_calls);
@@ -107,6 +118,12 @@
              static_cast<double>(figures.neighbours));
   text.Gauge("gullward_home_engines", "Engines of the home cells", {},
              static_cast<double>(figures.home_engines));
+  text.Gauge("gullward_engines_limited", "Engines that name a limit", {},
+             static_cast<double>(figures.engines_limited));
+  text.Gauge("gullward_engines_leaving", "Engines that have said that they leave", {},
+             static_cast<double>(figures.engines_leaving));
+  text.Gauge("gullward_engines_resting", "Engines that have asked this gateway for a pause", {},
+             static_cast<double>(figures.engines_resting));
   AddProcess(&text);
   text.Gauge("gullward_config_version", "Configuration in force", {},
              static_cast<double>(figures.config_version));
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -37,6 +37,12 @@
   // Of the home cell: the gateways that are told in one round, and the engines.
   size_t neighbours = 0;
   size_t home_engines = 0;
+  // Engines by the notices that hold, and, since the process began, those whose notices had
+  // to be dropped for want of room.
+  size_t engines_limited = 0;
+  size_t engines_leaving = 0;
+  size_t engines_resting = 0;
+  uint64_t notices_forgotten = 0;
   // 0 while there is no configuration.
   uint64_t config_version = 0;
   // Since the configuration was proved current.
--- /dev/null
+++ b/src/gateway/notice_listener.cc
@@ -0,0 +1,44 @@
+// notice_listener.h tells what it is for.
+
+#include "gateway/notice_listener.h"
+
+#include "platform/engine_notice.h"
+
+namespace gullward {
+namespace {
+
+constexpr int kMisdirected = 421;
+
+// Engines that cannot write their fields do so in every answer, so only a sample gets a line.
+void NoteMalformed(GatewayState* state, const EngineRecord& engine) {
+  state->counters.notices_unreadable += 1;
+  if (!state->log->Sample()) return;
+  const ResultCodeInfo& info = Info(ResultCode::kNoticeUnreadable);
+  state->log->Write(LogLine(info.name)
+                        .Number("code", static_cast<double>(info.code))
+                        .Text("engine", engine.Incarnation()));
+}
+
+}  // namespace
+
+void HearNotice(GatewayState* state, const EngineRecord& engine, const ResponseHead& head,
+                Time sent) {
+  if (head.status == kMisdirected) return;
+  EngineNotice notice = platform::NoticeOf(head.status, head.headers);
+  if (notice.malformed) NoteMalformed(state, engine);
+  EngineNotices& notices = state->fleet.notices();
+  EngineNotices::Change change = notices.Hear(engine.Incarnation(), notice, sent, Now());
+  if (!change.any()) return;
+  state->counters.limits_heard += change.limit ? 1 : 0;
+  state->counters.leavings_heard += change.leaving ? 1 : 0;
+  state->counters.rests_heard += change.rest ? 1 : 0;
+  LogLine line("engine_notice");
+  line.Text("engine", engine.Incarnation()).Number("status", head.status);
+  if (change.limit && notice.limit_per_s) line.Number("limit_per_s", *notice.limit_per_s);
+  if (change.limit && !notice.limit_per_s) line.Number("limit_lifted", 1);
+  if (change.leaving) line.Number("leaving", 1);
+  if (change.rest) line.Number("rest_ms", ToSeconds(*notice.rest) * 1000);
+  state->log->Write(line);
+}
+
+}  // namespace gullward
--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "gateway/notice_listener.h"
 #include "platform/engine_calls.h"
 
 namespace gullward {
@@ -36,7 +37,9 @@
   // would be owned by itself.
   std::weak_ptr<PendingOrder> weak = order;
   RequestChannel::Hooks hooks;
-  hooks.head = [weak](const ResponseHead& head) {
+  hooks.head = [self = this->shared_from_this(), weak, engine = wish.engine,
+                sent = Now()](const ResponseHead& head) {
+    HearNotice(self->state, engine, head, sent);
     if (auto pending = weak.lock()) pending->status = head.status;
   };
   hooks.done = [self = this->shared_from_this(), weak, engine = wish.engine](ChannelResult result) {
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -225,6 +225,7 @@
   for (auto it = this->health.begin(); it != this->health.end();) {
     it = listed.count(it->first) != 0 ? std::next(it) : this->health.erase(it);
   }
+  this->engine_notices.Forget(listed, now);
 }
 
 }  // namespace gullward
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -17,6 +17,7 @@
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
 #include "serving/engine_load.h"
+#include "serving/engine_notices.h"
 #include "serving/mechanisms.h"
 #include "serving/peer_suspicion.h"
 #include "serving/placement.h"
@@ -56,6 +57,9 @@
   LoadBook& loads() { return this->load_book; }
   // This process's own experience of an engine.
   EngineHealth& HealthOf(const std::string& engine) { return this->health[engine]; }
+  // What engines have said of themselves.
+  EngineNotices& notices() { return this->engine_notices; }
+  const EngineNotices& notices() const { return this->engine_notices; }
   // The budget of second attempts at a service.
   RetryBucket& RetriesOf(const std::string& service);
 
@@ -118,6 +122,7 @@
   Spill spill;
   LoadBook load_book;
   std::map<std::string, EngineHealth> health;
+  EngineNotices engine_notices;
   PeerSuspicion suspicion;
   std::map<std::string, RetryBucket> retries;
 };
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -19,13 +19,6 @@
 
 std::string Event(int id) { return absl::StrCat("id: ", id, "\ndata: event-", id, "\n\n"); }
 
-AnswerHead Plain(int status) {
-  AnswerHead head;
-  head.status = status;
-  head.reason = "Status";
-  return head;
-}
-
 // What a fault does to a sealed answer's head, or sends ahead of it.
 void PlayHeadFault(EngineFault fault, CallerChannel* channel, AnswerHead* head) {
   if (fault == EngineFault::kEncoded) head->headers.emplace_back("Content-Encoding", "gzip");
@@ -100,8 +93,19 @@
   return next;
 }
 
+AnswerHead EngineStandin::Plain(int status) const {
+  AnswerHead head;
+  head.status = status;
+  head.reason = "Status";
+  if (this->notice.limit_per_s) {
+    head.headers.emplace_back(platform::kLimit, absl::StrCat(*this->notice.limit_per_s));
+  }
+  if (this->notice.leaving) head.headers.emplace_back(platform::kLeaving, "1");
+  return head;
+}
+
 AnswerHead EngineStandin::SealedHead(const CallerRequest& request, int status) const {
-  AnswerHead head = Plain(status);
+  AnswerHead head = this->Plain(status);
   std::optional<std::string_view> id = FindHeader(request.head.headers, platform::kAttemptId);
   if (id) head.headers.emplace_back(platform::kAttemptId, *id);
   head.headers.emplace_back(platform::kSeal, absl::StrCat("seal-of-", this->options.id));
@@ -113,12 +117,17 @@
   CallerChannel* channel = connection->channel.get();
   std::optional<std::string_view> expected =
       FindHeader(request.head.headers, platform::kExpectedEngine);
-  if (expected && *expected != this->options.id) return channel->Answer(Plain(421), "");
+  if (expected && *expected != this->options.id) return channel->Answer(this->Plain(421), "");
   if (request.head.target == "/v1/order") return this->OnOrder(channel, request);
 
-  this->requests.push_back({request, false, false});
+  this->requests.push_back({request, Now(), false, false});
   connection->request = this->requests.size() - 1;
-  AnswerHead head = Plain(503);
+  AnswerHead head = this->Plain(503);
+  if (this->notice.rest) {
+    head.headers.emplace_back(platform::kNotRun, "1");
+    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(ToSeconds(*this->notice.rest)));
+    return channel->Answer(head, "");
+  }
   if (this->NamesRefusedHelper(request)) {
     head.headers.emplace_back(platform::kNotRun, "1");
     head.headers.emplace_back(platform::kEngineAtFault, this->refused_helper->ToString());
@@ -130,7 +139,7 @@
       head.headers.emplace_back(platform::kNotRun, "1");
       return channel->Answer(head, "");
     case EngineFault::kWrongEngine:
-      return channel->Answer(Plain(421), "");
+      return channel->Answer(this->Plain(421), "");
     case EngineFault::kSilent:
       this->requests.back().ran = true;
       return;
@@ -156,14 +165,14 @@
   std::string ticket = order.value("id", "");
   if (order.value("op", "") == "release") {
     this->reserved.erase(ticket);
-    return channel->Answer(Plain(200), "{}");
+    return channel->Answer(this->Plain(200), "{}");
   }
   uint64_t others = 0;
   for (const auto& [id, tokens] : this->reserved) others += id == ticket ? 0 : tokens;
   uint64_t wanted = order.value("tokens", uint64_t{0});
   bool fits = others + wanted <= this->options.memory_tokens;
   if (fits) this->reserved[ticket] = wanted;
-  channel->Answer(Plain(fits ? 200 : 409), "{}");
+  channel->Answer(this->Plain(fits ? 200 : 409), "{}");
 }
 
 void EngineStandin::Run(const std::shared_ptr<Connection>& connection, const CallerRequest& request,
@@ -171,13 +180,13 @@
   CallerChannel* channel = connection->channel.get();
   switch (fault) {
     case EngineFault::kBusyUnsure:
-      return channel->Answer(Plain(503), "");
+      return channel->Answer(this->Plain(503), "");
     case EngineFault::kFailed:
       return channel->Answer(this->SealedHead(request, 500), "it failed");
     case EngineFault::kResetUnanswered:
       return channel->BreakOff();
     case EngineFault::kUnsealed:
-      return channel->Answer(Plain(200), kBody);
+      return channel->Answer(this->Plain(200), kBody);
     default:
       break;
   }
@@ -206,7 +215,7 @@
   if (next > this->options.events) {
     connection->request.reset();
     channel->EndAnswer();
-    if (fault == EngineFault::kExtraAfter) channel->AnswerAhead(Plain(200), "once more");
+    if (fault == EngineFault::kExtraAfter) channel->AnswerAhead(this->Plain(200), "once more");
     return;
   }
   channel->WritePart(Event(next));
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "gateway/caller_channel.h"
+#include "serving/engine_notice.h"
 #include "transport/tcp_listener.h"
 
 namespace gullward {
@@ -91,9 +92,14 @@
   // says that it is at fault.
   void RefuseHelper(const SocketAddress& helper) { this->refused_helper = helper; }
 
-  // A request as it reached the engine, and whether it was run.
+  // What it says of itself in every answer from now on; a rest is asked for by turning each
+  // request away.
+  void Say(const EngineNotice& said) { this->notice = said; }
+
+  // A request as it reached the engine, when, and whether it was run.
   struct Seen {
     CallerRequest request;
+    Time at{};
     bool ran = false;
     bool cancelled = false;
   };
@@ -119,6 +125,7 @@
   void Stream(const std::shared_ptr<Connection>& connection, int next, EngineFault fault);
   void AnswerPlain(const std::shared_ptr<Connection>& connection, const CallerRequest& request,
                    EngineFault fault);
+  AnswerHead Plain(int status) const;
   AnswerHead SealedHead(const CallerRequest& request, int status) const;
   EngineFault TakeFault();
   bool NamesRefusedHelper(const CallerRequest& request) const;
@@ -131,6 +138,7 @@
   std::deque<EngineFault> faults;
   EngineFault every = EngineFault::kNone;
   std::optional<SocketAddress> refused_helper;
+  EngineNotice notice;
   std::vector<Seen> requests;
   std::map<std::string, uint64_t> reserved;
 };
