Limits that engines name are kept by all gateways together

What callers saw: engines in need got up to twice what they had asked for, and answered late. Cause: an engine's word in an answer was read by nobody, and no gateway had a part of a limit that all share. Class: what an engine says of itself does not bind those whom it tells. Five gateways, by a hash of both names, share an engine's limit, each with an equal part as credit (one request and one second's part saved at most, none at first); the others send it nothing. At most 5 + 5 L in four seconds, where 5 + 6 L are allowed; no coordinator. The gate is where engines are picked (Fleet::Pickable), so first attempts, retries, resumed streams, offers of other cells and blind work pass it alike; before a request that waited for tickets is sent it is asked again; engines with a limit read for no other. Gateways tell their cell of limits and of their end (LoadDigest.notices); silent sharers are replaced after 5 s (serving/peer_liveness). Where all hold back the caller is refused at once with when to come back (2017); an engine's own failure is delivered rather than replaced by a refusal.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -51,6 +51,8 @@
        "not allowed by the configuration held here, which is not the newest"},
       {ResultCode::kQuarantined, "quarantined", 503,
        "engines ended while they ran requests like this one, which has not been run"},
+      {ResultCode::kEnginesHoldBack, "engines_hold_back", 503,
+       "every engine has asked for fewer requests, for none, or is leaving"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded", 504, "the stated time passed"},
       {ResultCode::kEndpointLost, "endpoint_lost", 502, "the endpoint was lost while it worked"},
       {ResultCode::kEngineFailed, "engine_failed", 502, "the engine broke off"},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -53,6 +53,7 @@
   kEnginesRefused = 2014,
   kNotCurrent = 2015,
   kQuarantined = 2016,
+  kEnginesHoldBack = 2017,
 
   kDeadlineExceeded = 3001,
   kEndpointLost = 3002,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -126,6 +126,7 @@
   this->attempt->sent = now;
   this->attempt->last_progress = now;
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
+  this->state->fleet.NoteSent(choice.engine, now);
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   this->LogAttempt(choice, now);
   this->attempt->channel->Send(EngineRequestText(this->request, this->OrdersFor(choice, now)),
@@ -362,6 +363,8 @@
   }
   RequestState decision = this->StateForDecision(now);
   NextStep step = DecideNext(result, decision);
+  bool nobody_left = this->state->fleet.AllHoldBack(*this->service, now);
+  if (step == NextStep::kRetry && nobody_left) step = WithoutRetry(result, decision);
   if (step == NextStep::kRetry && this->MayEndAnother(now)) {
     this->FollowEnginesEnded(WithoutRetry(result, decision), result);
     return;
@@ -395,7 +398,7 @@
       this->DeliverWhole();
       return;
     case NextStep::kRefuse:
-      this->Refuse(this->attempts == 0 ? ResultCode::kNoEndpoint : ResultCode::kEnginesRefused);
+      this->RefuseUnsent();
       return;
     case NextStep::kRetry:
     case NextStep::kFail:
@@ -411,6 +414,17 @@
   }
 }
 
+// Where engines take nothing now by their own word, the caller is told when one will.
+void Exchange::RefuseUnsent() {
+  Time now = Now();
+  Fleet& fleet = this->state->fleet;
+  bool held_back = fleet.AllHoldBack(*this->service, now);
+  std::optional<Duration> opens;
+  if (held_back) opens = fleet.OpensIn(*this->service, now);
+  ResultCode unasked = held_back ? ResultCode::kEnginesHoldBack : ResultCode::kNoEndpoint;
+  this->Refuse(this->attempts == 0 ? unasked : ResultCode::kEnginesRefused, opens);
+}
+
 void Exchange::DeliverWhole() {
   this->state->counters.answers_whole += 1;
   this->LogAnswered();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,7 @@
   void BeginAnswer(std::optional<uint64_t> length);
   AnswerHead TakeAnswerHead();
   void DeliverWhole();
+  void RefuseUnsent();
   void Refuse(ResultCode code, std::optional<Duration> come_back = std::nullopt);
   void LogFailure(ResultCode code);
   void GiveUp();
--- a/src/gateway/exchange_tickets.cc
+++ b/src/gateway/exchange_tickets.cc
@@ -38,17 +38,19 @@
 void Exchange::OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by) {
   if (this->is_finished) return;
   Time now = Now();
-  if (all) {
+  // An engine may have asked for less while the tickets were on their way.
+  if (all && this->state->fleet.StillAdmits(choice, now)) {
     this->SendAttempt(choice, now);
     return;
   }
   this->state->log->Write(this->Line("ticket_refused")
                               .Text("engine", refused_by)
+                              .Number("held_back", all ? 1 : 0)
                               .Number("round", this->ticket_rounds)
                               .Number("tokens", choice.placement.memory_tokens));
   this->DropTickets();
   this->state->fleet.loads().End(this->id);
-  this->tried.insert(refused_by);
+  if (!all) this->tried.insert(refused_by);
   if (this->ticket_rounds < kMostTicketRounds) {
     this->StartAttempt(now);
   } else {
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -48,6 +48,7 @@
 // Whether the request could be sent again if the attempt under way ended now, perhaps
 // after it ran.
 bool Exchange::MayTryAnother(Time now) const {
+  if (this->state->fleet.AllHoldBack(*this->service, now)) return false;
   RequestState decision = this->StateForDecision(now);
   decision.attempts_run += 1;
   if (DecideNext(AttemptResult::kUnknown, decision) != NextStep::kRetry) return false;
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -17,7 +17,7 @@
 constexpr double kComeBackShare = 0.3;
 
 double ComeBackSeconds(const Route* route, std::optional<Duration> come_back) {
-  if (come_back) return ToSeconds(*come_back);
+  if (come_back) return std::max(kComeBackSeconds, ToSeconds(*come_back));
   if (route == nullptr) return kComeBackSeconds;
   return std::max(kComeBackSeconds, kComeBackShare * ToSeconds(route->objective));
 }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -100,6 +100,8 @@
   bool is_there = std::find(records.begin(), records.end(), own) != records.end();
   for (const platform::KeyedRecord& record : records) this->OnPeerRecord(record);
   if (!is_there) this->RegisterOnce();
+  // Also where there are none: then it is known that this gateway is alone.
+  this->peers_changed = true;
 }
 
 void LoadExchange::OnPeerRecord(const platform::KeyedRecord& record) {
@@ -129,6 +131,8 @@
   if (digest->freshness) this->HearNote(*digest);
   if (!digest->crash_news.empty()) this->HearNews(*digest);
   Time now = Now();
+  this->liveness.Hear(digest->box, now);
+  this->HearNotices(*digest, now);
   this->HearOfStore(*digest);
   if (digest->is_offer) {
     this->fleet->HearOffer(digest->box, digest->incarnation, digest->sequence, digest->loads, now);
@@ -202,18 +206,21 @@
 }
 
 void LoadExchange::Tell(Time now) {
-  if (this->directory.size() == 0) return;
-  this->last_told = now;
   if (std::exchange(this->peers_changed, false)) {
     this->fleet->SetGateways(this->directory.Names());
   }
+  if (this->directory.size() == 0) return;
+  this->last_told = now;
   bool refresh = now - this->refreshed >= kRefresh;
   if (refresh) {
     this->refreshed = now;
+    this->rounds += 1;
     this->directory.BeginRound();
     this->TellFreshness(now);
     this->SendOffers(now);
+    this->NoteSilentPeers(now);
   }
+  this->TellNotices(refresh && this->rounds % kNoticeRounds == 0, now);
   this->SendToCells(this->TakeUntold(refresh, now), now);
 }
 
@@ -296,6 +303,50 @@
   for (const Peer* peer : receivers) this->Send(*peer, datagram);
 }
 
+// Changes at once, all that still holds in each round.
+void LoadExchange::TellNotices(bool all, Time now) {
+  std::map<std::vector<const Peer*>, std::map<std::string, NoticeWord>> by_members;
+  for (const auto& [engine, word] : this->fleet->NoticesToTell(all, now)) {
+    by_members[this->ThoseOnEngine(engine, now)][engine] = word;
+  }
+  for (auto& [members, words] : by_members) {
+    LoadDigest digest = this->NewDigest(now);
+    while (!words.empty()) {
+      digest.sequence = ++this->sequence;
+      digest.notices.clear();
+      while (!words.empty() && digest.notices.size() < kEntriesPerDatagram) {
+        digest.notices.insert(words.extract(words.begin()));
+      }
+      std::string datagram = EncodeDigest(digest);
+      for (const Peer* peer : members) this->Send(*peer, datagram);
+    }
+  }
+}
+
+void LoadExchange::HearNotices(const LoadDigest& digest, Time now) {
+  for (const auto& [engine, word] : digest.notices) {
+    EngineNotices::Change change = this->fleet->notices().HearWord(engine, word, now);
+    if (!change.any()) continue;
+    LogLine line("engine_notice");
+    line.Text("engine", engine).Text("told_by", digest.box);
+    if (word.limit->per_s) line.Number("limit_per_s", *word.limit->per_s);
+    if (!word.limit->per_s) line.Number("limit_lifted", 1);
+    this->log->Write(line);
+  }
+}
+
+// The members of the home cell tell each other something in every round.
+void LoadExchange::NoteSilentPeers(Time now) {
+  const WorkPlan& plan = this->fleet->plan(now);
+  const ServicePlan& main = plan.Of(plan.main_service());
+  std::vector<std::string> boxes;
+  for (const Peer* peer :
+       this->directory.MembersOf(plan.main_service(), main.cells, main.home, plan.revision())) {
+    boxes.push_back(peer->box);
+  }
+  this->fleet->SetSilentGateways(this->liveness.Silent(boxes, now));
+}
+
 void LoadExchange::Send(const Peer& peer, const std::string& datagram) {
   this->sent += 1;
   this->sent_bytes += datagram.size();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -11,8 +11,9 @@
 // Every half second, and after each proof of the sender's own, each neighbour (a member
 // of the home cell) also gets a note on how current the sender's configuration is
 // (serving/peer_freshness.h), so that a gateway that is cut off from the store can go on
-// accepting keys.  And a few gateways of other cells, drawn by chance, are offered engines
-// of this one (serving/spill.h).
+// accepting keys.  What engines have said of themselves goes to the members of their cells
+// (serving/engine_notices.h).  And a few gateways of other cells, drawn by chance, are offered
+// engines of this one (serving/spill.h).
 //
 // Nothing depends on a datagram: what is lost is told again, and what is not told
 // any more is forgotten (serving/engine_load.h).
@@ -38,6 +39,7 @@
 #include "serving/fleet.h"
 #include "serving/load_digest.h"
 #include "serving/peer_directory.h"
+#include "serving/peer_liveness.h"
 #include "transport/udp_socket.h"
 
 namespace gullward {
@@ -50,6 +52,8 @@
   static constexpr Duration kGatherChanges = milliseconds(100);
   // How often everything is told, changed or not.
   static constexpr Duration kRefresh = milliseconds(500);
+  // Notices of engines that have not changed are told again each so many times.
+  static constexpr int kNoticeRounds = 4;
   // Entries that fit into one datagram with room to spare.
   static constexpr size_t kEntriesPerDatagram = 12;
   // Engines set aside that one datagram names at most.
@@ -135,6 +139,9 @@
   void SendInParts(std::map<std::string, EngineLoad> loads, const std::vector<const Peer*>& to,
                    Time now);
   void SendOffers(Time now);
+  void TellNotices(bool all, Time now);
+  void HearNotices(const LoadDigest& digest, Time now);
+  void NoteSilentPeers(Time now);
   void Send(const Peer& peer, const std::string& datagram);
 
   EventLoop* loop;
@@ -155,8 +162,10 @@
   std::mt19937_64 random;
   Hooks hooks;
   PeerFreshness freshness;
+  PeerLiveness liveness;
   std::map<std::string, EngineLoad> told;
   Time refreshed{};
+  uint64_t rounds = 0;
   Time last_told{};
   uint64_t sequence = 0;
   size_t neighbour_count = 0;
--- a/src/serving/engine_notice.h
+++ b/src/serving/engine_notice.h
@@ -26,14 +26,19 @@
   bool operator==(const EngineNotice&) const = default;
 };
 
+// What an engine has said of its limit, and how long ago.
+struct LimitWord {
+  // No value: the engine no longer names a limit.
+  std::optional<double> per_s = std::nullopt;
+  Duration age{};
+
+  bool operator==(const LimitWord&) const = default;
+};
+
 // What one gateway tells another of an engine's notices.  The pause is not among them: it is
 // asked of one gateway alone.
 struct NoticeWord {
-  // No value: the engine no longer names a limit.
-  std::optional<double> limit_per_s = std::nullopt;
-  bool leaving = false;
-  // How long ago the engine said what is told of the limit.
-  Duration age{};
+  std::optional<LimitWord> limit = std::nullopt;
 
   bool operator==(const NoticeWord&) const = default;
 };
--- a/src/serving/engine_notices.cc
+++ b/src/serving/engine_notices.cc
@@ -19,6 +19,11 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
+EngineNotices::Entry* EngineNotices::Find(const std::string& engine) {
+  auto found = this->entries.find(engine);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
 EngineNotices::Entry& EngineNotices::FindOrAdd(const std::string& engine, Time now) {
   auto found = this->entries.find(engine);
   if (found == this->entries.end()) {
@@ -37,17 +42,29 @@
   this->dropped += 1;
 }
 
+// Takes what the engine said of its limit at `said`, unless something later is known; tells
+// whether that changed anything.
+bool EngineNotices::TakeLimit(const std::optional<double>& limit, Time said, Entry* entry) {
+  if (said <= entry->limit_said) return false;
+  bool changed = entry->limit_per_s != limit;
+  entry->limit_per_s = limit;
+  entry->limit_said = said;
+  return changed;
+}
+
 EngineNotices::Change EngineNotices::Hear(const std::string& engine, const EngineNotice& notice,
                                           Time sent, Time now) {
   Change change;
   if (SaysNothing(notice) && !this->Has(engine)) return change;
   Entry& entry = this->FindOrAdd(engine, now);
-  bool is_lifted = !notice.limit_per_s && !notice.malformed && sent > entry.limit_said;
-  if (notice.limit_per_s || is_lifted) {
-    change.limit = entry.limit_per_s != notice.limit_per_s;
-    entry.limit_per_s = notice.limit_per_s;
-    entry.limit_said = notice.limit_per_s ? now : sent;
+  entry.heard_at = now;
+  bool may_be_lifted = entry.limit_per_s && !notice.malformed;
+  if (notice.limit_per_s) {
+    change.limit = TakeLimit(notice.limit_per_s, now, &entry);
+  } else if (may_be_lifted) {
+    change.limit = TakeLimit(std::nullopt, sent, &entry);
   }
+  entry.is_untold = entry.is_untold || change.limit;
   change.leaving = notice.leaving && !entry.leaving;
   entry.leaving = entry.leaving || notice.leaving;
   if (notice.rest) {
@@ -57,6 +74,58 @@
   return change;
 }
 
+EngineNotices::Change EngineNotices::HearWord(const std::string& engine, const NoticeWord& word,
+                                              Time now) {
+  Change change;
+  bool is_new = word.limit && word.limit->per_s;
+  if (!is_new && !this->Has(engine)) return change;
+  Entry& entry = this->FindOrAdd(engine, now);
+  if (word.limit && word.limit->age <= kOldestWord) {
+    change.limit = TakeLimit(word.limit->per_s, now - word.limit->age, &entry);
+  }
+  return change;
+}
+
+std::map<std::string, NoticeWord> EngineNotices::WordsToTell(
+    bool all, const std::function<bool(const std::string& engine)>& is_sharer, Time now) {
+  std::map<std::string, NoticeWord> words;
+  for (auto& [engine, entry] : this->entries) {
+    bool is_due = all && (now - entry.heard_at < kOwnWordLasts || is_sharer(engine));
+    if (!entry.is_untold && !is_due) continue;
+    entry.is_untold = false;
+    NoticeWord word;
+    Duration age = now - entry.limit_said;
+    if (age <= kOldestWord) word.limit = LimitWord{entry.limit_per_s, age};
+    if (word != NoticeWord{}) words[engine] = word;
+  }
+  return words;
+}
+
+double EngineNotices::CreditLeft(Entry* entry, double share, Time now) const {
+  return entry->credit.Left(share * std::max(*entry->limit_per_s, kLeastPerSecond), now);
+}
+
+bool EngineNotices::Admits(const std::string& engine, double share, Time now) {
+  Entry* entry = this->Find(engine);
+  if (entry == nullptr || !entry->limit_per_s) return true;
+  return this->CreditLeft(entry, share, now) >= 1;
+}
+
+void EngineNotices::NoteSent(const std::string& engine, double share, Time now) {
+  Entry* entry = this->Find(engine);
+  if (entry == nullptr || !entry->limit_per_s) return;
+  this->CreditLeft(entry, share, now);
+  entry->credit.Take();
+}
+
+std::optional<Duration> EngineNotices::OpensIn(const std::string& engine, double share, Time now) {
+  Entry* entry = this->Find(engine);
+  if (entry == nullptr || !entry->limit_per_s) return Duration::zero();
+  if (share <= 0) return std::nullopt;
+  this->CreditLeft(entry, share, now);
+  return entry->credit.UntilOne();
+}
+
 bool EngineNotices::IsLeaving(const std::string& engine) const {
   const Entry* entry = this->Find(engine);
   return entry != nullptr && entry->leaving;
@@ -73,13 +142,17 @@
   return entry == nullptr ? std::nullopt : entry->limit_per_s;
 }
 
+bool EngineNotices::IsOver(const Entry& entry, Time now) {
+  bool was_limited = now - entry.limit_said < kLiftedKeptFor;
+  bool says_nothing =
+      !entry.limit_per_s && !was_limited && !entry.leaving && entry.rests_until <= now;
+  return says_nothing || now - entry.kept_since >= kKeptFor;
+}
+
 void EngineNotices::Forget(const std::set<std::string>& listed, Time now) {
   for (auto it = this->entries.begin(); it != this->entries.end();) {
-    Entry& entry = it->second;
-    if (listed.count(it->first) != 0) entry.kept_since = now;
-    bool says_nothing = !entry.limit_per_s && !entry.leaving && entry.rests_until <= now;
-    bool is_over = says_nothing || now - entry.kept_since >= kKeptFor;
-    it = is_over ? this->entries.erase(it) : std::next(it);
+    if (listed.count(it->first) != 0) it->second.kept_since = now;
+    it = IsOver(it->second, now) ? this->entries.erase(it) : std::next(it);
   }
 }
 
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -37,6 +37,7 @@
       switches(mechanisms),
       started(process_started),
       data_centre(std::move(own_data_centre)),
+      box(own_box),
       work_plan(own_box, this->data_centre, mechanisms.cells),
       suspicion(own_box) {}
 
@@ -94,6 +95,7 @@
   std::vector<const HomeEngine*> untried;
   std::vector<const HomeEngine*> all;
   for (const HomeEngine& engine : usable) {
+    if (!this->Admits(engine.record, engine.incarnation, now)) continue;
     all.push_back(&engine);
     if (tried.count(engine.incarnation) != 0) continue;
     untried.push_back(&engine);
@@ -121,6 +123,7 @@
     candidate.same_data_centre = engine.record.data_centre == this->data_centre;
     candidate.failure_rate = this->health[engine.incarnation].FailureRate(now);
     candidate.rank = this->switches.shared_order ? static_cast<double>(i) / last : 0;
+    candidate.helps = this->MayHelp(engine.incarnation);
     if (demand.scatter_by) candidate.rank = ScatteredRank(engine.incarnation, *demand.scatter_by);
     candidates.push_back(std::move(candidate));
   }
@@ -171,7 +174,10 @@
       this->ChooseAmong(home_plan.engines, service, demand, tried, now);
   if (home_plan.cells.is_whole() || !service.runs_models) return home;
   if (!this->WantsOthers(home, demand)) return home;
-  std::vector<HomeEngine> others = this->OthersFor(service, /*any=*/!home, now);
+  // Where engines of the home cell take nothing by their own word, blind work would meet the
+  // same at engines of other cells.
+  bool any = home_plan.engines.empty();
+  std::vector<HomeEngine> others = this->OthersFor(service, any, now);
   std::optional<FleetChoice> away = this->ChooseAmong(others, service, demand, tried, now);
   if (!away) return home;
   away->spilled = true;
@@ -185,7 +191,9 @@
   std::vector<std::pair<double, std::string>> by_load;
   std::map<std::string, EngineLoad> loads;
   for (const HomeEngine& engine : current.Of(current.main_service()).engines) {
-    if (this->Avoids(engine.incarnation, now)) continue;
+    bool is_free =
+        !this->Avoids(engine.incarnation, now) && !this->engine_notices.Has(engine.incarnation);
+    if (!is_free) continue;
     EngineLoad load = this->load_book.Of(engine.incarnation, now);
     double taken = static_cast<double>(load.requests) / std::max(engine.record.slots, 1);
     by_load.emplace_back(taken + load.ToReadMs() / kFullReadingMs, engine.incarnation);
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -86,9 +86,21 @@
                  const std::map<std::string, EngineLoad>& loads, Time now);
 
   // All other gateways that are known.
-  void SetGateways(std::vector<GatewayName> others) {
-    this->work_plan.SetGateways(std::move(others));
-  }
+  void SetGateways(std::vector<GatewayName> others);
+  // Boxes of gateways that count as stopped; their parts of limits pass on to others.
+  void SetSilentGateways(std::set<std::string> boxes);
+
+  // fleet_notices.cc: what follows from engines' notices.
+  // Whether a choice that was made a moment ago may still be sent.
+  bool StillAdmits(const FleetChoice& choice, Time now);
+  // A request has been sent to the engine.
+  void NoteSent(const EngineRecord& engine, Time now);
+  // Whether the service has engines and none of them takes a request now, by its own word.
+  bool AllHoldBack(const Service& service, Time now);
+  // Then: after how long the first of them will take one; nothing where that is not known.
+  std::optional<Duration> OpensIn(const Service& service, Time now);
+  // Notices that peers should be told of (EngineNotices::WordsToTell).
+  std::map<std::string, NoticeWord> NoticesToTell(bool all, Time now);
 
   // Says how many processes share the budget of retries.
   void SetProcesses(size_t count);
@@ -104,6 +116,10 @@
 
  private:
   bool Avoids(const std::string& engine, Time now);
+  bool Admits(const EngineRecord& engine, const std::string& incarnation, Time now);
+  bool MayHelp(const std::string& incarnation) const;
+  double ShareOfLimit(const EngineRecord& engine, const std::string& incarnation);
+  std::vector<HomeEngine> EnginesFor(const Service& service, Time now);
   std::vector<const HomeEngine*> Pickable(const std::vector<HomeEngine>& engines,
                                           const std::set<std::string>& tried, Time now);
   std::optional<FleetChoice> ChooseAmong(const std::vector<HomeEngine>& engines,
@@ -118,11 +134,18 @@
   std::optional<size_t> processes;
   std::string data_centre;
   EngineDirectory engines;
+  std::string box;
   WorkPlan work_plan;
   Spill spill;
   LoadBook load_book;
   std::map<std::string, EngineHealth> health;
   EngineNotices engine_notices;
+  // Whether the other gateways are known at all.
+  bool gateways_known = false;
+  std::set<std::string> silent_gateways;
+  // By incarnation, as of a revision of the plan.
+  std::map<std::string, double> limit_shares;
+  uint64_t limit_shares_of = 0;
   PeerSuspicion suspicion;
   std::map<std::string, RetryBucket> retries;
 };
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -14,6 +14,9 @@
 // Longer than any setting allows; a greater number is a fault and must not overflow.
 constexpr uint64_t kMostQuarantineMs = 7ull * 86400 * 1000;
 
+// A day; whatever is older says nothing any more.
+constexpr uint64_t kMostAgeUs = 86'400'000'000;
+
 bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
 
 // Whether all figures are ones that a load can have.  One that is not a number would make
@@ -42,6 +45,43 @@
   return value ? flatbuffers::Optional<uint64_t>(*value) : flatbuffers::nullopt;
 }
 
+flatbuffers::Optional<double> ToPacked(std::optional<double> value) {
+  return value ? flatbuffers::Optional<double>(*value) : flatbuffers::nullopt;
+}
+
+using PackedNotices =
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::EngineNoticeEntry>>>;
+
+PackedNotices PackNotices(flatbuffers::FlatBufferBuilder* builder,
+                          const std::map<std::string, NoticeWord>& notices) {
+  if (notices.empty()) return 0;
+  std::vector<flatbuffers::Offset<fb::EngineNoticeEntry>> entries;
+  for (const auto& [engine, word] : notices) {
+    flatbuffers::Offset<fb::EngineLimit> limit;
+    if (word.limit) {
+      limit = fb::CreateEngineLimit(*builder, ToPacked(word.limit->per_s),
+                                    static_cast<uint64_t>(word.limit->age.count()));
+    }
+    entries.push_back(fb::CreateEngineNoticeEntry(*builder, builder->CreateString(engine), limit));
+  }
+  return builder->CreateVector(entries);
+}
+
+// Entries that no engine can have said are left out.
+std::map<std::string, NoticeWord> ReadNotices(const fb::LoadDigest& packed) {
+  std::map<std::string, NoticeWord> notices;
+  if (packed.notices() == nullptr) return notices;
+  for (const fb::EngineNoticeEntry* entry : *packed.notices()) {
+    if (entry->engine() == nullptr || entry->limit() == nullptr) continue;
+    LimitWord limit;
+    limit.age = Duration(static_cast<int64_t>(std::min(entry->limit()->age_us(), kMostAgeUs)));
+    if (entry->limit()->per_s()) limit.per_s = *entry->limit()->per_s();
+    if (limit.per_s && !IsAmount(*limit.per_s)) continue;
+    notices[entry->engine()->str()].limit = limit;
+  }
+  return notices;
+}
+
 CrashNews ReadNews(const fb::LoadDigest& packed) {
   CrashNews news;
   if (packed.crashes() != nullptr) {
@@ -95,14 +135,14 @@
   for (const QuarantineWord& word : news.quarantined) {
     quarantined.emplace_back(word.content, ToMillis(word.left));
   }
-  builder.Finish(
-      fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
-                           digest.sequence, builder.CreateVector(entries), freshness,
-                           builder.CreateVector(set_aside), digest.engines_copied.content,
-                           digest.engines_read_to, digest.is_offer, VectorOrNone(&builder, crashes),
-                           news.answered.empty() ? 0 : builder.CreateVector(news.answered),
-                           VectorOrNone(&builder, quarantined), ToPacked(digest.store_epoch),
-                           digest.epoch_is_settled, digest.engines_copied.revision));
+  builder.Finish(fb::CreateLoadDigest(
+      builder, builder.CreateString(digest.box), digest.incarnation, digest.sequence,
+      builder.CreateVector(entries), freshness, builder.CreateVector(set_aside),
+      digest.engines_copied.content, digest.engines_read_to, digest.is_offer,
+      VectorOrNone(&builder, crashes),
+      news.answered.empty() ? 0 : builder.CreateVector(news.answered),
+      VectorOrNone(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
+      digest.engines_copied.revision, PackNotices(&builder, digest.notices)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -122,6 +162,7 @@
   digest.epoch_is_settled = packed->epoch_is_settled();
   digest.is_offer = packed->is_offer();
   digest.crash_news = ReadNews(*packed);
+  digest.notices = ReadNotices(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote told;
     told.round = note->round();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -16,6 +16,7 @@
 #include "serving/copy_schedule.h"
 #include "serving/crash_news.h"
 #include "serving/engine_load.h"
+#include "serving/engine_notice.h"
 #include "serving/peer_freshness.h"
 
 namespace gullward {
@@ -42,6 +43,8 @@
   // Whether `loads` are engines on offer, with all work that the sender knows there
   // (serving/spill.h), instead of its own work.
   bool is_offer = false;
+  // What engines have said of themselves (serving/engine_notices.h).
+  std::map<std::string, NoticeWord> notices;
   // News that its receivers pass on (serving/crash_news.h).
   CrashNews crash_news;
 
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -75,6 +75,9 @@
   // Requests that end the engines that run them are kept from further ones (quarantine.h).
   // Off: each is sent on like any other, and the users' bound on such requests is broken.
   bool quarantine = true;
+  // What engines say of themselves in answers is followed (engine_notices.h).  Off: it is
+  // known and told in the log only, and the users' bounds on it are broken.
+  bool engine_notices = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -105,6 +108,7 @@
     {"spill", &Mechanisms::spill},
     {"config_from_peers", &Mechanisms::config_from_peers},
     {"quarantine", &Mechanisms::quarantine},
+    {"engine_notices", &Mechanisms::engine_notices},
 };
 
 }  // namespace gullward
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -23,8 +23,9 @@
   return names;
 }
 
-std::vector<const Peer*> PeerDirectory::NextOf(const std::string& service, const CellMap& cells,
-                                               const Cell& cell, uint64_t revision) {
+const std::vector<const Peer*>& PeerDirectory::MembersOf(const std::string& service,
+                                                         const CellMap& cells, const Cell& cell,
+                                                         uint64_t revision) {
   if (this->members_of != revision) this->members.clear();
   this->members_of = revision;
   auto [found, is_new] = this->members.try_emplace({service, cell});
@@ -34,6 +35,12 @@
       if (cells.HomeOf(box, peer.data_centre) == cell) all.push_back(&peer);
     }
   }
+  return all;
+}
+
+std::vector<const Peer*> PeerDirectory::NextOf(const std::string& service, const CellMap& cells,
+                                               const Cell& cell, uint64_t revision) {
+  const std::vector<const Peer*>& all = this->MembersOf(service, cells, cell, revision);
   if (all.size() <= kMostAtOnce) return all;
   this->left_for_later += all.size() - kMostAtOnce;
   std::vector<const Peer*> turn;
--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -48,8 +48,12 @@
   // The next members of large cells have their turn.
   void BeginRound() { this->round += 1; }
 
-  // Members of a service's cell, those whose turn it is where there are many.  As long as
-  // `revision`, that of the map, is the same, members are not worked out anew.
+  // Members of a service's cell.  As long as `revision`, that of the map, is the same, members
+  // are not worked out anew.
+  const std::vector<const Peer*>& MembersOf(const std::string& service, const CellMap& cells,
+                                            const Cell& cell, uint64_t revision);
+
+  // Of these, those whose turn it is where there are many.
   std::vector<const Peer*> NextOf(const std::string& service, const CellMap& cells,
                                   const Cell& cell, uint64_t revision);
 
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -84,24 +84,25 @@
 }
 
 // The `count` candidates besides `main` that cost least as readers, but for the
-// preference for engines without streams.
+// preference for engines without streams; fewer where fewer help.
 std::vector<size_t> CheapestReaders(const Question& question, const ReaderCosts& costs,
                                     const Placement& shares, size_t main, long count) {
   std::vector<size_t> others;
   for (size_t i = 0; i < costs.as_reader.size(); ++i) {
-    if (i != main) others.push_back(i);
+    if (i != main && question.candidates[i].helps) others.push_back(i);
   }
   auto order = [&](size_t i) {
     return costs.as_reader[i] + TogetherCost(question, i, shares) +
            CostOfWaiting(question.speed, question.demand, costs.first_event_ms[i]);
   };
+  count = std::min<long>(count, static_cast<long>(others.size()));
   std::partial_sort(others.begin(), others.begin() + count, others.end(),
                     [&](size_t left, size_t right) { return order(left) < order(right); });
   others.resize(static_cast<size_t>(count));
   return others;
 }
 
-// The best placement with exactly `readers` engines.
+// The best placement with exactly `readers` engines; it names none where fewer would read.
 Placement ChooseWithReaders(const Question& question, int readers) {
   const auto& [candidates, speed, demand, options] = question;
   Placement placement = ShareAmong(readers, speed, demand);
@@ -115,7 +116,9 @@
   // The slowest reader alone decides when the first event comes, so lateness is
   // paid once.
   placement.cost -= CostOfWaiting(speed, demand, placement.first_event_ms);
-  for (size_t helper : CheapestReaders(question, costs, placement, *main, readers - 1)) {
+  std::vector<size_t> helpers = CheapestReaders(question, costs, placement, *main, readers - 1);
+  if (helpers.size() + 1 < static_cast<size_t>(readers)) return Placement{};
+  for (size_t helper : helpers) {
     placement.engines.push_back(helper);
     placement.cost += costs.as_reader[helper];
     placement.harm += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -62,6 +62,8 @@
   double failure_rate = 0;
   // Its place in the order that all processes share, 0 to 1.
   double rank = 0;
+  // Whether it may read parts of prompts that run on other engines.
+  bool helps = true;
 
   bool operator==(const Candidate&) const = default;
 };
--- a/src/serving/testing/engine_notices_test.cc
+++ b/src/serving/testing/engine_notices_test.cc
@@ -97,6 +97,82 @@
   BOOST_TEST((notices.Hear(kEngine, kLeaving, At(8), At(9)) == Change{}));
 }
 
+bool Nobody(const std::string&) { return false; }
+bool Everybody(const std::string&) { return true; }
+
+NoticeWord WordOf(std::optional<double> per_s, Duration age) {
+  return {.limit = LimitWord{per_s, age}};
+}
+
+// Words of other gateways come in any order, and are about different moments.
+BOOST_AUTO_TEST_CASE(OfALimitTheLatestIsBelievedWhoeverTellsIt) {
+  struct Row {
+    const char* name;
+    std::vector<NoticeWord> words;
+    std::optional<double> limit;
+  };
+  const Row table[] = {
+      {"told", {WordOf(3, seconds(1))}, 3},
+      {"lifted since", {WordOf(3, seconds(2)), WordOf(std::nullopt, seconds(1))}, std::nullopt},
+      {"lifted before", {WordOf(3, seconds(1)), WordOf(std::nullopt, seconds(2))}, 3},
+      {"lifted, then an old word",
+       {WordOf(3, seconds(3)), WordOf(std::nullopt, seconds(1)), WordOf(3, seconds(2))},
+       std::nullopt},
+      {"too old", {WordOf(3, EngineNotices::kOldestWord + seconds(1))}, std::nullopt},
+      {"lifted, nothing known", {WordOf(std::nullopt, seconds(1))}, std::nullopt},
+  };
+  for (const Row& row : table) {
+    EngineNotices notices;
+    for (const NoticeWord& word : row.words) notices.HearWord(kEngine, word, At(60'000));
+    BOOST_TEST((notices.LimitOf(kEngine) == row.limit), row.name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChangesAreToldOnAtOnceAndSharersTellAgain) {
+  EngineNotices notices;
+  notices.Hear(kEngine, Limit(2), At(0), At(100));
+  auto words = notices.WordsToTell(/*all=*/false, Nobody, At(150));
+  BOOST_REQUIRE(words.count(kEngine) == 1u);
+  BOOST_TEST((words[kEngine] == WordOf(2, milliseconds(50))));
+  BOOST_TEST(notices.WordsToTell(false, Everybody, At(160)).empty());
+  // Once more in a round, in case that it was lost; then by those who share the limit.
+  BOOST_TEST(notices.WordsToTell(true, Nobody, At(2000)).size() == 1u);
+  BOOST_TEST(notices.WordsToTell(true, Nobody, At(5000)).empty());
+  BOOST_TEST(notices.WordsToTell(true, Everybody, At(5000)).size() == 1u);
+  // Its end too.
+  notices.Hear(kEngine, kNothing, At(6000), At(6100));
+  words = notices.WordsToTell(false, Nobody, At(6100));
+  BOOST_TEST((words[kEngine] == WordOf(std::nullopt, milliseconds(100))));
+  // What others told is not told on by whoever has no share.
+  EngineNotices other;
+  other.HearWord(kEngine, WordOf(2, seconds(1)), At(0));
+  BOOST_TEST(other.WordsToTell(true, Nobody, At(100)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALimitAdmitsWhatTheShareEarns) {
+  EngineNotices notices;
+  BOOST_TEST(notices.Admits(kEngine, 0, At(0)));
+  notices.Hear(kEngine, Limit(2), At(0), At(0));
+  BOOST_TEST(!notices.Admits(kEngine, 0.5, At(0)));
+  BOOST_TEST((notices.OpensIn(kEngine, 0.5, At(0)) == seconds(1)));
+  BOOST_TEST(notices.Admits(kEngine, 0.5, At(1000)));
+  notices.NoteSent(kEngine, 0.5, At(1000));
+  BOOST_TEST(!notices.Admits(kEngine, 0.5, At(1001)));
+  // Without a share nothing is known of when.
+  BOOST_TEST(!notices.Admits(kEngine, 0, At(9000)));
+  BOOST_TEST(!notices.OpensIn(kEngine, 0, At(9000)).has_value());
+  notices.Hear(kEngine, kNothing, At(9001), At(9002));
+  BOOST_TEST(notices.Admits(kEngine, 0, At(9003)));
+}
+
+BOOST_AUTO_TEST_CASE(AnEngineThatTakesNothingIsAskedNowAndThen) {
+  EngineNotices notices;
+  notices.Hear(kEngine, Limit(0), At(0), At(0));
+  BOOST_TEST(!notices.Admits(kEngine, 1, At(0)));
+  BOOST_TEST(!notices.Admits(kEngine, 1, At(9'000)));
+  BOOST_TEST(notices.Admits(kEngine, 1, At(10'000)));
+}
+
 BOOST_AUTO_TEST_CASE(MemoryIsBoundedAndWhatIsDroppedIsCounted) {
   EngineNotices notices;
   for (size_t i = 0; i <= EngineNotices::kCapacity; ++i) {
--- a/src/serving/work_plan.h
+++ b/src/serving/work_plan.h
@@ -49,6 +49,9 @@
   // All other gateways that are known.
   void SetGateways(std::vector<GatewayName> others);
 
+  // All gateways that are known, this one among them.
+  const std::vector<GatewayName>& known_gateways() const { return this->gateways; }
+
   // An empty plan for a service that no engine runs.
   const ServicePlan& Of(const std::string& service) const;
 
--- a/src/trial/fleet_tables.cc
+++ b/src/trial/fleet_tables.cc
@@ -106,6 +106,74 @@
           {"racks alone", racks_alone}};
 }
 
+std::vector<LimitCondition> LimitConditions(size_t gateways, size_t engines) {
+  LimitTrialOptions calm;
+  calm.gateways = gateways;
+  calm.engines = engines;
+  LimitTrialOptions low = calm;
+  low.limit_per_s = 0.5;
+  LimitTrialOptions none = calm;
+  none.limit_per_s = 0;
+  LimitTrialOptions high = calm;
+  high.limit_per_s = 20;
+  LimitTrialOptions all_limited = calm;
+  all_limited.limited_share = 1;
+  LimitTrialOptions busy = all_limited;
+  busy.requests_per_s = 40;
+  LimitTrialOptions killed = busy;
+  killed.kill_every = seconds(2);
+  LimitTrialOptions all_killed = busy;
+  all_killed.kill_all_every = seconds(12);
+  LimitTrialOptions cut = busy;
+  cut.cut_every = seconds(2);
+  LimitTrialOptions long_cut = busy;
+  long_cut.cut_every = seconds(4);
+  long_cut.trouble_for = seconds(9);
+  LimitTrialOptions suspended = busy;
+  suspended.suspend_every = seconds(2);
+  LimitTrialOptions added = busy;
+  added.added = gateways / 2;
+  LimitTrialOptions lossy = busy;
+  lossy.datagrams_lost = 0.3;
+  return {{"calm", calm},
+          {"low limit", low},
+          {"limit of zero", none},
+          {"high limit", high},
+          {"all engines", all_limited},
+          {"all, busy", busy},
+          {"killed", killed},
+          {"all killed", all_killed},
+          {"cut", cut},
+          {"cut for long", long_cut},
+          {"suspended", suspended},
+          {"added", added},
+          {"datagrams lost", lossy}};
+}
+
+void PrintLimitTable(const TableOptions& options) {
+  std::printf(
+      "| gateways | engines | condition | followed | requests | refused | most of allowed | "
+      "limit used | lifted after ms | datagrams/s | B/s |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (size_t gateways : options.gateways) {
+    size_t engines = EnginesFor(options, gateways);
+    for (const LimitCondition& condition : LimitConditions(gateways, engines)) {
+      for (bool followed : {false, true}) {
+        LimitTrialOptions trial = condition.options;
+        trial.engine_notices = followed;
+        trial.seed = options.seed;
+        LimitTrialResult result = PlayLimits(trial);
+        std::printf("| %zu | %zu | %s | %s | %lu | %lu | %.2f | %.2f | %.0f | %.1f | %.0f |\n",
+                    gateways, engines, condition.name, followed ? "yes" : "no",
+                    Printable(result.requests), Printable(result.refused), result.most_of_allowed,
+                    result.limit_used, result.lifted_after_ms, result.datagrams_per_s,
+                    result.bytes_per_s);
+        std::fflush(stdout);
+      }
+    }
+  }
+}
+
 void PrintCrashTable(const TableOptions& options) {
   std::printf(
       "| gateways | engines | condition | remembered | deadly | engines ended | sent after | "
--- a/src/trial/fleet_tables.h
+++ b/src/trial/fleet_tables.h
@@ -1,5 +1,5 @@
-// The tables that `gullward-trial --scale` and `--crashing` print: one row or more for each
-// size of a fleet.
+// The tables that `gullward-trial --scale`, `--crashing` and `--limited` print: one row or more
+// for each size of a fleet.
 
 #ifndef GULLWARD_TRIAL_FLEET_TABLES_H_
 #define GULLWARD_TRIAL_FLEET_TABLES_H_
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "trial/crash_trial.h"
+#include "trial/limit_trial.h"
 
 namespace gullward {
 
@@ -38,6 +39,17 @@
 
 void PrintCrashTable(const TableOptions& options);
 
+// What befalls a fleet with engines in need.
+struct LimitCondition {
+  const char* name;
+  LimitTrialOptions options;
+};
+
+// Every condition that the table and the test play, for a fleet of that size.
+std::vector<LimitCondition> LimitConditions(size_t gateways, size_t engines);
+
+void PrintLimitTable(const TableOptions& options);
+
 }  // namespace gullward
 
 #endif  // GULLWARD_TRIAL_FLEET_TABLES_H_
--- a/src/trial/main.cc
+++ b/src/trial/main.cc
@@ -45,7 +45,10 @@
 DEFINE_string(crashing, "",
               "instead of the trials above: what requests that end engines cost fleets of these "
               "numbers of gateways, such as 5,30,103,300 (trial/crash_trial.h)");
-DEFINE_double(engines_each, 10, "engines for each gateway, with --scale and --crashing");
+DEFINE_string(limited, "",
+              "instead of the trials above: what engines in need get from fleets of these numbers "
+              "of gateways, such as 5,30,100,300 (trial/limit_trial.h)");
+DEFINE_double(engines_each, 10, "engines for each gateway, with --scale, --crashing, --limited");
 
 namespace gullward {
 namespace {
@@ -373,5 +376,8 @@
   if (!FLAGS_crashing.empty()) {
     return RunTable("crashing", FLAGS_crashing, gullward::PrintCrashTable);
   }
+  if (!FLAGS_limited.empty()) {
+    return RunTable("limited", FLAGS_limited, gullward::PrintLimitTable);
+  }
   return gullward::RunAll();
 }
