--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -63,6 +63,14 @@
   // Engines that may get new work.
   size_t UsableEngines() const { return this->state.fleet.directory().Usable().size(); }
 
+  // Whether the list has an engine of that id.
+  bool Knows(const std::string& id) const {
+    return this->state.fleet.directory().Find(id) != nullptr;
+  }
+
+  // Engines that have said that they leave.
+  size_t engines_leaving() const { return this->state.fleet.notices().leaving(); }
+
   // Contents that are refused since they end engines.
   size_t quarantined() const { return this->crash_watch.contents().quarantined(); }
 
--- a/src/gateway/testing/engine_limit_test.cc
+++ b/src/gateway/testing/engine_limit_test.cc
@@ -41,25 +41,10 @@
   return world;
 }
 
-void Pause(GatewayWorld* world, Duration pause) {
-  Time until = Now() + pause;
-  world->RunUntil([until] { return Now() >= until; });
-}
-
-// Sends `count` requests, by each gateway in turn, and runs until all are answered.
 std::vector<std::shared_ptr<Reply>> SendMany(GatewayWorld* world, int count,
                                              const std::string& name) {
-  std::vector<std::shared_ptr<Reply>> replies;
-  size_t gateways = world->more_gateways.size() + 1;
-  for (int i = 0; i < count; ++i) {
-    std::string request = world->StreamRequest(absl::StrCat(name, "-", i));
-    replies.push_back(world->Send(request, static_cast<size_t>(i) % gateways));
-    Pause(world, kPause);
-  }
-  BOOST_REQUIRE(world->RunUntil([&] {
-    return std::all_of(replies.begin(), replies.end(), [](const auto& one) { return one->done; });
-  }));
-  return replies;
+  return world->SendMany(count, name, kPause,
+                         [world](const std::string& id) { return world->StreamRequest(id); });
 }
 
 // Each gateway passes on an answer of the only engine.
--- a/src/gateway/testing/gateway_world.cc
+++ b/src/gateway/testing/gateway_world.cc
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "platform/headers.h"
 #include "platform/testing/document_writer.h"
@@ -103,6 +105,7 @@
   settings.key_trust = this->options.key_trust;
   settings.key_trust_mode = this->options.key_trust_mode;
   settings.stop_grace = this->options.stop_grace;
+  settings.leaving_bound = this->options.leaving_bound;
   settings.retry = this->options.retry;
   auto server = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/number);
   absl::Status status = server->Start();
@@ -205,6 +208,23 @@
   return *reply;
 }
 
+std::vector<std::shared_ptr<Reply>> GatewayWorld::SendMany(
+    int count, const std::string& name, Duration pause,
+    const std::function<std::string(const std::string& id)>& make) {
+  std::vector<std::shared_ptr<Reply>> replies;
+  size_t gateways = this->more_gateways.size() + 1;
+  for (int i = 0; i < count; ++i) {
+    std::string request = make(absl::StrCat(name, "-", i));
+    replies.push_back(this->Send(request, static_cast<size_t>(i) % gateways));
+    Time until = Now() + pause;
+    this->RunUntil([until] { return Now() >= until; });
+  }
+  CHECK(this->RunUntil([&] {
+    return std::all_of(replies.begin(), replies.end(), [](const auto& one) { return one->done; });
+  })) << name;
+  return replies;
+}
+
 int GatewayWorld::RunsOf(const std::string& id) const {
   int runs = 0;
   auto count = [&](const std::vector<std::unique_ptr<EngineStandin>>& list) {
--- a/src/gateway/testing/gateway_world.h
+++ b/src/gateway/testing/gateway_world.h
@@ -38,6 +38,7 @@
   Duration key_trust = seconds(5);
   KeyTrust key_trust_mode = KeyTrust::kBounded;
   Duration stop_grace = seconds(8);
+  Duration leaving_bound = seconds(2);
   Mechanisms mechanisms = {};
   // Every attempt that one request may need, from the first moment on, though a process
   // that has just started has no slack yet: what fleets may retry together is not what
@@ -93,6 +94,11 @@
   std::shared_ptr<Reply> Send(const std::string& request, size_t gateway_number = 0);
   // Sends, and runs until the answer has ended.
   Reply Call(const std::string& request, size_t gateway_number = 0);
+  // Sends `count` requests that `make` writes for ids NAME-0 and so on, by each gateway in turn,
+  // with a pause after each, and runs until all are answered.
+  std::vector<std::shared_ptr<Reply>> SendMany(
+      int count, const std::string& name, Duration pause,
+      const std::function<std::string(const std::string& id)>& make);
   // Closes the connections of all callers.
   void DropCallers() { this->callers.clear(); }
 
