An engine that says that it leaves gets nothing more, whatever the list says

What callers saw: requests sent to engines seconds after their own answers had said that they leave, some of them lost with the engine. Cause: a leaving was known by the engines' list alone; while the store was away (35.4 to 47.5 s) the entry still said ready. Change: leaving is kept under the engine's life until that is over, told to the other gateways of its cell, and asked where engines are picked, so retries, readers, resumed streams, offers and blind work keep to it. Same cause elsewhere: a leaving that the list had announced was undone when the entry lapsed and came back as ready (EngineDirectory::announced); a request that waited for a connection went to an engine that had left meanwhile (Exchange::Withdraw).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -115,6 +115,8 @@
   bool IsTooSilent(Time now) const;
   bool MayTryAnother(Time now) const;
   void LeaveSilentEngine(Time now);
+  bool IsInVain(Time now) const;
+  void Withdraw(Time now);
   RequestState StateForDecision(Time now) const;
   LogLine Line(std::string_view event) const;
 
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -2,7 +2,8 @@
 // over (then it is given up: broken off where an answer has begun, else refused
 // with a code that promises nothing), and whether its engine has been silent for
 // longer than its expected next event and its load can explain (then the attempt
-// is left for another engine, where the request may run again).
+// is left for another engine, where the request may run again).  A request that waits for a
+// connection is withdrawn where its engine leaves or wants a pause meanwhile.
 
 #include "gateway/exchange.h"
 #include "serving/engine_patience.h"
@@ -25,6 +26,10 @@
     this->GiveUp();
     return;
   }
+  if (this->IsInVain(now)) {
+    this->Withdraw(now);
+    return;
+  }
   if (!this->state->fleet.mechanisms().leave_silent_engines) return;
   if (this->IsTooSilent(now) && this->MayTryAnother(now)) this->LeaveSilentEngine(now);
 }
@@ -65,6 +70,21 @@
   this->AfterAttempt(AttemptResult::kUnknown);
 }
 
+// Whether the attempt waits for a connection to an engine that wants nothing any more.
+bool Exchange::IsInVain(Time now) const {
+  return this->attempt->channel->is_connecting() &&
+         !this->state->fleet.MayStillGo(this->attempt->engine, now);
+}
+
+// Nothing has been sent yet, so nothing has run.
+void Exchange::Withdraw(Time now) {
+  this->state->log->Write(this->Line("withdrawn")
+                              .Text("engine", this->attempt->engine.Incarnation())
+                              .Number("waited_ms", ToSeconds(now - this->attempt->sent) * 1000));
+  this->attempt->channel->Close();
+  this->AfterAttempt(AttemptResult::kNotRun);
+}
+
 void Exchange::GiveUp() {
   this->CancelAttempt();
   if (this->answer_begun) {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -329,8 +329,9 @@
     if (!change.any()) continue;
     LogLine line("engine_notice");
     line.Text("engine", engine).Text("told_by", digest.box);
-    if (word.limit->per_s) line.Number("limit_per_s", *word.limit->per_s);
-    if (!word.limit->per_s) line.Number("limit_lifted", 1);
+    if (change.limit && word.limit->per_s) line.Number("limit_per_s", *word.limit->per_s);
+    if (change.limit && !word.limit->per_s) line.Number("limit_lifted", 1);
+    if (change.leaving) line.Number("leaving", 1);
     this->log->Write(line);
   }
 }
--- a/src/http/request_channel.h
+++ b/src/http/request_channel.h
@@ -61,6 +61,9 @@
   // Until when the server promises to keep the idle channel, from the last answer.
   std::optional<Duration> keep_alive() const { return this->kept_for; }
 
+  // Whether the connection does not stand yet: the server has seen nothing.
+  bool is_connecting() const { return !this->closed && this->stream->is_connecting(); }
+
   // Stops and resumes reading the answer.
   void SetReading(bool wanted) { this->stream->SetReading(wanted); }
 
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -9,6 +9,13 @@
 
 namespace gullward {
 
+namespace {
+
+// What is announced holds for good: a life's name is never used again.
+constexpr Time kForGood{};
+
+}  // namespace
+
 // No id has an "@" (platform/documents.h).
 std::string EngineRecord::Incarnation() const {
   return this->born == 0 ? this->id : absl::StrCat(this->id, "@", this->born);
@@ -17,8 +24,9 @@
 void EngineDirectory::Update(const EngineRecord& record) {
   const EngineRecord* known = this->Find(record.id);
   bool is_late = known != nullptr && record.born < known->born;
-  bool undoes_leaving =
-      known != nullptr && record.born == known->born && known->draining && !record.draining;
+  std::string life = record.Incarnation();
+  if (record.draining) this->announced.Note(life, kForGood);
+  bool undoes_leaving = !record.draining && this->announced.Has(life, kForGood);
   if (is_late || undoes_leaving) return;
   this->doubted.erase(record.id);
   bool is_same = known != nullptr && *known == record;
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -1,7 +1,8 @@
 // The engines that the platform lists, and which of them may get work.
 //
 // The list comes as whole pages at first and as single changes afterwards.  An
-// engine that says it is leaving gets nothing new from that moment.  One that
+// engine that says it is leaving gets nothing new from that moment, also where its entry lapses
+// and comes back without that word.  One that
 // drops off the list is gone too, except right after the list itself was out of
 // reach: then entries of living engines lapse and come back a moment later, so
 // an engine is kept that long on its old record.
@@ -68,8 +69,8 @@
   // Until when removals that are read after the list's return are not believed.
   static Time KeepUntil(Time list_regained_at) { return list_regained_at + kLapseGrace; }
 
-  // Takes one entry.  One of an earlier life than the known one is dropped, as is one of the
-  // same life that would undo its leaving.
+  // Takes one entry.  One of an earlier life than the known one is dropped, as is one that
+  // would undo the leaving of its life.
   void Update(const EngineRecord& record);
   // Removes an engine, at `keep_until` if that is later than now.
   void Remove(const std::string& id, Time now, Time keep_until);
@@ -124,6 +125,8 @@
 
   std::map<std::string, Entry> engines;
   Departures departures;
+  // Lives that the list has said to be leaving.
+  Departures announced;
   // Lives on an older list that had left, by id, and when they are believed after all.
   std::map<std::string, EngineRecord> doubted;
   Time doubted_until{};
--- a/src/serving/engine_notice.h
+++ b/src/serving/engine_notice.h
@@ -39,6 +39,7 @@
 // asked of one gateway alone.
 struct NoticeWord {
   std::optional<LimitWord> limit = std::nullopt;
+  bool leaving = false;
 
   bool operator==(const NoticeWord&) const = default;
 };
--- a/src/serving/engine_notices.cc
+++ b/src/serving/engine_notices.cc
@@ -67,6 +67,7 @@
   entry.is_untold = entry.is_untold || change.limit;
   change.leaving = notice.leaving && !entry.leaving;
   entry.leaving = entry.leaving || notice.leaving;
+  entry.is_untold = entry.is_untold || change.leaving;
   if (notice.rest) {
     change.rest = entry.rests_until <= now;
     entry.rests_until = std::max(entry.rests_until, now + *notice.rest);
@@ -77,12 +78,14 @@
 EngineNotices::Change EngineNotices::HearWord(const std::string& engine, const NoticeWord& word,
                                               Time now) {
   Change change;
-  bool is_new = word.limit && word.limit->per_s;
+  bool is_new = word.leaving || (word.limit && word.limit->per_s);
   if (!is_new && !this->Has(engine)) return change;
   Entry& entry = this->FindOrAdd(engine, now);
   if (word.limit && word.limit->age <= kOldestWord) {
     change.limit = TakeLimit(word.limit->per_s, now - word.limit->age, &entry);
   }
+  change.leaving = word.leaving && !entry.leaving;
+  entry.leaving = entry.leaving || word.leaving;
   return change;
 }
 
@@ -96,6 +99,7 @@
     NoticeWord word;
     Duration age = now - entry.limit_said;
     if (age <= kOldestWord) word.limit = LimitWord{entry.limit_per_s, age};
+    word.leaving = entry.leaving;
     if (word != NoticeWord{}) words[engine] = word;
   }
   return words;
@@ -107,8 +111,9 @@
 
 bool EngineNotices::Admits(const std::string& engine, double share, Time now) {
   Entry* entry = this->Find(engine);
-  if (entry == nullptr || !entry->limit_per_s) return true;
-  return this->CreditLeft(entry, share, now) >= 1;
+  if (entry == nullptr) return true;
+  if (entry->leaving) return false;
+  return !entry->limit_per_s || this->CreditLeft(entry, share, now) >= 1;
 }
 
 void EngineNotices::NoteSent(const std::string& engine, double share, Time now) {
@@ -120,7 +125,9 @@
 
 std::optional<Duration> EngineNotices::OpensIn(const std::string& engine, double share, Time now) {
   Entry* entry = this->Find(engine);
-  if (entry == nullptr || !entry->limit_per_s) return Duration::zero();
+  if (entry == nullptr) return Duration::zero();
+  if (entry->leaving) return std::nullopt;
+  if (!entry->limit_per_s) return Duration::zero();
   if (share <= 0) return std::nullopt;
   this->CreditLeft(entry, share, now);
   return entry->credit.UntilOne();
--- a/src/serving/engine_notices.h
+++ b/src/serving/engine_notices.h
@@ -7,7 +7,7 @@
 //     way, so only one to a request that was sent after the limit was last named counts.  All
 //     gateways share it (limit_share.h), and tell each other of it: those that send an engine
 //     nothing would else never hear of the limit's end.
-//   - Leaving holds for the rest of the engine's life.
+//   - Leaving holds for the rest of the engine's life.  Gateways tell each other of that too.
 //   - A pause holds until its time is over.
 //
 // All is kept under the engine's incarnation (EngineRecord::Incarnation), so that a later life
@@ -116,7 +116,7 @@
     Time kept_since{};
     // When the engine last said something here itself.
     Time heard_at{};
-    // Whether it has since changed what is known and nobody has been told.
+    // Whether that has changed what is known, and nobody has been told yet.
     bool is_untold = false;
   };
 
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -93,6 +93,9 @@
   // fleet_notices.cc: what follows from engines' notices.
   // Whether a choice that was made a moment ago may still be sent.
   bool StillAdmits(const FleetChoice& choice, Time now);
+  // Whether a request that waits for a connection to the engine should go on waiting: not
+  // where the engine has left, is leaving or has asked for a pause meanwhile.
+  bool MayStillGo(const EngineRecord& engine, Time now) const;
   // A request has been sent to the engine.
   void NoteSent(const EngineRecord& engine, Time now);
   // Whether the service has engines and none of them takes a request now, by its own word.
--- a/src/serving/fleet_notices.cc
+++ b/src/serving/fleet_notices.cc
@@ -60,6 +60,15 @@
   });
 }
 
+bool Fleet::MayStillGo(const EngineRecord& engine, Time now) const {
+  std::string incarnation = engine.Incarnation();
+  const EngineRecord* known = this->engines.FindIncarnation(incarnation);
+  if (known == nullptr || known->draining) return false;
+  bool asked_off = this->engine_notices.IsLeaving(incarnation) ||
+                   this->engine_notices.RestLeft(incarnation, now) > Duration::zero();
+  return !asked_off || !this->switches.engine_notices;
+}
+
 void Fleet::NoteSent(const EngineRecord& engine, Time now) {
   std::string incarnation = engine.Incarnation();
   if (!this->engine_notices.Has(incarnation)) return;
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -62,22 +62,30 @@
       limit = fb::CreateEngineLimit(*builder, ToPacked(word.limit->per_s),
                                     static_cast<uint64_t>(word.limit->age.count()));
     }
-    entries.push_back(fb::CreateEngineNoticeEntry(*builder, builder->CreateString(engine), limit));
+    entries.push_back(
+        fb::CreateEngineNoticeEntry(*builder, builder->CreateString(engine), limit, word.leaving));
   }
   return builder->CreateVector(entries);
 }
 
-// Entries that no engine can have said are left out.
+// Nothing where it holds a limit that no engine can have named.
+std::optional<LimitWord> ReadLimit(const fb::EngineLimit& packed) {
+  LimitWord limit;
+  limit.age = Duration(static_cast<int64_t>(std::min(packed.age_us(), kMostAgeUs)));
+  if (packed.per_s()) limit.per_s = *packed.per_s();
+  if (limit.per_s && !IsAmount(*limit.per_s)) return std::nullopt;
+  return limit;
+}
+
 std::map<std::string, NoticeWord> ReadNotices(const fb::LoadDigest& packed) {
   std::map<std::string, NoticeWord> notices;
   if (packed.notices() == nullptr) return notices;
   for (const fb::EngineNoticeEntry* entry : *packed.notices()) {
-    if (entry->engine() == nullptr || entry->limit() == nullptr) continue;
-    LimitWord limit;
-    limit.age = Duration(static_cast<int64_t>(std::min(entry->limit()->age_us(), kMostAgeUs)));
-    if (entry->limit()->per_s()) limit.per_s = *entry->limit()->per_s();
-    if (limit.per_s && !IsAmount(*limit.per_s)) continue;
-    notices[entry->engine()->str()].limit = limit;
+    if (entry->engine() == nullptr) continue;
+    NoticeWord word;
+    if (entry->limit() != nullptr) word.limit = ReadLimit(*entry->limit());
+    word.leaving = entry->leaving();
+    if (word != NoticeWord{}) notices[entry->engine()->str()] = word;
   }
   return notices;
 }
--- a/src/serving/testing/engine_notices_test.cc
+++ b/src/serving/testing/engine_notices_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "serving/load_digest.h"
 
 namespace gullward {
 namespace {
@@ -149,6 +150,30 @@
   BOOST_TEST(other.WordsToTell(true, Nobody, At(100)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(ThatAnEngineLeavesIsToldAndHoldsForGood) {
+  EngineNotices notices;
+  notices.Hear(kEngine, kLeaving, At(0), At(100));
+  BOOST_TEST(!notices.Admits(kEngine, 1, At(100)));
+  BOOST_TEST(!notices.OpensIn(kEngine, 1, At(100)).has_value());
+  auto words = notices.WordsToTell(/*all=*/false, Nobody, At(150));
+  BOOST_TEST((words[kEngine] == NoticeWord{.leaving = true}));
+  EngineNotices other;
+  BOOST_TEST(
+      (other.HearWord(kEngine, words[kEngine], At(160)) == EngineNotices::Change{.leaving = true}));
+  BOOST_TEST(!other.Admits(kEngine, 1, At(100'000)));
+}
+
+BOOST_AUTO_TEST_CASE(WordsTravelUnchanged) {
+  LoadDigest digest;
+  digest.box = "box-1";
+  digest.notices = {{"i-1", {LimitWord{2.5, milliseconds(40)}, false}},
+                    {"i-2", {LimitWord{std::nullopt, seconds(1)}, true}},
+                    {"i-3", {std::nullopt, true}}};
+  std::optional<LoadDigest> read = DecodeDigest(EncodeDigest(digest));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == digest));
+}
+
 BOOST_AUTO_TEST_CASE(ALimitAdmitsWhatTheShareEarns) {
   EngineNotices notices;
   BOOST_TEST(notices.Admits(kEngine, 0, At(0)));
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -63,6 +63,9 @@
   // Sends the bytes, or keeps what the kernel does not take.
   void Write(std::string_view bytes);
 
+  // Whether a connection that we began does not stand yet: then nothing has been sent.
+  bool is_connecting() const { return this->state == State::kConnecting; }
+
   // Bytes written that the kernel has not taken yet.
   size_t pending() const { return this->unsent.size(); }
 
