An engine that asks for a pause gets nothing until its end

What callers saw: 503 from engines that had asked for rest and were asked again within it. Cause: Retry-After beside 503 was read by nobody; an engine that fails twice is left alone for 0.6 s, whatever it asks for, and is taken again at once where the others have been tried. Change: the pause excludes the engine where engines are picked, for every path; where all hold back the caller gets 503 with the time that is left.

--- a/src/gateway/testing/engine_rest_test.cc
+++ b/src/gateway/testing/engine_rest_test.cc
@@ -117,6 +117,39 @@
   BOOST_TEST(FindHeader(reply.head.headers, platform::kSeal).has_value());
 }
 
+// The memory of a prompt that runs is kept, but the engine is not asked more than it takes.
+BOOST_AUTO_TEST_CASE(ATicketThereIsProlongedAsLateAsItMayBe) {
+  WorldOptions options{.engines = 2};
+  options.engine.events = 60;
+  options.engine.event_every = milliseconds(60);
+  auto world = std::make_unique<GatewayWorld>(options);
+  world->Publish(world->DefaultConfig());
+  world->StartGateway();
+  std::string vast = world->StreamRequest("vast");
+  vast.replace(vast.find("1000,80"), 7, "400000,80");
+  auto running = world->Send(vast);
+  auto holder = [&]() -> EngineStandin* {
+    for (const auto& engine : world->engines) {
+      if (!engine->tickets().empty()) return engine.get();
+    }
+    return nullptr;
+  };
+  BOOST_REQUIRE(world->RunUntil([&] { return holder() != nullptr; }));
+  EngineStandin& resting = *holder();
+  EngineStandin& main = *world->engines[world->engines[0].get() == &resting ? 1 : 0];
+  BOOST_REQUIRE(world->RunUntil([&] { return !main.seen().empty(); }));
+  main.FailAll(EngineFault::kNotRun);
+  resting.Say({.rest = kRest});
+  world->Call(world->StreamRequest("asks"));
+  BOOST_REQUIRE(!resting.seen().empty());
+  Time asked = resting.seen().back().at;
+  BOOST_REQUIRE(world->RunUntil([&] { return running->done; }));
+  BOOST_TEST(running->whole());
+  BOOST_TEST(running->head.status == 200);
+  for (Time order : resting.orders()) BOOST_TEST((order < asked || order > asked + kRest));
+  BOOST_TEST((resting.orders().back() > asked + kRest));
+}
+
 // The pause was asked of one gateway.
 BOOST_AUTO_TEST_CASE(OtherGatewaysMayAsk) {
   auto world = StartedWorld(/*apps=*/1, /*gateways=*/2);
--- a/src/gateway/ticket_set.cc
+++ b/src/gateway/ticket_set.cc
@@ -59,7 +59,8 @@
 
 void TicketSet::Acquire(Acquired acquired) {
   this->on_acquired = std::move(acquired);
-  this->prolonged = Now();
+  this->prolonged.assign(this->wishes.size(), Now());
+  this->next_order = this->prolonged;
   for (const TicketWish& wish : this->wishes) {
     std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
     this->Order(wish, text,
@@ -80,15 +81,28 @@
 }
 
 void TicketSet::Tick(Time now) {
-  if (this->released || now - this->prolonged < kProlongEvery) return;
-  this->prolonged = now;
-  for (const TicketWish& wish : this->wishes) {
-    if (this->HasRestarted(wish)) continue;
-    std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
-    this->Order(wish, text, [](bool) {});
+  if (this->released) return;
+  for (size_t i = 0; i < this->wishes.size(); ++i) {
+    if (this->IsDue(i, now) && !this->HasRestarted(this->wishes[i])) this->Prolong(i, now);
   }
 }
 
+bool TicketSet::IsDue(size_t ticket, Time now) const {
+  const std::string engine = this->wishes[ticket].engine.Incarnation();
+  bool rests = this->state->fleet.notices().RestLeft(engine, now) > Duration::zero();
+  Duration age = now - this->prolonged[ticket];
+  return now >= this->next_order[ticket] && age >= (rests ? kProlongAtLatest : kProlongEvery);
+}
+
+void TicketSet::Prolong(size_t ticket, Time now) {
+  const TicketWish& wish = this->wishes[ticket];
+  std::string text = platform::ReserveMemoryText(wish.engine, wish.ticket, wish.tokens, kHold);
+  this->next_order[ticket] = now + kOrderPause;
+  this->Order(wish, text, [self = this->shared_from_this(), ticket, now](bool carried_out) {
+    if (carried_out) self->prolonged[ticket] = now;
+  });
+}
+
 // To prolong a ticket that the engine has forgotten would set memory aside anew, for a
 // part of a prompt that is lost.
 bool TicketSet::HasRestarted(const TicketWish& wish) const {
--- a/src/gateway/ticket_set.h
+++ b/src/gateway/ticket_set.h
@@ -39,6 +39,11 @@
   static constexpr Duration kHold = milliseconds(3400);
   // Two prolongations may be lost.
   static constexpr Duration kProlongEvery = milliseconds(1000);
+  // An engine that has asked for a pause is only asked when the ticket would lapse soon: then
+  // there is time for one more order where one is lost.
+  static constexpr Duration kProlongAtLatest = milliseconds(2400);
+  // Between an order for a ticket and the next one, where that had no success.
+  static constexpr Duration kOrderPause = milliseconds(500);
   // An engine that does not answer an order in this time is taken to refuse it.
   static constexpr Duration kOrderPatience = milliseconds(250);
   // A release is sent this often before it is left to lapse.
@@ -58,6 +63,8 @@
  private:
   // Calls `done` once with whether the engine carried the order out.
   void Order(const TicketWish& wish, const std::string& text, std::function<void(bool)> done);
+  bool IsDue(size_t ticket, Time now) const;
+  void Prolong(size_t ticket, Time now);
   bool HasRestarted(const TicketWish& wish) const;
   void ReleaseOne(const TicketWish& wish, int tries_left);
   void Finish(bool all, const std::string& refused_by);
@@ -67,7 +74,9 @@
   Acquired on_acquired;
   size_t granted = 0;
   bool released = false;
-  Time prolonged{};
+  // Of each ticket: when it was last given or prolonged, and when it may be asked for next.
+  std::vector<Time> prolonged;
+  std::vector<Time> next_order;
 };
 
 }  // namespace gullward
--- a/src/serving/engine_notices.cc
+++ b/src/serving/engine_notices.cc
@@ -112,7 +112,7 @@
 bool EngineNotices::Admits(const std::string& engine, double share, Time now) {
   Entry* entry = this->Find(engine);
   if (entry == nullptr) return true;
-  if (entry->leaving) return false;
+  if (entry->leaving || entry->rests_until > now) return false;
   return !entry->limit_per_s || this->CreditLeft(entry, share, now) >= 1;
 }
 
@@ -127,10 +127,11 @@
   Entry* entry = this->Find(engine);
   if (entry == nullptr) return Duration::zero();
   if (entry->leaving) return std::nullopt;
-  if (!entry->limit_per_s) return Duration::zero();
+  Duration rest = std::max(entry->rests_until - now, Duration::zero());
+  if (!entry->limit_per_s) return rest;
   if (share <= 0) return std::nullopt;
   this->CreditLeft(entry, share, now);
-  return entry->credit.UntilOne();
+  return std::max(rest, entry->credit.UntilOne());
 }
 
 bool EngineNotices::IsLeaving(const std::string& engine) const {
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -161,6 +161,7 @@
 }
 
 void EngineStandin::OnOrder(CallerChannel* channel, const CallerRequest& request) {
+  this->order_times.push_back(Now());
   nlohmann::json order = nlohmann::json::parse(request.body, nullptr, false);
   std::string ticket = order.value("id", "");
   if (order.value("op", "") == "release") {
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -105,6 +105,9 @@
   };
   const std::vector<Seen>& seen() const { return this->requests; }
 
+  // When orders for memory came.
+  const std::vector<Time>& orders() const { return this->order_times; }
+
   // Memory that is set aside, by ticket.
   const std::map<std::string, uint64_t>& tickets() const { return this->reserved; }
   // As an engine that has started again.
@@ -140,6 +143,7 @@
   std::optional<SocketAddress> refused_helper;
   EngineNotice notice;
   std::vector<Seen> requests;
+  std::vector<Time> order_times;
   std::map<std::string, uint64_t> reserved;
 };
 
