Only an engine's own success shows that its limit is over; its planned end is blamed on no request

Cause, found by reading what may bypass the notices: (1) a failure without the limit, which something in front of the engine may write (503, 500), lifted it, and the next success named it again: between the two the engine was sent whatever came; (2) an engine that had said that it leaves counted as crashed when it ended before its entry said so, and what ran there as suspect. Change: EngineNotice::is_own_success (2xx with the engine's seal); CrashWatch asks the notices too. Before: the new row of engine_notices_test and ItsEndIsBlamedOnNoRequest fail (suspects 1 of 0). One row of engine_notices_test changed its expectation: a failure beside a pause lifted the limit, which is what (1) forbids; it is stricter now. Run: engine_notices, engine_leaving, engine_limit, engine_rest, limit_trial, crashing_request and platform tests pass.

--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -74,6 +74,9 @@
   // Contents that are refused since they end engines.
   size_t quarantined() const { return this->crash_watch.contents().quarantined(); }
 
+  // Contents under which an engine has ended unplanned.
+  size_t suspects() const { return this->crash_watch.contents().suspects(); }
+
   // Entries of the engines' list that could not be read, since the process began.
   uint64_t unreadable_entries() const { return this->state.counters.entries_unreadable; }
 
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -73,12 +73,14 @@
   return options;
 }
 
-// An engine that was leaving, or is off the list, has ended by plan.
+// An engine that was leaving, by its own word or the list's, or is off the list has ended by plan.
 CrashWatch::Hooks GatewayServer::CrashWatchHooks() {
   CrashWatch::Hooks hooks;
   hooks.was_in_use = [this](const EngineRecord& engine) {
     const EngineRecord* known = this->state.fleet.directory().Find(engine.id);
-    return known != nullptr && known->Incarnation() == engine.Incarnation() && !known->draining;
+    bool is_listed = known != nullptr && known->Incarnation() == engine.Incarnation();
+    return is_listed && !known->draining &&
+           !this->state.fleet.notices().IsLeaving(engine.Incarnation());
   };
   return hooks;
 }
--- a/src/gateway/testing/engine_leaving_test.cc
+++ b/src/gateway/testing/engine_leaving_test.cc
@@ -160,6 +160,29 @@
   BOOST_TEST(leaving.seen().size() == told);
 }
 
+// It ends by plan, though its entry still says ready: nothing that ran there is the cause.
+BOOST_AUTO_TEST_CASE(ItsEndIsBlamedOnNoRequest) {
+  WorldOptions options{.engines = 2};
+  options.engine.events = 1000;
+  auto world = StartedWorld(options);
+  auto running = world->Send(world->StreamRequest("running"));
+  auto runs_on = [&]() -> EngineStandin* {
+    for (const auto& engine : world->engines) {
+      if (!engine->seen().empty()) return engine.get();
+    }
+    return nullptr;
+  };
+  BOOST_REQUIRE(world->RunUntil([&] { return runs_on() != nullptr && !running->body.empty(); }));
+  EngineStandin& leaving = *runs_on();
+  leaving.Say(kLeaving);
+  auto told = world->Send(world->StreamRequest("told"));
+  BOOST_REQUIRE(world->RunUntil([&] { return world->gateway->engines_leaving() == 1; }));
+  leaving.End();
+  BOOST_REQUIRE(world->RunUntil([&] { return running->done && told->done; }));
+  BOOST_TEST(running->whole());
+  BOOST_TEST(world->gateway->suspects() == 0u);
+}
+
 // A socket at which connections neither come about nor fail: its queue is full.
 class FullListener {
  public:
--- a/src/serving/engine_notice.h
+++ b/src/serving/engine_notice.h
@@ -22,6 +22,9 @@
   std::optional<Duration> rest = std::nullopt;
   // Whether one of them stood in the answer and could not be read.
   bool malformed = false;
+  // Whether the answer is a success that is proved to be the engine's own.  Something in front
+  // of an engine may write failures that say nothing of the engine.
+  bool is_own_success = false;
 
   bool operator==(const EngineNotice&) const = default;
 };
--- a/src/serving/engine_notices.cc
+++ b/src/serving/engine_notices.cc
@@ -58,7 +58,7 @@
   if (SaysNothing(notice) && !this->Has(engine)) return change;
   Entry& entry = this->FindOrAdd(engine, now);
   entry.heard_at = now;
-  bool may_be_lifted = entry.limit_per_s && !notice.malformed;
+  bool may_be_lifted = entry.limit_per_s && notice.is_own_success && !notice.malformed;
   if (notice.limit_per_s) {
     change.limit = TakeLimit(notice.limit_per_s, now, &entry);
   } else if (may_be_lifted) {
--- a/src/serving/engine_notices.h
+++ b/src/serving/engine_notices.h
@@ -3,8 +3,8 @@
 // An engine's notice binds whoever has it, until the engine itself takes it back: neither the
 // engines' list nor the store nor a failure of either changes anything here.
 //
-//   - A limit holds until an answer no longer names it.  Answers may pass one another on the
-//     way, so only one to a request that was sent after the limit was last named counts.  All
+//   - A limit holds until an answer of success no longer names it.  Answers may pass one another
+//     on the way, so only one to a request that was sent after the limit was last named counts. All
 //     gateways share it (limit_share.h), and tell each other of it: those that send an engine
 //     nothing would else never hear of the limit's end.
 //   - Leaving holds for the rest of the engine's life.  Gateways tell each other of that too.
--- a/src/serving/testing/engine_notices_test.cc
+++ b/src/serving/testing/engine_notices_test.cc
@@ -15,7 +15,7 @@
 
 const Time kStart = Time{} + seconds(1000);
 constexpr char kEngine[] = "i-7@1764720000123";
-const EngineNotice kNothing;
+const EngineNotice kNothing{.is_own_success = true};
 const EngineNotice kLeaving{.leaving = true};
 
 Time At(int ms) { return kStart + milliseconds(ms); }
@@ -44,10 +44,11 @@
       {"named once more since",
        {{0, 10, Limit(2.5)}, {11, 30, Limit(2.5)}, {12, 31, kNothing}},
        2.5},
-      {"unreadable", {{0, 10, Limit(2.5)}, {11, 20, EngineNotice{.malformed = true}}}, 2.5},
-      {"another notice beside none",
-       {{0, 10, Limit(2.5)}, {11, 20, Rest(seconds(1))}},
-       std::nullopt},
+      {"unreadable",
+       {{0, 10, Limit(2.5)}, {11, 20, EngineNotice{.malformed = true, .is_own_success = true}}},
+       2.5},
+      {"a failure that names none", {{0, 10, Limit(2.5)}, {11, 20, EngineNotice{}}}, 2.5},
+      {"a failure that asks for a pause", {{0, 10, Limit(2.5)}, {11, 20, Rest(seconds(1))}}, 2.5},
   };
   for (const Row& row : table) {
     EngineNotices notices;
--- a/src/trial/limit_trial.cc
+++ b/src/trial/limit_trial.cc
@@ -249,6 +249,7 @@
                   choice->placement.part_reading_ms, true, demand.pause_ms};
     gateway.fleet->loads().Begin(work, {part}, this->now());
     EngineNotice notice;
+    notice.is_own_success = true;
     if (this->InNeed(engine)) notice.limit_per_s = this->options.limit_per_s;
     this->events.After(this->options.work, [this, number, engine, work, notice, sent = this->now(),
                                             life = gateway.life] {
