Evacuated data centres and cold engines are followed

Change: - platform/operator_records decodes the key of an evacuation once; serving/evacuations keeps them through a return of the store from an older copy; EngineDirectory leaves the engines of an evacuated data centre out of what is usable. First tries, retries, continued streams, readers, offers of other cells and choices that wait for tickets or a connection all ask it. - What runs there ends by itself. Requests that only such engines could serve are refused at once with 2018. A key that names no data centre is 4008, counted and logged; the other records hold. A data centre that nobody has is logged with its number of engines, 0. The key alone decides, so a value that cannot be read still evacuates. - serving/cold_engines keeps who is cold; the limit that gateways share of an engine that names one (limit_share, engine_notices) is applied to cold engines with 0.75 of the service's rate, so there is one limiter.

Ruled out: a bound by the gateway's own count (five gateways would each use the whole rate); treating a cold engine as one that is set aside (where all are cold, nothing would be served).

Tested without a network at 1, 2, 5, 30 and 300 gateways, both ways, and with real gateways.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -53,6 +53,8 @@
        "engines ended while they ran requests like this one, which has not been run"},
       {ResultCode::kEnginesHoldBack, "engines_hold_back", 503,
        "every engine has asked for fewer requests, for none, or is leaving"},
+      {ResultCode::kEnginesEvacuated, "engines_evacuated", 503,
+       "every engine is in a data centre that the operator evacuates"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded", 504, "the stated time passed"},
       {ResultCode::kEndpointLost, "endpoint_lost", 502, "the endpoint was lost while it worked"},
       {ResultCode::kEngineFailed, "engine_failed", 502, "the engine broke off"},
@@ -71,6 +73,8 @@
        "an entry of the engines' list names no engine to use"},
       {ResultCode::kNoticeUnreadable, "notice_unreadable", 0,
        "a field of an engine's answer that tells its state cannot be read"},
+      {ResultCode::kOperatorRecordUnreadable, "operator_record_unreadable", 0,
+       "a record of the operator has a key that cannot be read"},
       {ResultCode::kBadFrame, "bad_frame", 0, "a peer sent a frame that fails verification"},
       {ResultCode::kInternal, "internal", 500, "a fault of gullward itself"},
   };
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -61,6 +61,7 @@
   kNotCurrent = 2015,
   kQuarantined = 2016,
   kEnginesHoldBack = 2017,
+  kEnginesEvacuated = 2018,
 
   kDeadlineExceeded = 3001,
   kEndpointLost = 3002,
@@ -77,6 +78,7 @@
   kPlatformUnavailable = 4005,
   kEntryUnreadable = 4006,
   kNoticeUnreadable = 4007,
+  kOperatorRecordUnreadable = 4008,
 
   kBadFrame = 5001,
   kInternal = 5002,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -428,8 +428,10 @@
   bool held_back = fleet.AllHoldBack(*this->service, now);
   std::optional<Duration> retry_after;
   if (held_back) retry_after = fleet.TimeUntilAdmission(*this->service, now);
-  ResultCode code_if_unsent = held_back ? ResultCode::kEnginesHoldBack : ResultCode::kNoEndpoint;
-  this->Refuse(this->attempts == 0 ? code_if_unsent : ResultCode::kEnginesRefused, retry_after);
+  ResultCode code = held_back ? ResultCode::kEnginesHoldBack : ResultCode::kNoEndpoint;
+  if (this->attempts > 0) code = ResultCode::kEnginesRefused;
+  if (fleet.AllEvacuated(*this->service, now)) code = ResultCode::kEnginesEvacuated;
+  this->Refuse(code, retry_after);
 }
 
 void Exchange::DeliverWhole() {
--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -74,11 +74,14 @@
   return EngineDirectory::KeepUntil(this->engine_follower.regained_at());
 }
 
-// Parses an entry of the engine list.  If the entry is invalid, counts and logs it and returns
+// Parses an entry of the engine list, and records whether the engine is cold.  If the entry is invalid, counts and logs it and returns
 // nothing.
 std::optional<EngineRecord> GatewayServer::ReadEngine(const platform::KeyedRecord& record) {
-  absl::StatusOr<EngineRecord> engine = platform::DecodeEngine(record.key, record.value);
-  if (engine.ok()) return *std::move(engine);
+  absl::StatusOr<platform::EngineEntry> engine = platform::DecodeEngine(record.key, record.value);
+  if (engine.ok()) {
+    this->state.fleet.cold().Note(engine->record.Incarnation(), engine->cold_left, Now());
+    return std::move(engine->record);
+  }
   this->state.counters.entries_unreadable += 1;
   const ResultCodeInfo& info = Info(ResultCode::kEntryUnreadable);
   this->log.Write(
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,7 +1,8 @@
-// Accepts connections, hands requests to exchanges, applies configuration records, checks all
+// Accepts connections, hands requests to exchanges, checks all
 // timers once per tick, and shuts down without failing requests in progress.
 // gateway_server_hooks.cc connects the parts of the server, gateway_server_pages.cc produces
-// the operators' pages, and gateway_engine_list.cc handles the engine list.
+// the operators' pages, gateway_engine_list.cc handles the engine list, and
+// gateway_operator_records.cc the operator's topic.
 
 #include "gateway/gateway_server.h"
 
@@ -13,7 +14,6 @@
 
 #include "base/absl_view.h"
 #include "gateway/failure_answer.h"
-#include "platform/documents.h"
 
 namespace gullward {
 namespace {
@@ -226,23 +226,6 @@
   if (exchange) exchange->CallerGone();
 }
 
-void GatewayServer::OnConfigRecord(const platform::KeyedRecord& record) {
-  if (record.key != platform::kConfigKey || record.value.empty()) return;
-  absl::StatusOr<ServingConfig> config = platform::DecodeConfig(record.value);
-  if (!config.ok()) {
-    this->log.Write(LogLine("config_invalid").Text("reason", StdView(config.status().message())));
-    return;
-  }
-  // Never replaces a version by an older one, which a slow read may still return.
-  if (this->state.config && config->version <= this->ConfigVersion()) return;
-  this->log.Write(LogLine("config")
-                      .Number("version", static_cast<double>(config->version))
-                      .Number("routes", static_cast<double>(config->routes.size()))
-                      .Number("accounts", static_cast<double>(config->accounts.size())));
-  this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
-  this->state.config_record = std::make_shared<const std::string>(record.value);
-}
-
 void GatewayServer::Tick() {
   Time now = Now();
   this->ticks += 1;
@@ -296,6 +279,7 @@
   this->engine_follower.SetWait(this->RandomEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
+  this->ApplyEvacuations(now);
   this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
     this->engine_list_copy.SetList(this->state.fleet.directory().Listed(), now);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -30,6 +30,7 @@
 #include "gateway/operator_pages.h"
 #include "gateway/settled_epoch_writer.h"
 #include "gateway/topic_follower.h"
+#include "serving/evacuations.h"
 #include "transport/tcp_listener.h"
 
 namespace gullward {
@@ -83,6 +84,9 @@
   // The number of request contents that were running when an engine crashed.
   size_t suspects() const { return this->crash_watch.quarantine().suspects(); }
 
+  // The data centres that the operator evacuates, as far as this gateway knows.
+  const std::set<std::string>& EvacuatedDataCentres() const { return this->evacuated; }
+
   // Entries of the engine list that could not be parsed, since the process started.
   uint64_t unreadable_entries() const { return this->state.counters.entries_unreadable; }
 
@@ -103,7 +107,11 @@
   void OnMalformed(uint64_t caller_id, ResultCode code);
   void OnCallerGone(uint64_t caller_id);
 
+  void OnOperatorRecords(const std::vector<platform::KeyedRecord>& records);
+  void OnOperatorRecord(const platform::KeyedRecord& record);
   void OnConfigRecord(const platform::KeyedRecord& record);
+  std::optional<std::string> ReadEvacuation(const platform::KeyedRecord& record);
+  void ApplyEvacuations(Time now);
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
   void OnEngineRecord(const platform::KeyedRecord& record);
   std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record);
@@ -162,6 +170,9 @@
   ConfigFromPeers config_from_peers;
   uint64_t next_id = 1;
   uint64_t ticks = 0;
+  Evacuations evacuations;
+  // The data centres that were last handed to the fleet as evacuated.
+  std::set<std::string> evacuated;
   bool engines_known = false;
   // Whether the engine list has changed since it was last handed to engine_list_copy.
   bool engine_list_changed = false;
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -28,9 +28,9 @@
 TopicFollower::Hooks GatewayServer::ConfigFollowerHooks() {
   TopicFollower::Hooks hooks = this->LoggingHooks("config");
   hooks.replace = [this](const std::vector<platform::KeyedRecord>& records) {
-    for (const platform::KeyedRecord& record : records) this->OnConfigRecord(record);
+    this->OnOperatorRecords(records);
   };
-  hooks.change = [this](const platform::KeyedRecord& record) { this->OnConfigRecord(record); };
+  hooks.change = [this](const platform::KeyedRecord& record) { this->OnOperatorRecord(record); };
   hooks.up_to_date = [this](Time sent) { this->OnValidated(sent); };
   return hooks;
 }
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -31,6 +31,8 @@
   snapshot.engines_leaving = notices.leaving();
   snapshot.engines_resting = notices.resting(Now());
   snapshot.notices_forgotten = notices.forgotten();
+  snapshot.engines_cold = this->state.fleet.cold().size();
+  snapshot.evacuated_data_centres = this->evacuated.size();
   snapshot.config_version = this->ConfigVersion();
   snapshot.config_age = Now() - this->state.keys.confirmed_at();
   return MetricsPage(this->state.counters, snapshot);
@@ -51,6 +53,8 @@
   dump["engines_limited"] = notices.limited();
   dump["engines_leaving"] = notices.leaving();
   dump["engines_resting"] = notices.resting(Now());
+  dump["engines_cold"] = this->state.fleet.cold().size();
+  dump["evacuated_data_centres"] = this->evacuated;
   std::vector<std::string> quarantined;
   for (ContentId content : this->crash_watch.quarantine().Quarantined(Now())) {
     quarantined.push_back(ContentName(content));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -46,6 +46,8 @@
   uint64_t leaving_changes = 0;
   uint64_t rest_changes = 0;
   uint64_t notices_unreadable = 0;
+  // Records of the operator whose key could not be decoded.
+  uint64_t operator_records_unreadable = 0;
   // By the length of the prompt (PromptLengthLabel).
   std::map<std::string, LatencyHistogram> first_event;
   std::map<std::string, LatencyHistogram> longest_pause;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -47,6 +47,8 @@
         counters.notices_unreadable);
   count("gullward_engine_notices_forgotten_total", "Engines whose notices had to make room",
         snapshot.notices_forgotten);
+  count("gullward_operator_records_unreadable_total", "Records of the operator that cannot be read",
+        counters.operator_records_unreadable);
   count("gullward_engine_connections_total", "Connections opened", snapshot.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", snapshot.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", snapshot.store_calls);
@@ -125,6 +127,10 @@
              static_cast<double>(snapshot.engines_leaving));
   text.Gauge("gullward_engines_resting", "Engines that have asked this gateway for a pause", {},
              static_cast<double>(snapshot.engines_resting));
+  text.Gauge("gullward_engines_cold", "Engines that are cold", {},
+             static_cast<double>(snapshot.engines_cold));
+  text.Gauge("gullward_evacuated_data_centres", "Data centres that the operator evacuates", {},
+             static_cast<double>(snapshot.evacuated_data_centres));
   AddProcess(&text);
   text.Gauge("gullward_config_version", "Configuration in force", {},
              static_cast<double>(snapshot.config_version));
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -43,6 +43,9 @@
   size_t engines_leaving = 0;
   size_t engines_resting = 0;
   uint64_t notices_forgotten = 0;
+  // Engines that are cold, and data centres that the operator evacuates.
+  size_t engines_cold = 0;
+  size_t evacuated_data_centres = 0;
   // 0 without a configuration.
   uint64_t config_version = 0;
   // The time since the configuration was last shown to be current.
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -108,10 +108,30 @@
   }
 }
 
+void EngineDirectory::SetEvacuated(std::set<std::string> data_centres) {
+  if (data_centres == this->evacuated) return;
+  this->evacuated = std::move(data_centres);
+  this->changes += 1;
+}
+
+size_t EngineDirectory::CountIn(const std::string& data_centre) const {
+  return static_cast<size_t>(
+      std::count_if(this->engines.begin(), this->engines.end(), [&](const auto& engine) {
+        return engine.second.record.data_centre == data_centre;
+      }));
+}
+
+bool EngineDirectory::HasEvacuated(const std::string& service) const {
+  return std::any_of(this->engines.begin(), this->engines.end(), [&](const auto& engine) {
+    const EngineRecord& record = engine.second.record;
+    return record.service == service && !record.draining && !this->IsUsable(record);
+  });
+}
+
 std::vector<const EngineRecord*> EngineDirectory::Usable() const {
   std::vector<const EngineRecord*> usable;
   for (const auto& [id, entry] : this->engines) {
-    if (!entry.record.draining) usable.push_back(&entry.record);
+    if (this->IsUsable(entry.record)) usable.push_back(&entry.record);
   }
   return usable;
 }
--- a/src/serving/engine_directory.h
+++ b/src/serving/engine_directory.h
@@ -10,6 +10,7 @@
 //   - After the store has returned from an older copy (serving/store_epoch.h), the list may be
 //     older than this directory.  Until the engines have written their entries again,
 //     incarnations that have left stay removed and engines missing from the list are kept.
+//   - The engines of a data centre that the operator evacuates stay listed and get no new work.
 //   - An engine may start again under its id.  A later incarnation replaces an earlier one, never
 //     the reverse, although the list and its copy may be read in any order.
 //
@@ -89,6 +90,18 @@
   // departed incarnations that a stale list had and that are still listed when it has settled.
   void Expire(Time now);
 
+  // Sets the data centres whose engines get no new work.
+  void SetEvacuated(std::set<std::string> data_centres);
+  // Number of engines in a data centre, whether or not they may get work.
+  size_t CountIn(const std::string& data_centre) const;
+  // Whether an engine of the service gets no new work only because its data centre is evacuated.
+  bool HasEvacuated(const std::string& service) const;
+
+  // Whether the engine may get new work: it is neither leaving nor in an evacuated data centre.
+  bool IsUsable(const EngineRecord& record) const {
+    return !record.draining && this->evacuated.count(record.data_centre) == 0;
+  }
+
   // All engines that may get new work, ordered by id.
   std::vector<const EngineRecord*> Usable() const;
   // The same for one service, after Expire(now).
@@ -123,6 +136,7 @@
   };
 
   std::map<std::string, Entry> engines;
+  std::set<std::string> evacuated;
   DepartedEngines departed;
   // Incarnations that the list has said to be leaving.
   DepartedEngines announced;
--- a/src/serving/engine_notices.cc
+++ b/src/serving/engine_notices.cc
@@ -106,33 +106,47 @@
   return reports;
 }
 
-double EngineNotices::AvailableCredit(Entry* entry, double share, Time now) const {
-  return entry->credit.Available(share * std::max(*entry->limit_per_s, kMinPerSecond), now);
+std::optional<double> EngineNotices::LowestLimit(const Entry& entry,
+                                                 std::optional<double> other_limit) {
+  if (!entry.limit_per_s) return other_limit;
+  return other_limit ? std::min(*entry.limit_per_s, *other_limit) : entry.limit_per_s;
 }
 
-bool EngineNotices::Admits(const std::string& engine, double share, Time now) {
-  Entry* entry = this->Find(engine);
+double EngineNotices::AvailableCredit(Entry* entry, double limit_per_s, double share, Time now) {
+  return entry->credit.Available(share * std::max(limit_per_s, kMinPerSecond), now);
+}
+
+bool EngineNotices::Admits(const std::string& engine, double share, Time now,
+                           std::optional<double> other_limit) {
+  Entry* entry = other_limit ? &this->FindOrAdd(engine, now) : this->Find(engine);
   if (entry == nullptr) return true;
+  if (other_limit) entry->other_limit_at = now;
   if (entry->leaving || entry->rests_until > now) return false;
-  return !entry->limit_per_s || this->AvailableCredit(entry, share, now) >= 1;
+  std::optional<double> limit = LowestLimit(*entry, other_limit);
+  return !limit || AvailableCredit(entry, *limit, share, now) >= 1;
 }
 
-void EngineNotices::NoteSent(const std::string& engine, double share, Time now) {
+void EngineNotices::NoteSent(const std::string& engine, double share, Time now,
+                             std::optional<double> other_limit) {
   Entry* entry = this->Find(engine);
-  if (entry == nullptr || !entry->limit_per_s) return;
-  this->AvailableCredit(entry, share, now);
+  if (entry == nullptr) return;
+  std::optional<double> limit = LowestLimit(*entry, other_limit);
+  if (!limit) return;
+  AvailableCredit(entry, *limit, share, now);
   entry->credit.Take();
 }
 
 std::optional<Duration> EngineNotices::TimeUntilAdmission(const std::string& engine, double share,
-                                                          Time now) {
+                                                          Time now,
+                                                          std::optional<double> other_limit) {
   Entry* entry = this->Find(engine);
   if (entry == nullptr) return Duration::zero();
   if (entry->leaving) return std::nullopt;
   Duration rest = std::max(entry->rests_until - now, Duration::zero());
-  if (!entry->limit_per_s) return rest;
+  std::optional<double> limit = LowestLimit(*entry, other_limit);
+  if (!limit) return rest;
   if (share <= 0) return std::nullopt;
-  this->AvailableCredit(entry, share, now);
+  AvailableCredit(entry, *limit, share, now);
   return std::max(rest, entry->credit.TimeUntilOne());
 }
 
@@ -154,8 +168,9 @@
 
 bool EngineNotices::IsExpired(const Entry& entry, Time now) {
   bool recently_limited = now - entry.limit_as_of < kLiftedRetention;
-  bool is_empty =
-      !entry.limit_per_s && !recently_limited && !entry.leaving && entry.rests_until <= now;
+  // The credit is kept while another limit applies.
+  bool is_limited = entry.limit_per_s || now - entry.other_limit_at < kRepeatPeriod;
+  bool is_empty = !is_limited && !recently_limited && !entry.leaving && entry.rests_until <= now;
   return is_empty || now - entry.last_updated >= kRetention;
 }
 
--- a/src/serving/engine_notices.h
+++ b/src/serving/engine_notices.h
@@ -81,12 +81,17 @@
       bool all, const std::function<bool(const std::string& engine)>& is_sharer, Time now);
 
   // Whether the engine admits a request from this gateway now.  `share`, 0 to 1, is the
-  // gateway's share of the engine's limit, here and below.
-  bool Admits(const std::string& engine, double share, Time now);
+  // gateway's share of the engine's limit, and `other_limit` a limit (requests a second, for all
+  // gateways together) that the engine has not named itself, here and below.  The lower limit
+  // applies.
+  bool Admits(const std::string& engine, double share, Time now,
+              std::optional<double> other_limit = std::nullopt);
   // Records that a request has been sent to the engine.
-  void NoteSent(const std::string& engine, double share, Time now);
+  void NoteSent(const std::string& engine, double share, Time now,
+                std::optional<double> other_limit = std::nullopt);
   // Time until the engine admits a request; no value if that is unknown.
-  std::optional<Duration> TimeUntilAdmission(const std::string& engine, double share, Time now);
+  std::optional<Duration> TimeUntilAdmission(const std::string& engine, double share, Time now,
+                                             std::optional<double> other_limit = std::nullopt);
 
   bool empty() const { return this->entries.empty(); }
   // Whether any notice of the engine is stored.
@@ -119,13 +124,16 @@
     Time last_updated{};
     // When an answer of the engine last arrived here.
     Time last_answer{};
+    // When another limit than the engine's own was last applied to it.
+    Time other_limit_at{};
     // Whether an answer has changed the notices and the change has not been sent to peers.
     bool is_unsent = false;
   };
 
   static bool IsExpired(const Entry& entry, Time now);
   static bool UpdateLimit(const std::optional<double>& limit, Time as_of, Entry* entry);
-  double AvailableCredit(Entry* entry, double share, Time now) const;
+  static std::optional<double> LowestLimit(const Entry& entry, std::optional<double> other_limit);
+  static double AvailableCredit(Entry* entry, double limit_per_s, double share, Time now);
   const Entry* Find(const std::string& engine) const;
   Entry* Find(const std::string& engine);
   Entry& FindOrAdd(const std::string& engine, Time now);
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -162,7 +162,8 @@
   std::vector<PlannedEngine> others;
   for (const std::string& incarnation : this->spill.Engines(now)) {
     const EngineRecord* engine = this->engines.FindIncarnation(incarnation);
-    bool usable = engine != nullptr && engine->service == service.name && !engine->draining;
+    bool usable = engine != nullptr && engine->service == service.name &&
+                  this->engines.IsUsable(*engine);
     if (usable) others.push_back({*engine, incarnation});
   }
   if (!others.empty() || !any) return others;
@@ -240,6 +241,7 @@
     it = listed.count(it->first) != 0 ? std::next(it) : this->health.erase(it);
   }
   this->engine_notices.Forget(listed, now);
+  this->cold_engines.Forget(now);
 }
 
 }  // namespace gullward
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "serving/cold_engines.h"
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
 #include "serving/engine_load.h"
@@ -68,6 +69,12 @@
   // What engines have said of themselves in answers.
   EngineNotices& notices() { return this->engine_notices; }
   const EngineNotices& notices() const { return this->engine_notices; }
+  // Which engines are cold (cold_engines.h).
+  ColdEngines& cold() { return this->cold_engines; }
+  const ColdEngines& cold() const { return this->cold_engines; }
+  // Sets the requests a second that a cold engine of each service bears from all gateways
+  // together.  Services that state no such rate are left out.
+  void SetColdRates(std::map<std::string, double> rates) { this->cold_rates = std::move(rates); }
   // The budget of retries for a service.
   RetryBucket& RetryBucketOf(const std::string& service);
 
@@ -111,6 +118,8 @@
   bool ShouldKeepWaiting(const EngineRecord& engine, Time now) const;
   // Records that a request has been sent to the engine.
   void NoteSent(const EngineRecord& engine, Time now);
+  // Whether the service has engines, but only in data centres that the operator evacuates.
+  bool AllEvacuated(const Service& service, Time now);
   // Whether the service has engines and all of them refuse new requests by their notices.
   bool AllHoldBack(const Service& service, Time now);
   // Time until the first engine of the service admits a request again; no value if unknown.
@@ -133,6 +142,8 @@
   bool ShouldAvoid(const std::string& engine, Time now);
   bool Admits(const EngineRecord& engine, const std::string& incarnation, Time now);
   bool MayHelp(const std::string& incarnation) const;
+  std::optional<double> ColdLimit(const EngineRecord& engine, const std::string& incarnation,
+                                  Time now) const;
   double ShareOfLimit(const EngineRecord& engine, const std::string& incarnation);
   std::vector<PlannedEngine> ReachableEngines(const Service& service, Time now);
   std::vector<const PlannedEngine*> Selectable(const std::vector<PlannedEngine>& usable,
@@ -155,6 +166,8 @@
   LoadTracker load_tracker;
   std::map<std::string, EngineHealth> health;
   EngineNotices engine_notices;
+  ColdEngines cold_engines;
+  std::map<std::string, double> cold_rates;
   // Whether SetGateways has been called.
   bool gateways_known = false;
   std::set<std::string> silent_gateways;
--- a/src/serving/fleet_notices.cc
+++ b/src/serving/fleet_notices.cc
@@ -7,6 +7,14 @@
 #include "serving/fleet.h"
 
 namespace gullward {
+namespace {
+
+// The share of a service's cold rate that its gateways use together.  With credit of one second
+// saved up (limit_share.h), an engine gets at most kSharers + 2 * 0.75 * rate requests in a second;
+// the users allow 5 + 1.5 * rate.
+constexpr double kColdLimitShare = 0.75;
+
+}  // namespace
 
 void Fleet::SetGateways(std::vector<GatewayName> others) {
   this->gateways_known = true;
@@ -41,11 +49,22 @@
   return found->second;
 }
 
+std::optional<double> Fleet::ColdLimit(const EngineRecord& engine, const std::string& incarnation,
+                                       Time now) const {
+  if (!this->switches.cold_engines || !this->cold_engines.IsCold(incarnation, now)) return {};
+  auto found = this->cold_rates.find(engine.service);
+  if (found == this->cold_rates.end()) return {};
+  return kColdLimitShare * found->second;
+}
+
 bool Fleet::Admits(const EngineRecord& engine, const std::string& incarnation, Time now) {
+  // An earlier choice may name an engine that has become unusable since.
+  if (!this->engines.IsUsable(engine)) return false;
+  std::optional<double> cold_limit = this->ColdLimit(engine, incarnation, now);
   bool has_notices = this->switches.engine_notices && this->engine_notices.Has(incarnation);
-  if (!has_notices) return true;
+  if (!has_notices && !cold_limit) return true;
   double share = this->ShareOfLimit(engine, incarnation);
-  return this->engine_notices.Admits(incarnation, share, now);
+  return this->engine_notices.Admits(incarnation, share, now, cold_limit);
 }
 
 // An engine with a limit does not read parts of other engines' prompts: its limit does not count
@@ -65,7 +84,7 @@
 bool Fleet::ShouldKeepWaiting(const EngineRecord& engine, Time now) const {
   std::string incarnation = engine.Incarnation();
   const EngineRecord* known = this->engines.FindIncarnation(incarnation);
-  if (known == nullptr || known->draining) return false;
+  if (known == nullptr || !this->engines.IsUsable(*known)) return false;
   bool refuses_work = this->engine_notices.IsLeaving(incarnation) ||
                       this->engine_notices.RestLeft(incarnation, now) > Duration::zero();
   return !refuses_work || !this->switches.engine_notices;
@@ -75,7 +94,8 @@
   std::string incarnation = engine.Incarnation();
   if (!this->engine_notices.Has(incarnation)) return;
   double share = this->ShareOfLimit(engine, incarnation);
-  this->engine_notices.NoteSent(incarnation, share, now);
+  this->engine_notices.NoteSent(incarnation, share, now,
+                                this->ColdLimit(engine, incarnation, now));
 }
 
 // All engines that a request for the service may be sent to.
@@ -88,6 +108,11 @@
   return found;
 }
 
+bool Fleet::AllEvacuated(const Service& service, Time now) {
+  if (!this->engines.Usable(service.name, now).empty()) return false;
+  return this->engines.HasEvacuated(service.name);
+}
+
 bool Fleet::AllHoldBack(const Service& service, Time now) {
   if (this->engine_notices.empty()) return false;
   const std::vector<PlannedEngine> all = this->ReachableEngines(service, now);
@@ -101,7 +126,8 @@
   for (const PlannedEngine& engine : this->ReachableEngines(service, now)) {
     double share = this->ShareOfLimit(engine.record, engine.incarnation);
     std::optional<Duration> time_left =
-        this->engine_notices.TimeUntilAdmission(engine.incarnation, share, now);
+        this->engine_notices.TimeUntilAdmission(
+            engine.incarnation, share, now, this->ColdLimit(engine.record, engine.incarnation, now));
     if (time_left && (!soonest || *time_left < *soonest)) soonest = time_left;
   }
   return soonest;
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -3,8 +3,8 @@
 //
 // Each mechanism can be switched off by itself, so that the same load can be run with and without
 // it.  A mechanism that is off falls back to the simplest behaviour that still serves requests
-// (described at each field).  Without `quarantine` or `engine_notices`, bounds that the users
-// require are exceeded.  docs/WORTH.md states the effect of each mechanism.
+// (described at each field).  Without `quarantine`, `engine_notices`, `evacuation` or
+// `cold_engines`, bounds that the users require are exceeded.  docs/WORTH.md states the effect of each mechanism.
 //
 //   Mechanisms mechanisms;
 //   mechanisms.refusal_by_cost = false;     // refuse only what cannot be run
@@ -79,6 +79,12 @@
   // The notices that engines send in answers are followed (engine_notices.h).  Off: they are
   // recorded and logged only, and the users' bounds on the requests to such engines are exceeded.
   bool engine_notices = true;
+  // The engines of a data centre that the operator evacuates get no new requests.  Off: the
+  // evacuation is logged only.
+  bool evacuation = true;
+  // All gateways together keep to the service's rate for a cold engine (cold_engines.h).  Off: a
+  // cold engine is chosen like any other, and may fail.
+  bool cold_engines = true;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -110,6 +116,8 @@
     {"config_from_peers", &Mechanisms::config_from_peers},
     {"quarantine", &Mechanisms::quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
+    {"evacuation", &Mechanisms::evacuation},
+    {"cold_engines", &Mechanisms::cold_engines},
 };
 
 }  // namespace gullward
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -94,6 +94,8 @@
   // Whether the service's engines run models; `speed` is valid only then.
   bool runs_models = false;
   EngineSpeed speed;
+  // Requests a second that a cold engine bears from all gateways together; 0 if not stated.
+  double cold_per_s = 0;
 
   bool operator==(const Service&) const = default;
 };
