--- a/src/gateway/config_from_peers.cc
+++ b/src/gateway/config_from_peers.cc
@@ -2,8 +2,6 @@
 
 #include "gateway/config_from_peers.h"
 
-#include <unistd.h>
-
 #include <utility>
 
 namespace gullward {
@@ -14,21 +12,9 @@
 }  // namespace
 
 ConfigFromPeers::ConfigFromPeers(EventLoop* event_loop, Hooks config_hooks)
-    : loop(event_loop),
-      hooks(std::move(config_hooks)),
-      pages(event_loop, [this](const std::string& path) { return this->Page(path); }),
+    : hooks(std::move(config_hooks)),
       client(event_loop, SocketAddress{}, /*store_returns=*/nullptr) {}
 
-absl::Status ConfigFromPeers::Listen(const SocketAddress& address) {
-  return this->listener.Listen(this->loop, address, [this](int fd) {
-    if (this->pages.connections() < kMaxConnections) {
-      this->pages.Adopt(fd);
-    } else {
-      close(fd);
-    }
-  });
-}
-
 HttpPage ConfigFromPeers::Page(const std::string& path) const {
   std::shared_ptr<const std::string> record = this->hooks.own_record();
   if (path != kRecordPath || record == nullptr) return NotFound();
--- a/src/gateway/config_from_peers.h
+++ b/src/gateway/config_from_peers.h
@@ -5,18 +5,17 @@
 // configuration is outdated, cannot read the change, and stops accepting keys when its last
 // validation is too old.  It would then refuse every request, although its engines are free.
 //
-// Therefore each gateway serves the configuration record that it last read, unchanged, over TCP
-// at the address and port of its datagram socket.  A gateway that has been outdated for long
+// Therefore each gateway serves the configuration record that it last read, unchanged, on the
+// port for its peers.  A gateway that has been outdated for long
 // enough fetches the record from the peer that reported the newer version.  The record is
 // handled like one read from the store: only a later version is applied.  The peers' notes show
 // how current it is, as for any record (serving/peer_freshness.h).
 //
 //   ConfigFromPeers config(&loop, {.own_record = ..., .received = ...});
-//   config.Listen(own_address);
+//   HttpPage page = config.Page(path);             // for a peer's request
 //   config.Fetch(peer_address);
-//   config.Tick(now);                              // now and then
 //
-// One fetch is in progress at a time, and at most kMaxConnections peers are served at once.
+// One fetch is in progress at a time.
 
 #ifndef GULLWARD_GATEWAY_CONFIG_FROM_PEERS_H_
 #define GULLWARD_GATEWAY_CONFIG_FROM_PEERS_H_
@@ -25,17 +24,13 @@
 #include <memory>
 #include <string>
 
-#include "absl/status/status.h"
 #include "gateway/http_pages.h"
 #include "gateway/store_client.h"
-#include "transport/tcp_listener.h"
 
 namespace gullward {
 
 class ConfigFromPeers {
  public:
-  static constexpr size_t kMaxConnections = 16;
-
   struct Hooks {
     // Returns the record that was last read; null if none was.
     std::function<std::shared_ptr<const std::string>()> own_record;
@@ -45,25 +40,17 @@
 
   ConfigFromPeers(EventLoop* event_loop, Hooks config_hooks);
 
-  absl::Status Listen(const SocketAddress& address);
-  // The port that the server listens on.
-  uint16_t port() const { return this->listener.port(); }
+  // The page for a peer's request: the record, or not found.
+  HttpPage Page(const std::string& path) const;
 
   // Fetches the record from a peer.  Returns false if another fetch is in progress.
   bool Fetch(const SocketAddress& peer);
 
-  void Tick(Time now) { this->pages.Tick(now); }
-
   // The number of records received from peers.
   uint64_t received() const { return this->received_count; }
 
  private:
-  HttpPage Page(const std::string& path) const;
-
-  EventLoop* loop;
   Hooks hooks;
-  TcpListener listener;
-  HttpPages pages;
   StoreClient client;
   uint64_t received_count = 0;
 };
--- a/src/gateway/config_revalidator.h
+++ b/src/gateway/config_revalidator.h
@@ -55,6 +55,9 @@
   // gateway has not seen.
   void RevalidateSoon() { this->is_requested = true; }
 
+  // Sets whether this gateway is to ask the store before those that read from peers.
+  void SetIsRoot(bool is_root) { this->schedule.SetReadsStore(is_root); }
+
   uint64_t calls() const { return this->client.calls(); }
 
  private:
--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -40,6 +40,8 @@
                         .Number("records", static_cast<double>(records)));
   };
   hooks.pause_after_return = [this] { return this->RandomReadDelay(); };
+  hooks.peer_address = [this](const std::string& box) { return this->AddressToRead(box); };
+  hooks.state_changed = [this] { this->topic_relay.OnNews(std::string(platform::kEnginesTopic)); };
   hooks.lost = [this, log_lost = hooks.lost](const std::string& reason) {
     log_lost(reason);
     if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Read();
@@ -58,24 +60,12 @@
   return hooks;
 }
 
-// A peer has read a change of the engine list that this gateway's waiting read has not
-// returned.  The store sometimes answers a waiting read late, together with the next change,
-// but an engine that is leaving must get no work after two seconds.
-void GatewayServer::OnPeerEngineListPosition(uint64_t offset) {
-  if (!this->state.fleet.mechanisms().catch_up_with_peers) return;
-  std::optional<uint64_t> own = this->engine_follower.position();
-  if (!own || *own >= offset || !this->engine_follower.RestartStalledRead()) return;
-  this->log.Write(LogLine("engines_behind")
-                      .Number("read_to", static_cast<double>(*own))
-                      .Number("peer_read_to", static_cast<double>(offset)));
-}
-
 Time GatewayServer::KeepLapsedUntil() const {
   return EngineDirectory::KeepUntil(this->engine_follower.regained_at());
 }
 
-// Parses an entry of the engine list, and records whether the engine is cold.  If the entry is invalid, counts and logs it and returns
-// nothing.
+// Parses an entry of the engine list, and records whether the engine is cold.  If the entry is
+// invalid, counts and logs it and returns nothing.
 std::optional<EngineRecord> GatewayServer::ReadEngine(const platform::KeyedRecord& record) {
   absl::StatusOr<platform::EngineEntry> engine = platform::DecodeEngine(record.key, record.value);
   if (engine.ok()) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -2,7 +2,8 @@
 // timers once per tick, and shuts down without failing requests in progress.
 // gateway_server_hooks.cc connects the parts of the server, gateway_server_pages.cc produces
 // the operators' pages, gateway_engine_list.cc handles the engine list, and
-// gateway_operator_records.cc the operator's topic.
+// gateway_operator_records.cc the operator's topic.  gateway_topics.cc decides from whom the topics
+// are read.
 
 #include "gateway/gateway_server.h"
 
@@ -25,9 +26,6 @@
 // How long the configuration follower waits for more changes after one.  A change must be in
 // force within two seconds; the wait takes a tenth of that.
 constexpr Duration kConfigBatchDelay = milliseconds(200);
-// The engine list follower waits this share of `leaving_bound` for more changes after one.
-// Every read of the list costs each gateway a store call, and engines change all day.
-constexpr double kEngineBatchShare = 0.35;
 // How long one configuration read waits at the store.  A change is returned at once, so the
 // wait only bounds the delay until a silent store is detected.  ConfigRevalidator detects a
 // silent store sooner, so the read may wait as long as the store allows.
@@ -51,12 +49,12 @@
       store_recovery(event_loop),
       crash_watch(event_loop, this->CrashWatchOptions(), &this->store_recovery, &this->log,
                   this->CrashWatchHooks()),
-      config_follower(event_loop, settings.store, &this->store_recovery,
-                      {std::string(platform::kConfigTopic), kConfigWait, kConfigBatchDelay},
-                      this->ConfigFollowerHooks()),
+      config_follower(
+          event_loop, settings.store, &this->store_recovery,
+          {std::string(platform::kConfigTopic), kConfigWait, kConfigBatchDelay, settings.key_trust},
+          this->ConfigFollowerHooks()),
       engine_follower(event_loop, settings.store, &this->store_recovery,
-                      {std::string(platform::kEnginesTopic), kEngineListWait,
-                       FromSeconds(kEngineBatchShare * ToSeconds(settings.leaving_bound))},
+                      {std::string(platform::kEnginesTopic), kEngineListWait},
                       this->EngineFollowerHooks()),
       engine_list_copy(event_loop, settings.store, &this->store_recovery, &this->log, random_seed,
                        this->EngineListCopyHooks()),
@@ -67,12 +65,18 @@
                          std::string(platform::kConfigTopic), settings.key_trust, random_seed,
                          this->RevalidatorHooks()),
       operator_pages(event_loop, OperatorPages(this->PageHooks())),
+      peer_pages(event_loop,
+                 [this](const std::string& path, HttpPages::Answer answer) {
+                   this->OnPeerRequest(path, std::move(answer));
+                 }),
       config_from_peers(event_loop, this->ConfigFromPeersHooks()) {
+  this->topic_relay.Add(std::string(platform::kConfigTopic), &this->config_follower.state());
+  this->topic_relay.Add(std::string(platform::kEnginesTopic), &this->engine_follower.state());
+  this->topic_relay.Add(std::string(platform::kPeersTopic), &this->load_exchange.topic_state());
   this->state.crash_watch = &this->crash_watch;
   this->store_recovery.returns().OnReturn([this] { this->OnStoreReturn(); });
 }
 
-// Returns 0 if no configuration has been read.
 uint64_t GatewayServer::ConfigVersion() const {
   return this->state.config ? this->state.config->config().version : 0;
 }
@@ -157,21 +161,18 @@
   // choice to the kernel, the TCP socket is bound first: more TCP ports are in use, so a free
   // TCP port is more likely to be free for UDP too.
   uint16_t peers_port = settings.peers.port;
-  status = this->config_from_peers.Listen(settings.peers);
+  status = this->peers_listener.Listen(this->loop, settings.peers,
+                                       [this](int fd) { this->OnPeerConnection(fd); });
   if (status.ok()) {
-    peers_port = this->config_from_peers.port();
+    peers_port = this->peers_listener.port();
   } else {
-    this->log.Write(LogLine("no_config_for_peers").Text("reason", StdView(status.message())));
+    this->log.Write(LogLine("no_pages_for_peers").Text("reason", StdView(status.message())));
   }
   status = this->load_exchange.Start(peers_port);
   if (!status.ok()) return status;
   this->state.send_to_peers = [this] { this->load_exchange.SendLoads(Now()); };
-  this->config_follower.Start();
-  if (this->state.fleet.mechanisms().copy_engine_list) {
-    this->engine_list_copy.Read();
-  } else {
-    this->engine_follower.Start();
-  }
+  this->engine_follower.SetBatchDelay(EngineBatchDelay({}, settings.leaving_bound));
+  if (!this->state.fleet.mechanisms().topic_relay) this->StartReading();
   this->loop->RunEvery(kTick, [this] { this->Tick(); });
   this->log.Write(LogLine("started")
                       .Text("box", settings.box)
@@ -232,7 +233,8 @@
   this->TickExchanges(now);
   this->crash_watch.Tick(now);
   this->load_exchange.Tick(now);
-  this->config_revalidator.Tick(this->state.keys.confirmed_at(), now);
+  this->topic_relay.Tick(now);
+  this->config_revalidator.Tick(this->LastValidation(), now);
   this->LogKeyFreshness(now);
   if (this->stopping) this->StopWhenIdle(now);
   if (this->ticks % kTicksPerSlowTick == 0) {
@@ -255,6 +257,13 @@
   for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
 }
 
+// The peers that read from a root need a proof for all of the operator's topic.
+Time GatewayServer::LastValidation() const {
+  Time confirmed_at = this->state.keys.confirmed_at();
+  bool is_root = this->config_follower.place().reads_store;
+  return is_root ? std::min(confirmed_at, this->config_follower.state().proved()) : confirmed_at;
+}
+
 // Logs when keys begin or cease to be accepted.
 void GatewayServer::LogKeyFreshness(Time now) {
   bool fresh = this->state.keys.IsFresh(now);
@@ -270,7 +279,7 @@
     it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
   }
   this->operator_pages.Tick(now);
-  this->config_from_peers.Tick(now);
+  this->peer_pages.Tick(now);
 }
 
 void GatewayServer::TickFleet(Time now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -30,11 +30,15 @@
 #include "gateway/operator_pages.h"
 #include "gateway/settled_epoch_writer.h"
 #include "gateway/topic_follower.h"
+#include "gateway/topic_relay.h"
 #include "serving/evacuations.h"
 #include "transport/tcp_listener.h"
 
 namespace gullward {
 
+// How long the follower of the engine list waits for more changes after one.
+Duration EngineBatchDelay(const ReaderPlace& place, Duration leaving_bound);
+
 class GatewayServer {
  public:
   // How long one read of the engine list waits at the store for a change while the home cell
@@ -45,8 +49,8 @@
                 uint64_t random_seed);
 
   // Listens for callers, operators and peers, and starts to read the store.  Returns an error if
-  // a socket cannot be opened.  Only the socket that serves the configuration to peers may fail:
-  // that is logged.
+  // a socket cannot be opened.  Only the socket on which peers read topics may fail: that is
+  // logged.
   absl::Status Start();
 
   // Reports this gateway as not ready, but serves new callers until the balancer has reacted.
@@ -60,10 +64,19 @@
   // The engines that this gateway has set aside because of failures that it saw itself.
   std::set<std::string> SetAside() const { return this->state.fleet.SetAsideEngines(Now()); }
 
+  // The version of the configuration in force; 0 if none has been read.
+  uint64_t ConfigVersion() const;
+
   // The port for callers.  The kernel chooses it if the settings name port 0.
   uint16_t callers_port() const { return this->callers_listener.port(); }
   uint16_t ready_port() const { return this->ready_listener.port(); }
 
+  // Whether this gateway reads the topics from the store, and not from a peer.
+  bool ReadsStore() const { return this->config_follower.place().reads_store; }
+
+  // Calls to the store since the process started.
+  uint64_t store_calls() const;
+
   // The number of known gateways, without this one.
   size_t peers() const { return this->load_exchange.peers(); }
 
@@ -117,11 +130,15 @@
   std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record);
   void RecordRestart(const EngineRecord& engine);
   Time KeepLapsedUntil() const;
+  void OnGatewaysChanged(bool are_complete);
+  void StartReading();
+  void OnPeerConnection(int fd);
+  void OnPeerRequest(const std::string& path, HttpPages::Answer answer);
+  std::optional<SocketAddress> AddressToRead(const std::string& box) const;
   TopicFollower::Hooks LoggingHooks(const std::string& topic);
   TopicFollower::Hooks ConfigFollowerHooks();
   TopicFollower::Hooks EngineFollowerHooks();
   EngineListCopy::Hooks EngineListCopyHooks();
-  uint64_t ConfigVersion() const;
   LoadExchange::Hooks LoadExchangeHooks();
   CrashWatch::Options CrashWatchOptions() const;
   CrashWatch::Hooks CrashWatchHooks();
@@ -133,12 +150,15 @@
   void OnPeerEpoch(uint64_t epoch, bool is_settled);
   void OnNewerVersion(uint64_t version, const Peer& peer);
   bool ShouldFetchConfig(const Peer& peer, Time now) const;
+  void OnPeerOperatorPosition(uint64_t offset);
   void OnPeerEngineListPosition(uint64_t offset);
+  bool CatchUp(TopicFollower* follower, uint64_t peer_offset, const char* event);
 
   // Checks all timers.  The functions below are listed in the order in which Tick calls them;
   // TickConnections and TickFleet run only once in several ticks.
   void Tick();
   void TickExchanges(Time now);
+  Time LastValidation() const;
   void LogKeyFreshness(Time now);
   void TickConnections(Time now);
   void TickFleet(Time now);
@@ -165,14 +185,18 @@
   TcpListener callers_listener;
   TcpListener ready_listener;
   TcpListener metrics_listener;
+  TcpListener peers_listener;
   std::map<uint64_t, Caller> callers;
   HttpPages operator_pages;
+  HttpPages peer_pages;
   ConfigFromPeers config_from_peers;
+  TopicRelay topic_relay;
   uint64_t next_id = 1;
   uint64_t ticks = 0;
   Evacuations evacuations;
   // The data centres that were last handed to the fleet as evacuated.
   std::set<std::string> evacuated;
+  bool is_reading = false;
   bool engines_known = false;
   // Whether the engine list has changed since it was last handed to engine_list_copy.
   bool engine_list_changed = false;
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -32,6 +32,8 @@
   };
   hooks.change = [this](const platform::KeyedRecord& record) { this->OnOperatorRecord(record); };
   hooks.up_to_date = [this](Time sent) { this->OnValidated(sent); };
+  hooks.peer_address = [this](const std::string& box) { return this->AddressToRead(box); };
+  hooks.state_changed = [this] { this->topic_relay.OnNews(std::string(platform::kConfigTopic)); };
   return hooks;
 }
 
@@ -53,8 +55,17 @@
   hooks.settled_epoch_record = [this](const std::string& value) {
     this->settled_epoch_writer.OnRecord(value);
   };
+  hooks.operator_read_to = [this] { return this->config_follower.position().value_or(0); };
+  hooks.on_operator_read_to = [this](uint64_t offset) { this->OnPeerOperatorPosition(offset); };
   hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
   hooks.on_engines_read_to = [this](uint64_t offset) { this->OnPeerEngineListPosition(offset); };
+  hooks.on_gateways_changed = [this](bool are_complete) { this->OnGatewaysChanged(are_complete); };
+  hooks.topic_proved_at = [this] { return this->config_follower.state().proved(); };
+  hooks.on_topic_proved = [this](Time at, uint64_t offset) {
+    if (this->config_follower.position().value_or(0) >= offset)
+      this->config_follower.NoteProved(at);
+  };
+  hooks.on_topic_changed = [this] { this->topic_relay.OnNews(std::string(platform::kPeersTopic)); };
   hooks.take_gossip = [this] { return this->crash_watch.TakeGossip(); };
   hooks.on_gossip = [this](const std::string& box, const CrashGossip& gossip) {
     return this->crash_watch.ReceiveGossip(box, gossip, Now());
@@ -102,6 +113,7 @@
   ConfigRevalidator::Hooks hooks;
   hooks.position = [this] { return this->config_follower.position(); };
   hooks.validated = [this](Time sent) {
+    this->config_follower.NoteProved(sent);
     if (!this->OnValidated(sent)) return false;
     this->load_exchange.SendFreshness(Now());
     return true;
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -7,15 +7,23 @@
 
 namespace gullward {
 
+uint64_t GatewayServer::store_calls() const {
+  return this->config_follower.calls() + this->engine_follower.calls() +
+         this->load_exchange.store_calls() + this->config_revalidator.calls() +
+         this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
+         this->settled_epoch_writer.store_calls();
+}
+
 std::string GatewayServer::Metrics() const {
   MetricsSnapshot snapshot;
   snapshot.engine_connections = this->state.pool.opened() + this->crash_watch.connections();
   snapshot.crashes = &this->crash_watch;
   snapshot.log_lines_dropped = this->log.dropped();
-  snapshot.store_calls = this->config_follower.calls() + this->engine_follower.calls() +
-                         this->load_exchange.store_calls() + this->config_revalidator.calls() +
-                         this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
-                         this->settled_epoch_writer.store_calls();
+  snapshot.store_calls = this->store_calls();
+  snapshot.peer_reads = this->config_follower.peer_reads() + this->engine_follower.peer_reads() +
+                        this->load_exchange.peer_reads();
+  snapshot.relayed_reads = this->topic_relay.reads();
+  snapshot.relayed_bytes = this->topic_relay.bytes();
   snapshot.configs_from_peers = this->config_from_peers.received();
   snapshot.store_returns = this->store_recovery.returns().epoch().returns();
   snapshot.engines = this->state.fleet.directory().size();
--- a/src/gateway/http_pages.cc
+++ b/src/gateway/http_pages.cc
@@ -39,7 +39,13 @@
 }
 
 HttpPages::HttpPages(EventLoop* event_loop, Handler page_maker)
-    : loop(event_loop), handler(std::move(page_maker)) {}
+    : HttpPages(event_loop, AsyncHandler([page_maker = std::move(page_maker)](
+                                             const std::string& path, const Answer& answer) {
+                  answer(page_maker(path));
+                })) {}
+
+HttpPages::HttpPages(EventLoop* event_loop, AsyncHandler request_handler)
+    : loop(event_loop), handler(std::move(request_handler)) {}
 
 void HttpPages::Adopt(int fd) {
   CallerLimits limits;
@@ -48,7 +54,10 @@
   std::weak_ptr<CallerChannel> weak = channel;
   CallerChannel::Hooks hooks;
   hooks.request = [this, weak](const CallerRequest& request) {
-    if (auto self = weak.lock()) SendPage(self.get(), this->handler(request.head.target));
+    this->handler(request.head.target, [weak](const HttpPage& page) {
+      auto self = weak.lock();
+      if (self && !self->is_closed()) SendPage(self.get(), page);
+    });
   };
   hooks.malformed = [weak](ResultCode code) {
     if (auto self = weak.lock()) SendBadRequest(self.get(), code);
--- a/src/gateway/http_pages.h
+++ b/src/gateway/http_pages.h
@@ -1,6 +1,7 @@
 // Answers GET requests on accepted connections with pages that a handler produces on demand.
 //
 //   HttpPages pages(&loop, [](const std::string& path) { return HttpPage{...}; });
+//   HttpPages later(&loop, [](const std::string& path, HttpPages::Answer answer) { ... });
 //   listener.Listen(&loop, address, [&](int fd) { pages.Adopt(fd); });
 //   pages.Tick(now);               // now and then
 
@@ -30,8 +31,13 @@
 class HttpPages {
  public:
   using Handler = std::function<HttpPage(const std::string& path)>;
+  // Sends the page that answers a request.  Has no effect after the connection has been closed.
+  using Answer = std::function<void(const HttpPage& page)>;
+  // Calls `answer` once, now or later.
+  using AsyncHandler = std::function<void(const std::string& path, Answer answer)>;
 
   HttpPages(EventLoop* event_loop, Handler page_maker);
+  HttpPages(EventLoop* event_loop, AsyncHandler request_handler);
 
   // Takes over an accepted connection and answers its requests.
   void Adopt(int fd);
@@ -43,7 +49,7 @@
 
  private:
   EventLoop* loop;
-  Handler handler;
+  AsyncHandler handler;
   std::vector<std::shared_ptr<CallerChannel>> channels;
 };
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -20,6 +20,8 @@
 // gateway, so the follower waits this long for more entries after one.
 constexpr Duration kPeersBatchDelay = seconds(2);
 constexpr Duration kRegisterTimeout = seconds(1);
+// The gateways are reported at the latest this long after the start.
+constexpr Duration kMaxReportDelay = seconds(3);
 // After the store's return every gateway reads the peers' topic again and then writes its own
 // entry.  The reads spread over this time per gateway, so the store gets about 100 reads and
 // 100 writes a second.
@@ -39,6 +41,7 @@
       log(event_log),
       recovery(store_recovery),
       registrar(event_loop, settings.store, &store_recovery->returns()),
+      registration_pause(settings.registration_pause),
       follower(
           event_loop, settings.store, store_recovery,
           {std::string(platform::kPeersTopic), kPeersWait, kPeersBatchDelay},
@@ -47,12 +50,15 @@
                  this->OnPeerRecords(records);
                },
            .change = [this](const platform::KeyedRecord& record) { this->OnPeerRecord(record); },
-           .up_to_date = {},
+           .up_to_date = [this](Time) { this->ReportGateways(); },
            .lost = [this](const std::string&) { this->RegisterOnce(); },
            .regained = {},
            .read_short = {},
            .unreadable = {},
-           .pause_after_return = [this] { return this->RandomDelayAfterReturn(); }}),
+           .pause_after_return = [this] { return this->RandomDelayAfterReturn(); },
+           .pause_after_load = [this] { return this->PauseAfterFirstRead(); },
+           .peer_address = [this](const std::string& peer) { return this->AddressOf(peer); },
+           .state_changed = [this] { this->hooks.on_topic_changed(); }}),
       random(own_incarnation),
       hooks(std::move(exchange_hooks)),
       freshness(own_incarnation) {}
@@ -65,9 +71,40 @@
   if (!status.ok()) return status;
   this->own_address.port = this->socket.port();
   this->follower.Start();
+  // The gateways are reported in any case: without peers this one reads from the store.
+  this->loop->RunAfter(kMaxReportDelay, [this] {
+    if (!this->gateways_reported) this->hooks.on_gateways_changed(/*are_complete=*/true);
+  });
   return absl::OkStatus();
 }
 
+std::optional<SocketAddress> LoadExchange::AddressOf(const std::string& box_name) const {
+  const Peer* peer = this->directory.Find(box_name);
+  bool is_reachable = peer != nullptr && peer->address.port != 0;
+  return is_reachable ? std::optional<SocketAddress>(peer->address) : std::nullopt;
+}
+
+// Returns zero unless this process has just written its own entry.
+Duration LoadExchange::PauseAfterFirstRead() {
+  if (!this->is_registered || std::exchange(this->has_waited_for_others, true)) return Duration(0);
+  std::uniform_real_distribution<double> jitter(1, 1.5);
+  return FromSeconds(ToSeconds(this->registration_pause) * jitter(this->random));
+}
+
+// Called after each read that was complete.
+void LoadExchange::ReportGateways() {
+  bool waits_for_others =
+      this->is_registered && !this->has_waited_for_others && this->registration_pause > Duration(0);
+  if (waits_for_others) {
+    // The gateways that are known already can be asked for the entries of the others.
+    this->hooks.on_gateways_changed(/*are_complete=*/false);
+    return;
+  }
+  bool is_first = !std::exchange(this->gateways_reported, true);
+  if (is_first || this->topic_changed) this->hooks.on_gateways_changed(/*are_complete=*/true);
+  this->topic_changed = false;
+}
+
 std::string LoadExchange::OwnEntry() const {
   return EncodeGatewayEntry({this->box, this->own_address, this->data_centre});
 }
@@ -104,6 +141,7 @@
   bool has_own_entry = std::find(records.begin(), records.end(), own) != records.end();
   for (const platform::KeyedRecord& record : records) this->OnPeerRecord(record);
   if (!has_own_entry) this->RegisterOnce();
+  this->topic_changed = true;
   // Set even for an empty list, which shows that this gateway has no peers.
   this->peers_changed = true;
 }
@@ -126,6 +164,7 @@
     this->directory.Update(*peer);
   }
   this->peers_changed = true;
+  this->topic_changed = true;
 }
 
 void LoadExchange::OnDatagram(std::string_view datagram) {
@@ -149,12 +188,17 @@
                                  now);
 }
 
+bool LoadExchange::IsCurrentEpoch(const LoadDigest& digest) const {
+  return digest.store_epoch == this->recovery->returns().epoch().current();
+}
+
 // Offsets and copy versions are comparable only within one epoch of the store.
 void LoadExchange::OnStoreState(const LoadDigest& digest) {
   if (digest.store_epoch) {
     this->hooks.on_store_epoch(*digest.store_epoch, digest.epoch_is_settled);
   }
-  if (digest.store_epoch != this->recovery->returns().epoch().current()) return;
+  if (!this->IsCurrentEpoch(digest)) return;
+  this->hooks.on_operator_read_to(digest.operator_read_to);
   this->hooks.on_engines_read_to(digest.engines_read_to);
   if (digest.engines_copied.fingerprint != 0) this->hooks.on_engines_copied(digest.engines_copied);
 }
@@ -164,6 +208,11 @@
   std::optional<Time> validated_at = this->freshness.ReceiveNote(
       digest.box, digest.incarnation, *digest.freshness, own_version, Now());
   if (validated_at) this->hooks.on_validated(*validated_at);
+  std::optional<Time> written_after = this->freshness.WrittenAfter(*digest.freshness);
+  if (written_after && digest.freshness->topic_proved_ago && this->IsCurrentEpoch(digest)) {
+    this->hooks.on_topic_proved(*written_after - *digest.freshness->topic_proved_ago,
+                                digest.operator_read_to);
+  }
   if (digest.freshness->config_version <= own_version) return;
   const Peer* peer = this->directory.Find(digest.box);
   this->hooks.on_newer_version(digest.freshness->config_version,
@@ -198,13 +247,28 @@
   if (version == 0) return;
   this->freshness.BeginRound(now);
   LoadDigest digest = this->NewDigest(now);
-  for (const Peer* peer : this->Neighbours(now)) {
+  for (const Peer* peer : this->ReceiversOfFreshness(now)) {
     digest.sequence = ++this->sequence;
     digest.freshness = this->freshness.NoteFor(peer->box, version, this->hooks.validated_at(), now);
+    Time topic_proved_at = this->hooks.topic_proved_at();
+    if (topic_proved_at != Time{}) digest.freshness->topic_proved_ago = now - topic_proved_at;
     this->Send(*peer, EncodeDigest(digest));
   }
 }
 
+// A root also sends its notes to the other roots, so that one validation serves all trees.
+std::vector<const Peer*> LoadExchange::ReceiversOfFreshness(Time now) {
+  std::vector<const Peer*> receivers = this->Neighbours(now);
+  const ReaderPlace& place = this->follower.place();
+  if (!place.reads_store) return receivers;
+  for (const std::string& root : place.sources) {
+    const Peer* peer = this->directory.Find(root);
+    bool is_new = std::find(receivers.begin(), receivers.end(), peer) == receivers.end();
+    if (peer != nullptr && is_new) receivers.push_back(peer);
+  }
+  return receivers;
+}
+
 void LoadExchange::Tick(Time now) {
   this->SendPendingGossip(now);
   if (now - this->last_send >= kSendInterval) this->SendLoads(now);
@@ -359,6 +423,7 @@
   digest.box = this->box;
   digest.incarnation = this->incarnation;
   digest.engines_copied = this->hooks.engines_copied();
+  digest.operator_read_to = this->hooks.operator_read_to();
   digest.engines_read_to = this->hooks.engines_read_to();
   const StoreEpoch& epoch = this->recovery->returns().epoch();
   digest.store_epoch = epoch.current();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,7 +2,9 @@
 //
 // Each gateway follows a topic of the store that holds one entry per gateway: the address of
 // its datagram socket and its data centre.  A gateway writes its own entry only if the topic
-// lacks it, so a restart of the whole fleet causes no writes and no reads of new entries.
+// lacks it, so a restart of the whole fleet causes no writes and no reads of new entries.  After
+// writing it, a gateway waits a moment and reads the topic again before it reports the gateways: in
+// the first start of a fleet all entries are written at the same time.
 //
 // A few times a second a gateway sends the changes of its own engine loads to the gateways that
 // work on the same engines, which are the members of each engine's cell (serving/cell_map.h).
@@ -31,6 +33,7 @@
 #define GULLWARD_GATEWAY_LOAD_EXCHANGE_H_
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -77,8 +80,10 @@
     // with a peer's report of it.
     std::function<CopyVersion()> engines_copied;
     std::function<void(const CopyVersion& version)> on_engines_copied;
-    // The offset up to which the engine list has been read: by this gateway, and called with
-    // a peer's report of its own offset.
+    // The offset up to which the operator's topic has been read: by this gateway, and called with
+    // a peer's report of its own offset.  Then the same for the engine list.
+    std::function<uint64_t()> operator_read_to;
+    std::function<void(uint64_t offset)> on_operator_read_to;
     std::function<uint64_t()> engines_read_to;
     std::function<void(uint64_t offset)> on_engines_read_to;
     // Called with the store's epoch that a peer reports, and whether that peer regards the
@@ -90,6 +95,15 @@
     std::function<CrashGossip(const std::string& box, const CrashGossip& gossip)> on_gossip;
     // Called with an entry of the peers' topic about a quarantined request content.
     std::function<void(ContentId content, const std::string& value)> quarantine_record;
+    // Called when gateways are first known, and after each change of them.  Not complete: other
+    // gateways may just be writing their entries.
+    std::function<void(bool are_complete)> on_gateways_changed;
+    // When this gateway was last shown that nothing newer existed in the operator's topic than what
+    // it has read, and called when a peer's note shows the same of the topic up to `offset`.
+    std::function<Time()> topic_proved_at;
+    std::function<void(Time at, uint64_t offset)> on_topic_proved;
+    // Called when what was read of the peers' topic has changed or has been proved.
+    std::function<void()> on_topic_changed;
     // Called with the entry of the peers' topic that names the settled epoch of the store.
     std::function<void(const std::string& value)> settled_epoch_record;
   };
@@ -116,6 +130,16 @@
   // round and immediately after a revalidation.
   void SendFreshness(Time now);
 
+  // Where this gateway reads the peers' topic from, and what it has read of it.
+  void SetPlace(ReaderPlace place) { this->follower.SetPlace(std::move(place)); }
+  const TopicState& topic_state() const { return this->follower.state(); }
+  uint64_t peer_reads() const { return this->follower.peer_reads(); }
+
+  // The other gateways.
+  std::vector<GatewayName> Gateways() const { return this->directory.Names(); }
+  // The address of the gateway on this box; empty if it is unknown.
+  std::optional<SocketAddress> AddressOf(const std::string& box) const;
+
   // The number of known gateways, without this one.
   size_t peers() const { return this->directory.size(); }
   // The number of home cell members that the last round addressed, without this gateway.
@@ -130,12 +154,15 @@
 
  private:
   std::string OwnEntry() const;
+  Duration PauseAfterFirstRead();
+  void ReportGateways();
   Duration RandomDelayAfterReturn();
   void RegisterOnce();
   void Register();
   void OnPeerRecords(const std::vector<platform::KeyedRecord>& records);
   void OnPeerRecord(const platform::KeyedRecord& record);
   void OnDatagram(std::string_view datagram);
+  bool IsCurrentEpoch(const LoadDigest& digest) const;
   void OnStoreState(const LoadDigest& digest);
   void OnFreshnessNote(const LoadDigest& digest);
   void OnGossip(const LoadDigest& digest);
@@ -144,6 +171,7 @@
   LoadDigest NewDigest(Time now);
   std::map<std::string, EngineLoad> TakeUnsent(bool all, Time now);
   std::vector<const Peer*> Neighbours(Time now);
+  std::vector<const Peer*> ReceiversOfFreshness(Time now);
   std::vector<const Peer*> GatewaysOfEngine(const std::string& engine, Time now);
   template <typename Entry>
   void SendToCells(const std::map<std::string, Entry>& entries,
@@ -168,10 +196,16 @@
   StoreRecovery* recovery;
   StoreClient registrar;
   bool is_registered = false;
+  // Whether this process has waited for the entries of gateways that started at the same time.
+  bool has_waited_for_others = false;
+  bool gateways_reported = false;
+  Duration registration_pause;
   TopicFollower follower;
   PeerDirectory directory;
   // Whether the directory has changed since the fleet was last given its names.
   bool peers_changed = false;
+  // Whether an entry has been read since the gateways were last reported.
+  bool topic_changed = false;
   std::mt19937_64 random;
   Hooks hooks;
   PeerFreshness freshness;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -52,6 +52,11 @@
   count("gullward_engine_connections_total", "Connections opened", snapshot.engine_connections);
   count("gullward_log_lines_dropped_total", "Log lines dropped", snapshot.log_lines_dropped);
   count("gullward_store_calls_total", "Calls to the platform's store", snapshot.store_calls);
+  count("gullward_topic_reads_from_peers_total", "Reads of the store's topics from peers",
+        snapshot.peer_reads);
+  count("gullward_topic_reads_for_peers_total", "Reads of peers that were answered",
+        snapshot.relayed_reads);
+  count("gullward_topic_bytes_for_peers_total", "Bytes of these answers", snapshot.relayed_bytes);
   count("gullward_configs_from_peers_total", "Configurations that peers have handed on",
         snapshot.configs_from_peers);
   count("gullward_store_returns_total", "Returns of the store from an older copy",
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -22,6 +22,10 @@
   uint64_t engine_connections = 0;
   uint64_t log_lines_dropped = 0;
   uint64_t store_calls = 0;
+  // Reads of topics from peers; reads of peers that were answered, and the bytes of the answers.
+  uint64_t peer_reads = 0;
+  uint64_t relayed_reads = 0;
+  uint64_t relayed_bytes = 0;
   // Configurations fetched from peers.
   uint64_t configs_from_peers = 0;
   // Returns of the store from an older copy.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -51,6 +51,8 @@
   settings.retry.slack = reader.Number("retry_slack", 100, 0, 1e9);
   settings.retry.window = FromSeconds(reader.Number("retry_window_seconds", 10, 0.1, kDaySeconds));
   settings.stop_grace = FromSeconds(reader.Number("stop_grace_seconds", 8, 0, kDaySeconds));
+  settings.registration_pause =
+      FromSeconds(reader.Number("registration_pause_ms", 1000, 0, 10'000) / 1000);
   settings.quarantine =
       FromSeconds(reader.Number("quarantine_seconds", 3600, 1, kMaxQuarantineDays * kDaySeconds));
   settings.mechanisms = ReadMechanisms(reader);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,6 +36,8 @@
   RetryBounds retry;
   // Each mechanism is on unless the file switches it off by the key `use_` and the field's name.
   Mechanisms mechanisms;
+  // How long a gateway that is new to the fleet waits for the entries of others before it reads on.
+  Duration registration_pause = seconds(1);
   // How long a request content that crashes engines is refused.
   Duration quarantine = std::chrono::hours(1);
   // The time between the stop signal and the kill.
--- a/src/gateway/store_recovery.cc
+++ b/src/gateway/store_recovery.cc
@@ -22,7 +22,7 @@
   if (this->is_pausing || this->waiting.empty()) return;
   this->is_pausing = true;
   Duration pause = this->next_pause;
-  this->next_pause = std::min(2 * pause, kMaxPause);
+  this->next_pause = std::min(2 * pause, this->max_pause);
   this->loop->RunAfter(pause, [this] {
     this->is_pausing = false;
     this->TryNext();
--- a/src/gateway/store_recovery.h
+++ b/src/gateway/store_recovery.h
@@ -31,9 +31,15 @@
   // seconds is detected within a fraction of a second.
   static constexpr Duration kFirstPause = milliseconds(100);
   static constexpr Duration kMaxPause = milliseconds(400);
+  // The longest pause of a gateway that reads from peers: its peers tell it when they have read
+  // from the store again.
+  static constexpr Duration kMaxPauseOfReaders = milliseconds(3200);
 
   explicit StoreRecovery(EventLoop* event_loop) : loop(event_loop), returns_seen(event_loop) {}
 
+  // Sets the longest pause from now on.
+  void SetMaxPause(Duration pause) { this->max_pause = pause; }
+
   // Registers a client whose call has failed.  `retry` is called when it may retry.
   void RetryLater(std::function<void()> retry);
 
@@ -52,6 +58,7 @@
   std::deque<std::function<void()>> waiting;
   // Reset to kFirstPause when a call succeeds.
   Duration next_pause = kFirstPause;
+  Duration max_pause = kMaxPause;
   bool is_pausing = false;
 };
 
--- a/src/gateway/testing/config_from_peers_test.cc
+++ b/src/gateway/testing/config_from_peers_test.cc
@@ -95,6 +95,8 @@
   GatewayFixtureOptions options;
   options.key_trust = seconds(2);
   options.mechanisms.config_from_peers = false;
+  // Reading all topics from a peer has the same effect.
+  options.mechanisms.topic_relay = false;
   TwoStores stores(options);
   stores.copy.SetFault(StoreFault::kBusy);
   stores.Publish(2);
--- a/src/gateway/testing/evacuation_process_test.cc
+++ b/src/gateway/testing/evacuation_process_test.cc
@@ -36,9 +36,8 @@
 
 void Evacuate(GatewayFixture* fixture, const std::string& data_centre) {
   fixture->store.Put(kOperatorTopic, "evacuate/" + data_centre, "{}");
-  BOOST_REQUIRE(fixture->RunUntil([&] {
-    return fixture->gateway->EvacuatedDataCentres().count(data_centre) != 0;
-  }));
+  BOOST_REQUIRE(fixture->RunUntil(
+      [&] { return fixture->gateway->EvacuatedDataCentres().count(data_centre) != 0; }));
 }
 
 // Sends requests that all fail at the engines outside hall-2, so that each tries a second engine.
--- a/src/gateway/testing/gateway_fixture.cc
+++ b/src/gateway/testing/gateway_fixture.cc
@@ -108,6 +108,7 @@
   settings.stop_grace = this->options.stop_grace;
   settings.leaving_bound = this->options.leaving_bound;
   settings.retry = this->options.retry;
+  settings.registration_pause = this->options.registration_pause;
   auto server = std::make_unique<GatewayServer>(&this->loop, settings, /*random_seed=*/number);
   absl::Status status = server->Start();
   CHECK(status.ok()) << status.message();
--- a/src/gateway/testing/gateway_fixture.h
+++ b/src/gateway/testing/gateway_fixture.h
@@ -41,6 +41,7 @@
   KeyTrust key_trust_mode = KeyTrust::kBounded;
   Duration stop_grace = seconds(8);
   Duration leaving_bound = seconds(2);
+  Duration registration_pause = Duration(0);
   Mechanisms mechanisms = {};
   // Allows every attempt that a request may need as soon as the gateway starts, when it has no
   // slack yet.  The bound on all retries together is tested elsewhere (retry_budget_test.cc).
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -1,5 +1,5 @@
 // The follower has two states: reading pages, and following the log's tail.  After a failure the
-// tail is first read by a probe.
+// tail is first read by a probe.  A read from a peer serves in both states.
 
 #include "gateway/topic_follower.h"
 
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/topic_relay.h"
 
 namespace gullward {
 namespace {
@@ -22,6 +23,7 @@
                              Hooks follower_hooks)
     : loop(event_loop),
       client(event_loop, std::move(store_address), &store_recovery->returns()),
+      peer_client(event_loop, SocketAddress{}, /*store_returns=*/nullptr),
       recovery(store_recovery),
       options(std::move(follower_options)),
       hooks(std::move(follower_hooks)) {
@@ -30,7 +32,8 @@
 
 void TopicFollower::Start() {
   this->started = true;
-  this->ReadPage();
+  this->patient_until = Now() + kStartPatience;
+  this->ReadOn();
 }
 
 std::optional<uint64_t> TopicFollower::position() const {
@@ -44,10 +47,14 @@
   if (!this->started || is_restarted) return;
   this->loaded = false;
   this->pages.clear();
+  this->patient_until = Now() + kStartPatience;
   // Without a call in progress, the pending pause or retry will read the pages.
-  if (!this->client.is_busy()) return;
+  if (!this->client.is_busy() && !this->peer_client.is_busy()) return;
   this->client.Cancel();
-  bool has_pause = this->hooks.pause_after_return != nullptr;
+  this->peer_client.Cancel();
+  // Only the roots of a tree read from the store, and they are few.
+  bool is_in_tree = !this->sources.reader_place().sources.empty();
+  bool has_pause = this->hooks.pause_after_return != nullptr && !is_in_tree;
   this->ReadOnAfter(has_pause ? this->hooks.pause_after_return() : Duration(0));
 }
 
@@ -56,21 +63,48 @@
     if (this->loaded) {
       this->WaitForChanges();
     } else {
-      this->ReadPage();
+      this->ReadOn();
     }
   });
 }
 
+// How long it is known that other gateways have read further than this one.
+Duration TopicFollower::LagBehindPeers(Time now) {
+  if (this->behind_offset != this->next_offset) {
+    this->behind_offset = this->next_offset;
+    this->behind_since = now;
+  }
+  return now - this->behind_since;
+}
+
 bool TopicFollower::RestartStalledRead() {
-  if (this->client.TimeSinceProgress(Now()) < this->silence_limit) return false;
-  this->silence_limit = std::min(2 * this->silence_limit, kMaxSilenceLimit);
-  this->client.Cancel();
+  Time now = Now();
+  Duration lag = this->LagBehindPeers(now);
+  if (this->peer_client.is_busy()) {
+    if (lag < kMaxLagAtPeer + this->options.batch_delay) return false;
+    this->peer_client.Cancel();
+    this->sources.NotePeerStale(this->current_peer, now);
+  } else {
+    bool is_silent = this->client.TimeSinceProgress(now) >= this->silence_limit;
+    if (!is_silent || lag < kMaxLagAtStore) return false;
+    this->silence_limit = std::min(2 * this->silence_limit, kMaxSilenceLimit);
+    this->client.Cancel();
+  }
+  this->behind_offset.reset();
   this->ReadOn();
   return true;
 }
 
+// Returns the box of the peer to read from; empty if the store is to be read.
+std::optional<std::string> TopicFollower::NextPeer() {
+  if (!this->hooks.peer_address) return std::nullopt;
+  return this->sources.Next(Now());
+}
+
 void TopicFollower::ReadOn() {
-  if (this->loaded) {
+  if (std::optional<std::string> peer = this->NextPeer()) {
+    this->ReadFromPeer(*peer);
+  } else if (this->loaded) {
     this->ReadTail(/*wait=*/Duration(0), kProbeKb);
   } else {
     this->ReadPage();
@@ -123,14 +157,131 @@
     this->ReadPage();
     return;
   }
-  this->loaded = true;
-  this->key_count = this->pages.size();
-  this->hooks.replace(std::exchange(this->pages, {}));
+  this->topic_state.SetHops(0);
+  this->TakeNewestRecords(std::exchange(this->pages, {}), this->next_offset, this->pages_sent);
   if (this->hooks.up_to_date) this->hooks.up_to_date(this->pages_sent);
+  bool has_pause = this->hooks.pause_after_load != nullptr;
+  Duration pause = has_pause ? this->hooks.pause_after_load() : Duration(0);
+  if (pause > Duration(0)) {
+    this->ReadOnAfter(pause);
+  } else {
+    this->WaitForChanges();
+  }
+}
+
+void TopicFollower::TakeNewestRecords(const std::vector<platform::KeyedRecord>& records,
+                                      uint64_t end, Time proved) {
+  this->loaded = true;
+  this->key_count = records.size();
+  this->next_offset = end;
+  this->topic_state.Replace(records, end, this->epoch);
+  this->topic_state.Prove(proved);
+  this->NotifyStateChanged();
+  this->hooks.replace(records);
+}
+
+void TopicFollower::NotifyStateChanged() {
+  if (this->hooks.state_changed) this->hooks.state_changed();
+}
+
+void TopicFollower::NoteProved(Time sent) {
+  if (!this->loaded || sent <= this->topic_state.proved()) return;
+  this->topic_state.Prove(sent);
+  this->NotifyStateChanged();
+}
+
+// A gateway that usually reads from a peer asks the store without waiting there, and then goes on
+// with the next peer.
+void TopicFollower::WaitForChanges() {
+  if (std::optional<std::string> peer = this->NextPeer()) {
+    this->ReadFromPeer(*peer);
+    return;
+  }
+  Duration wait = this->options.wait;
+  if (!this->sources.reader_place().reads_store) {
+    bool goes_on_with_peer = this->sources.HasFreshPeer(Now());
+    wait = goes_on_with_peer ? Duration(0) : std::min(wait, TopicSources::kPeerPause);
+  }
+  this->ReadTail(wait, kMaxHistoryKb);
+}
+
+void TopicFollower::ReadFromPeer(const std::string& box) {
+  std::optional<SocketAddress> address = this->hooks.peer_address(box);
+  if (!address) {
+    // The peer has left.
+    this->OnPeerFailed(box);
+    return;
+  }
+  this->current_peer = box;
+  this->peer_client.SetAddress(*address);
+  TopicRead read;
+  read.topic = this->options.topic;
+  read.wait = kPeerWait;
+  if (this->loaded) read.from = this->next_offset;
+  if (this->loaded) read.epoch = this->epoch;
+  Time sent = Now();
+  this->peer_client.Call(
+      {"GET", PathOf(read), ""}, kPeerWait + kPeerTimeout,
+      [this, box, sent](const StoreAnswer& answer) { this->OnPeerAnswer(box, sent, answer); });
+}
+
+void TopicFollower::OnPeerAnswer(const std::string& box, Time sent, const StoreAnswer& answer) {
+  std::optional<TopicUpdate> update;
+  if (answer.ok()) update = DecodeTopicUpdate(answer.body);
+  if (!update || !this->IsUsable(*update)) {
+    this->OnPeerFailed(box);
+    return;
+  }
+  this->ApplyUpdate(*update, sent);
+  Time now = Now();
+  bool is_stale = now - this->topic_state.proved() > this->options.max_proof_age;
+  if (is_stale) this->sources.NotePeerStale(box, now);
   this->WaitForChanges();
 }
 
-void TopicFollower::WaitForChanges() { this->ReadTail(this->options.wait, kMaxHistoryKb); }
+// A peer that has seen a newer epoch than this gateway, or an older one, has other offsets.  The
+// changes must begin where this gateway has read to; a peer may have read less.
+bool TopicFollower::IsUsable(const TopicUpdate& update) const {
+  const StoreEpoch& known = this->recovery->returns().epoch();
+  bool is_same_epoch = known.is_known() && update.epoch == known.current();
+  if (!is_same_epoch || update.hops > TopicSources::kMaxHops) return false;
+  if (update.is_snapshot) return true;
+  bool is_behind = update.records.empty() && update.end <= this->next_offset;
+  bool follows = update.end == this->next_offset + update.records.size();
+  return this->loaded && update.epoch == this->epoch && (is_behind || follows);
+}
+
+void TopicFollower::ApplyUpdate(const TopicUpdate& update, Time sent) {
+  bool is_behind = this->loaded && update.epoch == this->epoch && update.end < this->next_offset;
+  if (is_behind) return;
+  this->epoch = update.epoch;
+  this->topic_state.SetHops(update.hops);
+  this->regained = std::max(this->regained, sent - update.regained_ago);
+  this->topic_state.SetRegained(this->regained);
+  Time proved = sent - update.proved_ago;
+  if (update.is_snapshot) {
+    this->TakeNewestRecords(update.records, update.end, proved);
+  } else {
+    this->DeliverChanges(update.records);
+    this->NoteProved(proved);
+  }
+  if (this->hooks.up_to_date) this->hooks.up_to_date(proved);
+}
+
+void TopicFollower::OnPeerFailed(const std::string& box) {
+  Time now = Now();
+  bool is_patient = !this->loaded && now < this->patient_until;
+  if (is_patient) {
+    this->ReadOnAfter(kStartPause);
+    return;
+  }
+  this->sources.NotePeerFailed(box, now);
+  if (this->loaded) {
+    this->WaitForChanges();
+  } else {
+    this->ReadOn();
+  }
+}
 
 void TopicFollower::ReadTail(Duration wait, size_t max_kb) {
   this->call_sent = Now();
@@ -164,7 +315,10 @@
     this->OnShortTail(*tail);
     return;
   }
-  this->DeliverChanges(*tail);
+  this->ReportUnreadable(tail->unreadable);
+  this->topic_state.SetHops(0);
+  this->DeliverChanges(tail->records);
+  this->NoteProved(sent);
   if (this->hooks.up_to_date) this->hooks.up_to_date(sent);
   if (tail->records.empty() || this->options.batch_delay.count() == 0) {
     this->WaitForChanges();
@@ -182,14 +336,18 @@
     this->ReadPages();
     return;
   }
-  this->DeliverChanges(tail);
+  this->ReportUnreadable(tail.unreadable);
+  this->DeliverChanges(tail.records);
   this->WaitForChanges();
 }
 
-void TopicFollower::DeliverChanges(const platform::KeyedTail& tail) {
-  this->next_offset += tail.records.size();
-  this->ReportUnreadable(tail.unreadable);
-  for (const platform::KeyedRecord& record : tail.records) {
+// Peers get the changes before this gateway decodes them, which may take long on a slow box.
+void TopicFollower::DeliverChanges(const std::vector<platform::KeyedRecord>& records) {
+  if (records.empty()) return;
+  this->next_offset += records.size();
+  for (const platform::KeyedRecord& record : records) this->topic_state.Append(record);
+  this->NotifyStateChanged();
+  for (const platform::KeyedRecord& record : records) {
     // A record without a key belongs to no object.
     if (!record.key.empty()) this->hooks.change(record);
   }
@@ -201,17 +359,24 @@
 
 void TopicFollower::Succeed() {
   this->recovery->OnCallSucceeded();
+  this->sources.NoteStoreAnswered();
   this->silence_limit = kMaxUpdateDelay;
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained = Now();
+  this->topic_state.SetRegained(this->regained);
   if (this->hooks.regained) this->hooks.regained();
 }
 
 void TopicFollower::Fail(const std::string& reason) {
   bool first = !std::exchange(this->is_lost, true);
   if (first && this->hooks.lost) this->hooks.lost(reason);
-  this->recovery->RetryLater([this] { this->ReadOn(); });
+  this->sources.NoteStoreFailed(Now());
+  if (this->NextPeer()) {
+    this->ReadOn();
+  } else {
+    this->recovery->RetryLater([this] { this->ReadOn(); });
+  }
 }
 
 }  // namespace gullward
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -12,6 +12,11 @@
 // After a failure the number of missing records is unknown, so the first read is a probe, which
 // asks for the smallest possible answer.
 //
+// In a large fleet most gateways read a topic from a peer (serving/reader_tree.h): SetPlace names
+// the peers, and serving/topic_sources.h chooses for each read between them and the store.  A read
+// from a peer waits for kPeerWait at most, so that a peer that has stopped is noticed soon.  What
+// has been read is kept in state(), from which this gateway answers the reads of its own peers.
+//
 // An offset in the log is valid only in the store epoch in which it was read.  After the store's
 // return from an older copy (store_returns.h) the pages are read again.  Pages of different
 // epochs are never combined.
@@ -30,7 +35,9 @@
 
 #include "gateway/store_client.h"
 #include "gateway/store_recovery.h"
+#include "gateway/topic_state.h"
 #include "platform/store_calls.h"
+#include "serving/topic_sources.h"
 #include "transport/event_loop.h"
 
 namespace gullward {
@@ -47,6 +54,20 @@
   // whole fleet starts and all gateways read at once: with a fixed timeout of one second, 300
   // gateways were without the list of 3,000 engines for 30 s.
   static constexpr Duration kMaxPageTimeout = seconds(8);
+  // How long a read waits at a peer, and how much later its answer may come.  A peer that has
+  // stopped is noticed within the sum, which leaves time for a read of the store within the two
+  // seconds in which a change must be in force.
+  static constexpr Duration kPeerWait = milliseconds(700);
+  static constexpr Duration kPeerTimeout = milliseconds(500);
+  // How long a change that other gateways have read may be missing here before a read counts as
+  // stuck: a read of the store, and a read from a peer.  A peer may wait for more changes first, so
+  // the batch delay is added.
+  static constexpr Duration kMaxLagAtStore = milliseconds(150);
+  static constexpr Duration kMaxLagAtPeer = milliseconds(300);
+  // While nothing has been read yet, peers that do not answer are asked again for this long before
+  // the store is asked: in a start of the whole fleet they have not read anything either.
+  static constexpr Duration kStartPatience = seconds(1);
+  static constexpr Duration kStartPause = milliseconds(100);
   // The largest answer to request from the history: 0.1 s on a link of 20 Mbit/s.
   static constexpr size_t kMaxHistoryKb = 256;
   // The smallest answer that can be requested.  It still states the log's end.
@@ -60,6 +81,9 @@
     // How long to wait for more changes after one before the next read, so that a burst of
     // changes costs a few reads and not one per change.
     Duration batch_delay = milliseconds(0);
+    // The age from which a peer's proof is too old (serving/topic_sources.h).  A read of the store
+    // that waits proves what held when it was sent, so a proof may be twice as old as the wait.
+    Duration max_proof_age = seconds(70);
   };
   struct Hooks {
     // Called with all records, after all pages have been read.
@@ -80,6 +104,13 @@
     // Returns how long to wait after the store's return before the pages are read again, so
     // that a large fleet does not read all at once.  Without this hook there is no wait.
     std::function<Duration()> pause_after_return;
+    // Returns how long to wait before the first read after the pages.  Optional.
+    std::function<Duration()> pause_after_load = {};
+    // Returns the address of the peer on this box; empty if it is unknown.  Without this hook only
+    // the store is read.
+    std::function<std::optional<SocketAddress>(const std::string& box)> peer_address = {};
+    // Called when state() has changed or has been proved.  Optional.
+    std::function<void()> state_changed = {};
   };
 
   TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
@@ -87,14 +118,28 @@
 
   void Start();
 
+  // Sets from whom later reads are made.
+  void SetPlace(ReaderPlace place) { this->sources.SetPlace(std::move(place)); }
+  const ReaderPlace& place() const { return this->sources.reader_place(); }
+
+  // What has been read, for the reads of peers.
+  const TopicState& state() const { return this->topic_state; }
+
+  // Records that nothing newer than position() existed at the store at `sent`.
+  void NoteProved(Time sent);
+
+  // Sets how long to wait for more changes after one.
+  void SetBatchDelay(Duration delay) { this->options.batch_delay = delay; }
+
   // Sets how long later reads wait at the store.
   void SetWait(Duration wait) { this->options.wait = wait; }
 
-  // Abandons the waiting read and reads again on a new connection.  Call it when a change
-  // should have been returned by now.  A read that has recently received bytes is left alone,
-  // and each new read may be silent for twice as long as the one before: on a slow store or
-  // link, earlier restarts would abandon every read before it is complete.  Returns whether
-  // the read was restarted.  A restart does not count as a loss of the store.
+  // Call it whenever other gateways have read further.  If that lasts (kMaxLagAtStore), abandons
+  // the waiting read and reads again from the store on a new connection.  A read that has recently
+  // received bytes is left alone, and each new read may be silent for twice as long as the one
+  // before: on a slow store or link, earlier restarts would abandon every read before it is
+  // complete.  Returns whether the read was restarted.  A restart does not count as a loss of the
+  // store.
   bool RestartStalledRead();
 
   // When a call last succeeded after failures.  In the past if no call has failed.
@@ -104,7 +149,9 @@
   // nothing if the offset was read before the store's return.
   std::optional<uint64_t> position() const;
 
+  // Calls to the store, and reads from peers.
   uint64_t calls() const { return this->client.calls(); }
+  uint64_t peer_reads() const { return this->peer_client.calls(); }
 
  private:
   void ReadOn();
@@ -114,17 +161,28 @@
   void ReadPage();
   void ReadTail(Duration wait, size_t max_kb);
   void WaitForChanges();
+  std::optional<std::string> NextPeer();
+  void ReadFromPeer(const std::string& box);
+  void OnPeerAnswer(const std::string& box, Time sent, const StoreAnswer& answer);
+  bool IsUsable(const TopicUpdate& update) const;
+  void ApplyUpdate(const TopicUpdate& update, Time sent);
+  void OnPeerFailed(const std::string& box);
+  Duration LagBehindPeers(Time now);
+  void TakeNewestRecords(const std::vector<platform::KeyedRecord>& records, uint64_t end,
+                         Time proved);
+  void NotifyStateChanged();
   bool IsCurrentEpoch(const StoreAnswer& answer) const { return answer.epoch == this->epoch; }
   void OnPage(const StoreAnswer& answer);
   void OnTail(const StoreAnswer& answer);
   void OnShortTail(const platform::KeyedTail& tail);
-  void DeliverChanges(const platform::KeyedTail& tail);
+  void DeliverChanges(const std::vector<platform::KeyedRecord>& records);
   void ReportUnreadable(size_t records);
   void Succeed();
   void Fail(const std::string& reason);
 
   EventLoop* loop;
   StoreClient client;
+  StoreClient peer_client;
   StoreRecovery* recovery;
   Options options;
   Hooks hooks;
@@ -145,6 +203,15 @@
   // How long a read may receive no bytes before RestartStalledRead abandons it.
   Duration silence_limit = kMaxUpdateDelay;
   Time regained{};
+  TopicSources sources;
+  TopicState topic_state;
+  // The peer that is being read.
+  std::string current_peer;
+  // Until when peers that do not answer are asked again.
+  Time patient_until{};
+  // Since when peers are known to have read further than `behind_offset`, this follower's offset.
+  std::optional<uint64_t> behind_offset;
+  Time behind_since{};
 };
 
 }  // namespace gullward
--- a/src/serving/engine_directory.cc
+++ b/src/serving/engine_directory.cc
@@ -115,10 +115,9 @@
 }
 
 size_t EngineDirectory::CountIn(const std::string& data_centre) const {
-  return static_cast<size_t>(
-      std::count_if(this->engines.begin(), this->engines.end(), [&](const auto& engine) {
-        return engine.second.record.data_centre == data_centre;
-      }));
+  return static_cast<size_t>(std::count_if(
+      this->engines.begin(), this->engines.end(),
+      [&](const auto& engine) { return engine.second.record.data_centre == data_centre; }));
 }
 
 bool EngineDirectory::HasEvacuated(const std::string& service) const {
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -162,8 +162,8 @@
   std::vector<PlannedEngine> others;
   for (const std::string& incarnation : this->spill.Engines(now)) {
     const EngineRecord* engine = this->engines.FindIncarnation(incarnation);
-    bool usable = engine != nullptr && engine->service == service.name &&
-                  this->engines.IsUsable(*engine);
+    bool usable =
+        engine != nullptr && engine->service == service.name && this->engines.IsUsable(*engine);
     if (usable) others.push_back({*engine, incarnation});
   }
   if (!others.empty() || !any) return others;
--- a/src/serving/fleet_notices.cc
+++ b/src/serving/fleet_notices.cc
@@ -94,8 +94,7 @@
   std::string incarnation = engine.Incarnation();
   if (!this->engine_notices.Has(incarnation)) return;
   double share = this->ShareOfLimit(engine, incarnation);
-  this->engine_notices.NoteSent(incarnation, share, now,
-                                this->ColdLimit(engine, incarnation, now));
+  this->engine_notices.NoteSent(incarnation, share, now, this->ColdLimit(engine, incarnation, now));
 }
 
 // All engines that a request for the service may be sent to.
@@ -125,9 +124,8 @@
   std::optional<Duration> soonest;
   for (const PlannedEngine& engine : this->ReachableEngines(service, now)) {
     double share = this->ShareOfLimit(engine.record, engine.incarnation);
-    std::optional<Duration> time_left =
-        this->engine_notices.TimeUntilAdmission(
-            engine.incarnation, share, now, this->ColdLimit(engine.record, engine.incarnation, now));
+    std::optional<Duration> time_left = this->engine_notices.TimeUntilAdmission(
+        engine.incarnation, share, now, this->ColdLimit(engine.record, engine.incarnation, now));
     if (time_left && (!soonest || *time_left < *soonest)) soonest = time_left;
   }
   return soonest;
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -131,9 +131,14 @@
   flatbuffers::Offset<fb::FreshnessNote> freshness;
   if (digest.freshness) {
     const FreshnessNote& note = *digest.freshness;
+    std::optional<uint64_t> topic_proved_us;
+    if (note.topic_proved_ago) {
+      topic_proved_us = static_cast<uint64_t>(note.topic_proved_ago->count());
+    }
     freshness = fb::CreateFreshnessNote(
         builder, note.round, note.config_version, static_cast<uint64_t>(note.proved_ago.count()),
-        note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation);
+        note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation,
+        ToPacked(topic_proved_us));
   }
   std::vector<flatbuffers::Offset<flatbuffers::String>> set_aside;
   for (const std::string& engine : digest.set_aside) {
@@ -146,14 +151,15 @@
   for (const QuarantineReport& report : gossip.quarantined) {
     quarantined.emplace_back(report.content, ToMillis(report.left));
   }
-  builder.Finish(fb::CreateLoadDigest(
-      builder, builder.CreateString(digest.box), digest.incarnation, digest.sequence,
-      builder.CreateVector(entries), freshness, builder.CreateVector(set_aside),
-      digest.engines_copied.fingerprint, digest.engines_read_to, digest.is_offer,
-      VectorOrNull(&builder, crashes),
-      gossip.answered.empty() ? 0 : builder.CreateVector(gossip.answered),
-      VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
-      digest.engines_copied.revision, PackNotices(&builder, digest.notices)));
+  builder.Finish(
+      fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
+                           digest.sequence, builder.CreateVector(entries), freshness,
+                           builder.CreateVector(set_aside), digest.engines_copied.fingerprint,
+                           digest.engines_read_to, digest.is_offer, VectorOrNull(&builder, crashes),
+                           gossip.answered.empty() ? 0 : builder.CreateVector(gossip.answered),
+                           VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch),
+                           digest.epoch_is_settled, digest.engines_copied.revision,
+                           PackNotices(&builder, digest.notices), digest.operator_read_to));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -169,6 +175,7 @@
   digest.sequence = packed->sequence();
   digest.engines_copied = {packed->engines_copied_revision(), packed->engines_copied()};
   digest.engines_read_to = packed->engines_read_to();
+  digest.operator_read_to = packed->operator_read_to();
   if (packed->store_epoch()) digest.store_epoch = *packed->store_epoch();
   digest.epoch_is_settled = packed->epoch_is_settled();
   digest.is_offer = packed->is_offer();
@@ -182,6 +189,9 @@
     received.echoed_round = note->echoed_round();
     received.echo_held = Duration(note->echo_held_us());
     received.echoed_incarnation = note->echoed_incarnation();
+    if (std::optional<uint64_t> us = note->topic_proved_ago_us(); us && *us <= kMaxAgeUs) {
+      received.topic_proved_ago = Duration(static_cast<int64_t>(*us));
+    }
     digest.freshness = received;
   }
   if (packed->set_aside() != nullptr) {
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -38,9 +38,11 @@
   // The latest version of the copy of the engine list that the sender has recorded
   // (gateway/engine_list_copy.h).
   CopyVersion engines_copied;
-  // The offset after the last change of the engine list that the sender has read.
+  // The offset after the last change of the operator's topic that the sender has read, and of the
+  // engine list.
+  uint64_t operator_read_to = 0;
   uint64_t engines_read_to = 0;
-  // The store's epoch to which `engines_read_to` belongs, and whether it is settled
+  // The store's epoch to which these offsets belong, and whether it is settled
   // (serving/store_epoch.h).  Empty if the store reports no epoch.
   std::optional<uint64_t> store_epoch;
   bool epoch_is_settled = false;
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -4,7 +4,8 @@
 // Each mechanism can be switched off by itself, so that the same load can be run with and without
 // it.  A mechanism that is off falls back to the simplest behaviour that still serves requests
 // (described at each field).  Without `quarantine`, `engine_notices`, `evacuation` or
-// `cold_engines`, bounds that the users require are exceeded.  docs/WORTH.md states the effect of each mechanism.
+// `cold_engines`, bounds that the users require are exceeded.  docs/WORTH.md states the effect of
+// each mechanism.
 //
 //   Mechanisms mechanisms;
 //   mechanisms.refusal_by_cost = false;     // refuse only what cannot be run
@@ -73,6 +74,9 @@
   // it waits for the store, and refuses requests that need a key once its last validation of
   // the configuration is too old.
   bool config_from_peers = true;
+  // Most gateways read the store's topics from a peer (reader_tree.h).  Off: each gateway reads
+  // them from the store, so the calls grow with the number of gateways.
+  bool topic_relay = true;
   // A request that crashes engines is not sent to further ones (quarantine.h).  Off: it is retried
   // like any other, and the users' bound on the crashes by one request is exceeded.
   bool quarantine = true;
@@ -114,6 +118,7 @@
     {"cells", &Mechanisms::cells},
     {"spill", &Mechanisms::spill},
     {"config_from_peers", &Mechanisms::config_from_peers},
+    {"topic_relay", &Mechanisms::topic_relay},
     {"quarantine", &Mechanisms::quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
--- a/src/serving/peer_freshness.cc
+++ b/src/serving/peer_freshness.cc
@@ -34,12 +34,18 @@
   // Keeps the time of the first arrival, so that a duplicate does not make the note look newer.
   if (note.round > last.round) last = LastNote{peer_incarnation, note.round, now};
   this->newest_version = std::max(this->newest_version, note.config_version);
-  if (note.config_version > own_version || note.echoed_round == 0) return std::nullopt;
+  if (note.config_version > own_version) return std::nullopt;
+  std::optional<Time> written_after = this->WrittenAfter(note);
+  return written_after ? std::optional<Time>(*written_after - note.proved_ago) : std::nullopt;
+}
+
+std::optional<Time> PeerFreshness::WrittenAfter(const FreshnessNote& note) const {
+  if (note.echoed_round == 0) return std::nullopt;
   if (note.echoed_incarnation != this->incarnation) return std::nullopt;
   auto round = std::find_if(this->rounds.begin(), this->rounds.end(),
                             [&](const Round& other) { return other.number == note.echoed_round; });
   if (round == this->rounds.end()) return std::nullopt;
-  return round->sent_at + note.echo_held - note.proved_ago;
+  return round->sent_at + note.echo_held;
 }
 
 }  // namespace gullward
--- a/src/serving/peer_freshness.h
+++ b/src/serving/peer_freshness.h
@@ -47,6 +47,10 @@
   Duration echo_held{};
   // The receiver's incarnation whose round is echoed, since a restart resets the rounds.
   uint64_t echoed_incarnation = 0;
+  // How long ago the sender was shown that nothing newer existed in the operator's topic than what
+  // it has read; no value if it never was.  Unlike `proved_ago`, this covers all of the operator's
+  // records.
+  std::optional<Duration> topic_proved_ago = std::nullopt;
 
   bool operator==(const FreshnessNote&) const = default;
 };
@@ -70,6 +74,10 @@
   std::optional<Time> ReceiveNote(const std::string& peer, uint64_t peer_incarnation,
                                   const FreshnessNote& note, uint64_t own_version, Time now);
 
+  // Returns a time on the local clock that is no later than when the peer wrote the note; empty if
+  // the note does not prove one.
+  std::optional<Time> WrittenAfter(const FreshnessNote& note) const;
+
   // The highest configuration version that any peer has sent.
   uint64_t newest_peer_version() const { return this->newest_version; }
 
--- a/src/serving/revalidation_schedule.h
+++ b/src/serving/revalidation_schedule.h
@@ -9,6 +9,10 @@
 // store and sends the result to the others, which then draw a new delay.  A process that receives
 // no results from others asks the store itself in time.
 //
+// In a large fleet the gateways that read the configuration from the store (reader_tree.h) are to
+// ask first, since their answers reach all others.  The others wait for longer, and ask only if no
+// answer reaches them.
+//
 //   RevalidationSchedule schedule(trust_duration, seed);
 //   if (schedule.IsDue(validated_at, now)) { schedule.NoteRequested(); ... }
 //   schedule.NoteBehind(now);        // the store has a newer configuration
@@ -30,6 +34,10 @@
   // answers slowly or not at first.
   static constexpr double kQuietShare = 0.3;
   static constexpr double kJitterShare = 0.3;
+  // The same two shares for a process that reads the configuration from a peer.  The remaining 0.15
+  // are enough for one call.
+  static constexpr double kQuietShareOfReaders = 0.6;
+  static constexpr double kJitterShareOfReaders = 0.25;
   // Pause after the store has reported a newer configuration, which is in force here by then.
   static constexpr Duration kNewerConfigPause = milliseconds(500);
 
@@ -42,6 +50,12 @@
     return !this->is_requested && now >= this->due_at && now >= this->not_before;
   }
 
+  // Sets whether this process reads the configuration from the store itself, as by default.
+  void SetReadsStore(bool reads) {
+    if (reads != this->reads_store) this->drawn_for = Time{};
+    this->reads_store = reads;
+  }
+
   // Whether a request to the store is pending.
   bool is_pending() const { return this->is_requested; }
   void NoteRequested() { this->is_requested = true; }
@@ -56,14 +70,17 @@
 
  private:
   void DrawDelay(Time validated_at) {
-    std::uniform_real_distribution<double> jitter(0, kJitterShare);
+    double quiet_share = this->reads_store ? kQuietShare : kQuietShareOfReaders;
+    double jitter_share = this->reads_store ? kJitterShare : kJitterShareOfReaders;
+    std::uniform_real_distribution<double> jitter(0, jitter_share);
     this->drawn_for = validated_at;
     this->due_at = validated_at +
-                   FromSeconds((kQuietShare + jitter(this->random)) * ToSeconds(this->key_trust));
+                   FromSeconds((quiet_share + jitter(this->random)) * ToSeconds(this->key_trust));
   }
 
   Duration key_trust;
   std::mt19937_64 random;
+  bool reads_store = true;
   Time drawn_for{};
   Time due_at{};
   Time not_before{};
--- a/src/serving/testing/evacuation_test.cc
+++ b/src/serving/testing/evacuation_test.cc
@@ -2,8 +2,6 @@
 // together keep to the rate that a cold engine bears.  Runs without sockets.
 
 #define BOOST_TEST_MODULE evacuation
-#include "serving/evacuations.h"
-
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -13,6 +11,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "serving/evacuations.h"
 #include "serving/fleet.h"
 
 namespace gullward {
@@ -125,13 +124,14 @@
   };
   EngineRecord draining = Engine(1, "hall-1");
   draining.draining = true;
-  const Row rows[] = {{"no engines", {}, {"hall-0"}, false},
-                      {"none evacuated", {Engine(0, "hall-0")}, {}, false},
-                      {"one of two", Engines(2, 2), {"hall-0"}, false},
-                      {"both", Engines(2, 2), {"hall-0", "hall-1"}, true},
-                      {"a data centre nobody has", Engines(2, 2), {"hall-7"}, false},
-                      {"one evacuated, one leaving", {Engine(0, "hall-0"), draining}, {"hall-0"}, true},
-                      {"only a leaving one there", {draining}, {"hall-1"}, false}};
+  const Row rows[] = {
+      {"no engines", {}, {"hall-0"}, false},
+      {"none evacuated", {Engine(0, "hall-0")}, {}, false},
+      {"one of two", Engines(2, 2), {"hall-0"}, false},
+      {"both", Engines(2, 2), {"hall-0", "hall-1"}, true},
+      {"a data centre nobody has", Engines(2, 2), {"hall-7"}, false},
+      {"one evacuated, one leaving", {Engine(0, "hall-0"), draining}, {"hall-0"}, true},
+      {"only a leaving one there", {draining}, {"hall-1"}, false}};
   for (const Row& row : rows) {
     auto fleet = NewFleet(0, 1, row.engines);
     fleet->directory().SetEvacuated(row.evacuated);
--- /dev/null
+++ b/src/trial/relay_trial.cc
@@ -0,0 +1,389 @@
+// A gateway has one read under way at a time.  Its number tells the answer of the current read from
+// those of reads that have timed out or were sent before a restart.
+
+#include "trial/relay_trial.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "serving/topic_sources.h"
+#include "trial/event_queue.h"
+
+namespace gullward {
+namespace {
+
+// The times of the real follower (gateway/topic_follower.h).
+constexpr Duration kPeerWait = milliseconds(700);
+constexpr Duration kPeerTimeout = milliseconds(500);
+constexpr Duration kStartPause = milliseconds(100);
+constexpr Duration kStartPatience = seconds(1);
+constexpr Duration kRetryPause = milliseconds(400);
+constexpr Duration kStoreWait = seconds(30);
+// Boxes start within this time.
+constexpr Duration kStartSpread = milliseconds(500);
+// Each gateway tells others how far it has read: fewer than the members of a cell, to which the
+// real one sends its notes.  A read that lags behind for this long is given up.
+constexpr Duration kGossipInterval = milliseconds(500);
+constexpr size_t kGossipFanout = 10;
+constexpr Duration kMaxLagAtStore = milliseconds(150);
+constexpr Duration kMaxLagAtPeer = milliseconds(300);
+const Time kStart = Time{} + seconds(1000);
+
+// A read that waits at a gateway or at the store.
+struct WaitingRead {
+  size_t reader = 0;
+  uint64_t number = 0;
+  uint64_t offset = 0;
+};
+
+struct Gateway {
+  std::string box;
+  TopicSources sources;
+  bool is_up = false;
+  Time frozen_until{};
+  bool is_refused = false;
+  // The number of changes that it has, and whether it has read anything.
+  uint64_t offset = 0;
+  bool is_loaded = false;
+  Time patient_until{};
+  uint64_t read_number = 0;
+  std::string peer;
+  bool is_reading_peer = false;
+  // Since when others are known to have more than `lag_offset`.
+  std::optional<uint64_t> lag_offset;
+  Time lag_since{};
+  std::vector<WaitingRead> waiting;
+  uint64_t answers = 0;
+};
+
+class RelaySimulation {
+ public:
+  explicit RelaySimulation(const RelayTrialOptions& trial_options)
+      : options(trial_options), random(trial_options.seed), events(kStart) {
+    std::vector<GatewayName> names;
+    for (size_t i = 0; i < this->options.gateways; ++i) {
+      names.push_back(
+          {absl::StrCat("box-", i), absl::StrCat("hall-", i % this->options.data_centres)});
+      this->numbers[names.back().box] = i;
+    }
+    for (const GatewayName& name : names) {
+      Gateway gateway;
+      gateway.box = name.box;
+      if (this->options.is_relayed) gateway.sources.SetPlace(PlaceInTree(name, names));
+      this->gateways.push_back(std::move(gateway));
+    }
+  }
+
+  RelayTrialResult Play() {
+    std::uniform_real_distribution<double> spread(0, ToSeconds(kStartSpread));
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      this->events.After(FromSeconds(spread(this->random)), [this, i] { this->Start(i); });
+    }
+    this->events.After(kGossipInterval, [this] { this->Gossip(); });
+    this->events.After(this->options.settled_after, [this] {
+      this->calls_when_settled = this->result.store_calls;
+      this->Change();
+    });
+    this->Repeat(this->options.kill_interval, [this](size_t i) { this->Kill(i); });
+    this->Repeat(this->options.freeze_interval, [this](size_t i) { this->Freeze(i); });
+    this->events.After(this->options.refused_from, [this] { this->Refuse(true); });
+    this->events.After(this->options.refused_until, [this] { this->Refuse(false); });
+    this->events.RunUntil(kStart + this->options.duration);
+    return this->Result();
+  }
+
+ private:
+  void Repeat(Duration interval, const std::function<void(size_t)>& fault) {
+    if (interval == Duration(0)) return;
+    this->events.After(interval, [this, interval, fault] {
+      std::uniform_int_distribution<size_t> any(0, this->gateways.size() - 1);
+      fault(any(this->random));
+      this->Repeat(interval, fault);
+    });
+  }
+
+  bool IsRunning(const Gateway& gateway) const {
+    return gateway.is_up && gateway.frozen_until <= this->events.now();
+  }
+
+  void Start(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    gateway.is_up = true;
+    gateway.is_loaded = false;
+    gateway.offset = 0;
+    gateway.patient_until = this->events.now() + kStartPatience;
+    this->Read(number);
+  }
+
+  void Kill(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    gateway.is_up = false;
+    gateway.read_number += 1;
+    this->Interrupt(number);
+    // Its readers see their connections close.
+    for (const WaitingRead& read : std::exchange(gateway.waiting, {})) {
+      this->After(this->options.hop_delay, read, [this, read] { this->PeerFailed(read.reader); });
+    }
+    this->events.After(this->options.fault_duration, [this, number] { this->Start(number); });
+  }
+
+  void Freeze(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    gateway.frozen_until = this->events.now() + this->options.fault_duration;
+    this->Interrupt(number);
+  }
+
+  // A gateway that was down or frozen is not expected to have the changes of that time.
+  void Interrupt(size_t number) { this->interrupted[number] = this->events.now(); }
+
+  void Refuse(bool is_refused) {
+    size_t count = static_cast<size_t>(this->options.refused_share *
+                                       static_cast<double>(this->gateways.size()));
+    for (size_t i = 0; i < count; ++i) this->gateways[i].is_refused = is_refused;
+  }
+
+  // Runs `then` unless the read has ended by then.  A frozen gateway handles it when it wakes.
+  void After(Duration delay, const WaitingRead& read, const std::function<void()>& then) {
+    this->events.After(delay, [this, read, then] {
+      Gateway& reader = this->gateways[read.reader];
+      if (reader.read_number != read.number) return;
+      if (!this->IsRunning(reader)) {
+        this->After(reader.frozen_until - this->events.now(), read, then);
+        return;
+      }
+      reader.read_number += 1;
+      then();
+    });
+  }
+
+  void Read(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    gateway.read_number += 1;
+    WaitingRead read{number, gateway.read_number, gateway.offset};
+    std::optional<std::string> peer = gateway.sources.Next(this->events.now());
+    gateway.is_reading_peer = peer.has_value();
+    if (peer) {
+      this->ReadFromPeer(read, *peer);
+    } else {
+      this->ReadFromStore(read);
+    }
+  }
+
+  void ReadFromStore(const WaitingRead& read) {
+    Gateway& gateway = this->gateways[read.reader];
+    this->result.store_calls += 1;
+    if (gateway.is_refused) {
+      this->result.refused_calls += 1;
+      this->After(this->options.store_delay, read,
+                  [this, read] { this->StoreFailed(read.reader); });
+      return;
+    }
+    bool goes_on_with_peer = !gateway.sources.reader_place().reads_store &&
+                             gateway.sources.HasFreshPeer(this->events.now());
+    bool must_wait = gateway.is_loaded && read.offset == this->changes.size() && !goes_on_with_peer;
+    if (must_wait) {
+      this->waiting_at_store.push_back(read);
+      this->After(kStoreWait, read, [this, read] { this->Read(read.reader); });
+    } else {
+      this->AnswerFromStore(read);
+    }
+  }
+
+  void AnswerFromStore(const WaitingRead& read) {
+    uint64_t offset = this->changes.size();
+    this->After(this->options.store_delay, read, [this, read, offset] {
+      this->gateways[read.reader].sources.NoteStoreAnswered();
+      this->Take(read.reader, offset);
+      this->Read(read.reader);
+    });
+  }
+
+  void StoreFailed(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    gateway.sources.NoteStoreFailed(this->events.now());
+    if (gateway.sources.Next(this->events.now())) {
+      this->Read(number);
+      return;
+    }
+    WaitingRead pause{number, ++gateway.read_number, gateway.offset};
+    this->After(kRetryPause, pause, [this, number] { this->Read(number); });
+  }
+
+  void ReadFromPeer(const WaitingRead& read, const std::string& peer) {
+    this->peer_reads += 1;
+    this->gateways[read.reader].peer = peer;
+    size_t at = this->numbers.at(peer);
+    this->events.After(this->options.hop_delay, [this, read, at] { this->ArriveAtPeer(read, at); });
+    this->After(kPeerWait + kPeerTimeout, read, [this, read] { this->PeerFailed(read.reader); });
+  }
+
+  void ArriveAtPeer(const WaitingRead& read, size_t at) {
+    Gateway& peer = this->gateways[at];
+    if (!peer.is_up) {
+      this->After(this->options.hop_delay, read, [this, read] { this->PeerFailed(read.reader); });
+      return;
+    }
+    if (!this->IsRunning(peer)) return;
+    bool has_news =
+        peer.is_loaded && (!this->gateways[read.reader].is_loaded || read.offset < peer.offset);
+    if (has_news) {
+      this->AnswerFromPeer(read, at);
+      return;
+    }
+    peer.waiting.push_back(read);
+    this->events.After(kPeerWait, [this, read, at] { this->EndWait(read, at); });
+  }
+
+  void EndWait(const WaitingRead& read, size_t at) {
+    Gateway& peer = this->gateways[at];
+    auto is_read = [&](const WaitingRead& other) {
+      return other.reader == read.reader && other.number == read.number;
+    };
+    bool was_waiting = std::erase_if(peer.waiting, is_read) > 0;
+    if (was_waiting && this->IsRunning(peer)) this->AnswerFromPeer(read, at);
+  }
+
+  void AnswerFromPeer(const WaitingRead& read, size_t at) {
+    Gateway& peer = this->gateways[at];
+    peer.answers += 1;
+    bool is_loaded = peer.is_loaded;
+    uint64_t offset = peer.offset;
+    this->After(this->options.hop_delay, read, [this, read, is_loaded, offset] {
+      if (!is_loaded) {
+        this->PeerFailed(read.reader);
+        return;
+      }
+      this->Take(read.reader, offset);
+      this->Read(read.reader);
+    });
+  }
+
+  void PeerFailed(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    bool is_patient = !gateway.is_loaded && this->events.now() < gateway.patient_until;
+    if (is_patient) {
+      WaitingRead pause{number, ++gateway.read_number, gateway.offset};
+      this->After(kStartPause, pause, [this, number] { this->Read(number); });
+      return;
+    }
+    gateway.sources.NotePeerFailed(gateway.peer, this->events.now());
+    this->Read(number);
+  }
+
+  // The gateway now has the changes up to `offset`, and passes them on.
+  void Take(size_t number, uint64_t offset) {
+    Gateway& gateway = this->gateways[number];
+    bool is_first = !std::exchange(gateway.is_loaded, true);
+    if (is_first) this->NoteStarted();
+    if (!is_first && offset <= gateway.offset) return;
+    for (uint64_t change = gateway.offset; change < offset; ++change) {
+      this->NoteArrival(number, this->changes[change]);
+    }
+    gateway.offset = offset;
+    for (const WaitingRead& read : std::exchange(gateway.waiting, {})) {
+      this->AnswerFromPeer(read, number);
+    }
+  }
+
+  void Gossip() {
+    std::uniform_int_distribution<size_t> any(0, this->gateways.size() - 1);
+    for (const Gateway& gateway : this->gateways) {
+      if (!this->IsRunning(gateway)) continue;
+      for (size_t i = 0; i < kGossipFanout; ++i) {
+        size_t receiver = any(this->random);
+        uint64_t offset = gateway.offset;
+        this->events.After(this->options.hop_delay,
+                           [this, receiver, offset] { this->OnGossip(receiver, offset); });
+      }
+    }
+    this->events.After(kGossipInterval, [this] { this->Gossip(); });
+  }
+
+  void OnGossip(size_t number, uint64_t offset) {
+    Gateway& gateway = this->gateways[number];
+    if (!this->IsRunning(gateway) || !gateway.is_loaded || gateway.offset >= offset) return;
+    Time now = this->events.now();
+    if (gateway.lag_offset != gateway.offset) {
+      gateway.lag_offset = gateway.offset;
+      gateway.lag_since = now;
+    }
+    Duration bound = gateway.is_reading_peer ? kMaxLagAtPeer : kMaxLagAtStore;
+    if (now - gateway.lag_since < bound) return;
+    gateway.lag_offset.reset();
+    if (gateway.is_reading_peer) gateway.sources.NotePeerStale(gateway.peer, now);
+    this->Read(number);
+  }
+
+  void NoteStarted() {
+    bool all_loaded = std::all_of(this->gateways.begin(), this->gateways.end(),
+                                  [](const Gateway& gateway) { return gateway.is_loaded; });
+    bool is_start = this->result.started_after == Duration(0);
+    if (all_loaded && is_start) this->result.started_after = this->events.now() - kStart;
+  }
+
+  void NoteArrival(size_t number, Time changed_at) {
+    auto found = this->interrupted.find(number);
+    Time excluded_until =
+        found == this->interrupted.end() ? Time{} : found->second + this->options.fault_duration;
+    if (changed_at < excluded_until) return;
+    this->result.longest_change =
+        std::max(this->result.longest_change, this->events.now() - changed_at);
+  }
+
+  void Change() {
+    this->changes.push_back(this->events.now());
+    for (const WaitingRead& read : std::exchange(this->waiting_at_store, {})) {
+      this->AnswerFromStore(read);
+    }
+    this->events.After(this->options.change_interval, [this] { this->Change(); });
+  }
+
+  RelayTrialResult Result() {
+    double settled_seconds = ToSeconds(this->options.duration - this->options.settled_after);
+    this->result.store_calls_per_s =
+        static_cast<double>(this->result.store_calls - this->calls_when_settled) / settled_seconds;
+    double count = static_cast<double>(this->gateways.size());
+    this->result.peer_reads_per_s =
+        static_cast<double>(this->peer_reads) / ToSeconds(this->options.duration) / count;
+    uint64_t busiest = 0;
+    uint64_t sum = 0;
+    for (const Gateway& gateway : this->gateways) {
+      busiest = std::max(busiest, gateway.answers);
+      sum += gateway.answers;
+    }
+    if (sum > 0) {
+      this->result.busiest_to_mean =
+          static_cast<double>(busiest) * count / static_cast<double>(sum);
+    }
+    return this->result;
+  }
+
+  RelayTrialOptions options;
+  std::mt19937_64 random;
+  EventQueue events;
+  std::vector<Gateway> gateways;
+  std::map<std::string, size_t> numbers;
+  // When a gateway was last killed or frozen.
+  std::map<size_t, Time> interrupted;
+  // When each change was made.
+  std::vector<Time> changes;
+  std::vector<WaitingRead> waiting_at_store;
+  uint64_t calls_when_settled = 0;
+  uint64_t peer_reads = 0;
+  RelayTrialResult result;
+};
+
+}  // namespace
+
+RelayTrialResult PlayRelay(const RelayTrialOptions& options) {
+  return RelaySimulation(options).Play();
+}
+
+}  // namespace gullward
--- /dev/null
+++ b/src/trial/relay_trial.h
@@ -0,0 +1,68 @@
+// Measures how a topic of the store reaches all gateways as a fleet grows: how many calls to the
+// store and how many reads between gateways it costs, and how long a change takes.
+//
+// The simulation runs without a network.  Each gateway uses the real PlaceInTree and TopicSources;
+// the simulation adds the store, the reads that wait there and at peers, delays, and gateways that
+// are killed, frozen, or refused by the store for a while.
+//
+//   RelayTrialResult result = PlayRelay({.gateways = 300});
+//
+// Runs are deterministic: the result depends on the options only.
+
+#ifndef GULLWARD_TRIAL_RELAY_TRIAL_H_
+#define GULLWARD_TRIAL_RELAY_TRIAL_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace gullward {
+
+struct RelayTrialOptions {
+  size_t gateways = 30;
+  size_t data_centres = 5;
+  // Off: each gateway reads from the store.
+  bool is_relayed = true;
+  // Changes of the topic begin after `settled_after` and follow each other at this interval.
+  Duration change_interval = seconds(2);
+  Duration settled_after = seconds(4);
+  Duration duration = seconds(40);
+  // One way between two gateways, with the time that a slow box needs for a message; and from a
+  // gateway to the store and back.
+  Duration hop_delay = milliseconds(10);
+  Duration store_delay = milliseconds(4);
+  // Intervals at which a random gateway is killed and restarted, or frozen, for `fault_duration`.
+  // Zero means never.
+  Duration kill_interval{};
+  Duration freeze_interval{};
+  Duration fault_duration = seconds(3);
+  // Share of the gateways that the store refuses from `refused_from` until `refused_until`.
+  double refused_share = 0;
+  Duration refused_from = seconds(10);
+  Duration refused_until = seconds(20);
+  uint64_t seed = 1;
+};
+
+struct RelayTrialResult {
+  // Calls to the store: in all, those that were refused, and a second after `settled_after`.
+  uint64_t store_calls = 0;
+  uint64_t refused_calls = 0;
+  double store_calls_per_s = 0;
+  // Reads from peers, a second and gateway; and the answers of the busiest gateway relative to the
+  // mean.
+  double peer_reads_per_s = 0;
+  double busiest_to_mean = 0;
+  // Longest time from a change until a gateway that was up and not frozen all the while had it, and
+  // the time until the first read of all gateways was complete.
+  Duration longest_change{};
+  Duration started_after{};
+
+  bool operator==(const RelayTrialResult&) const = default;
+};
+
+RelayTrialResult PlayRelay(const RelayTrialOptions& options);
+
+}  // namespace gullward
+
+#endif  // GULLWARD_TRIAL_RELAY_TRIAL_H_
--- /dev/null
+++ b/src/trial/testing/relay_trial_test.cc
@@ -0,0 +1,78 @@
+// Tests that the calls to the store do not grow with the fleet, and that changes reach all gateways
+// in time while gateways end, freeze, or are refused by the store.
+
+#define BOOST_TEST_MODULE relay_trial
+#include "trial/relay_trial.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace gullward {
+namespace {
+
+// The users' shortest bound on the time until a change must be in force.
+constexpr Duration kChangeBound = seconds(2);
+
+// The load guarded against: each change cost one call for each gateway.
+BOOST_AUTO_TEST_CASE(CallsForAChangeDoNotGrowWithTheFleet) {
+  double calls_at_100 = PlayRelay({.gateways = 100}).store_calls_per_s;
+  double calls_at_1000 = PlayRelay({.gateways = 1000}).store_calls_per_s;
+  BOOST_TEST(calls_at_1000 <= calls_at_100 * 1.05);
+  RelayTrialOptions without;
+  without.gateways = 100;
+  without.is_relayed = false;
+  BOOST_TEST(PlayRelay(without).store_calls_per_s > 5 * calls_at_100);
+}
+
+BOOST_AUTO_TEST_CASE(AStartOfAllCostsFewCallsAndIsQuick) {
+  for (size_t gateways : {30, 300, 1000}) {
+    RelayTrialResult result = PlayRelay({.gateways = gateways, .duration = seconds(4)});
+    BOOST_TEST(result.store_calls <= 40u, gateways << " gateways: " << result.store_calls);
+    BOOST_TEST(ToSeconds(result.started_after) <= 2.0, gateways);
+    BOOST_TEST(ToSeconds(result.started_after) > 0.0, gateways);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChangesReachAllInTime) {
+  struct Row {
+    const char* name;
+    RelayTrialOptions options;
+  };
+  const Row rows[] = {
+      {"calm", {}},
+      {"a gateway killed every second", {.kill_interval = seconds(1)}},
+      {"a gateway frozen every second", {.freeze_interval = seconds(1)}},
+      {"both", {.kill_interval = milliseconds(700), .freeze_interval = milliseconds(900)}},
+      {"a third refused by the store", {.refused_share = 0.34}},
+      {"slow hops", {.hop_delay = milliseconds(60)}},
+  };
+  for (const Row& row : rows) {
+    for (size_t gateways : {5, 30, 300}) {
+      for (uint64_t seed = 1; seed <= 5; ++seed) {
+        RelayTrialOptions options = row.options;
+        options.gateways = gateways;
+        options.seed = seed;
+        RelayTrialResult result = PlayRelay(options);
+        BOOST_TEST(ToSeconds(result.longest_change) <= ToSeconds(kChangeBound),
+                   row.name << ", " << gateways << " gateways, seed " << seed << ": "
+                            << ToSeconds(result.longest_change) << " s");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(GatewaysThatTheStoreRefusesSeldomAskIt) {
+  RelayTrialOptions options{.gateways = 300, .refused_share = 0.35};
+  RelayTrialResult relayed = PlayRelay(options);
+  options.is_relayed = false;
+  RelayTrialResult alone = PlayRelay(options);
+  BOOST_TEST(relayed.refused_calls * 10 < alone.refused_calls,
+             relayed.refused_calls << " of " << alone.refused_calls);
+}
+
+BOOST_AUTO_TEST_CASE(ARunDependsOnItsOptionsOnly) {
+  RelayTrialOptions options{.kill_interval = seconds(1)};
+  BOOST_TEST((PlayRelay(options) == PlayRelay(options)));
+}
+
+}  // namespace
+}  // namespace gullward
