Readers learn that their source has lost the store; small fleets read it themselves

Cause: the store refused both roots of a fleet of five gateways. Each of the two read from the other, neither fell behind the other, and the three gateways that the store still served read from them and learnt nothing for eight seconds.

Ruled out: the age of a proof (topics without revalidation have none for 30 s); gossip of positions (all gateways below the two roots were equally behind); more reads by the roots (a call a second for each root and topic).

Change: - An update states whether the store answered the gateway that read from it, and waiting reads are answered when that changes. A reader goes on with such a peer for 0.6 s and then asks the store.

--- a/src/gateway/gateway_topics.cc
+++ b/src/gateway/gateway_topics.cc
@@ -24,8 +24,7 @@
 
 // Every read of the list costs a call, and engines change all day.
 Duration EngineBatchDelay(const ReaderPlace& place, Duration leaving_bound) {
-  bool is_shared = place.tree_size > kRoots;
-  double share = is_shared ? kEngineBatchShareOfTrees : kEngineBatchShare;
+  double share = place.has_children ? kEngineBatchShareOfTrees : kEngineBatchShare;
   return FromSeconds(share * ToSeconds(leaving_bound));
 }
 
@@ -49,9 +48,9 @@
 void GatewayServer::StartReading() {
   if (std::exchange(this->is_reading, true)) return;
   this->config_follower.Start();
-  // Without peers to read from, every gateway that starts would read the list itself.
-  bool has_peers = !this->engine_follower.place().sources.empty();
-  if (this->state.fleet.mechanisms().copy_engine_list && !has_peers) {
+  // Where every gateway reads the list itself, a start of all would take long without the copy.
+  bool reads_copy = !this->engine_follower.place().has_children;
+  if (this->state.fleet.mechanisms().copy_engine_list && reads_copy) {
     this->engine_list_copy.Read();
   } else {
     this->engine_follower.Start();
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -53,7 +53,7 @@
   this->client.Cancel();
   this->peer_client.Cancel();
   // Only the roots of a tree read from the store, and they are few.
-  bool is_in_tree = !this->sources.reader_place().sources.empty();
+  bool is_in_tree = this->sources.reader_place().has_children;
   bool has_pause = this->hooks.pause_after_return != nullptr && !is_in_tree;
   this->ReadOnAfter(has_pause ? this->hooks.pause_after_return() : Duration(0));
 }
@@ -184,6 +184,13 @@
   if (this->hooks.state_changed) this->hooks.state_changed();
 }
 
+// Peers that read from here learn at once that the store has stopped answering.
+void TopicFollower::SetHasStore(bool answers) {
+  if (answers == this->topic_state.has_store()) return;
+  this->topic_state.SetHasStore(answers);
+  this->NotifyStateChanged();
+}
+
 void TopicFollower::NoteProved(Time sent) {
   if (!this->loaded || sent <= this->topic_state.proved()) return;
   this->topic_state.Prove(sent);
@@ -197,6 +204,11 @@
     this->ReadFromPeer(*peer);
     return;
   }
+  // A read that waits would not show for long that the store answers again.
+  if (this->is_lost) {
+    this->ReadTail(/*wait=*/Duration(0), kProbeKb);
+    return;
+  }
   Duration wait = this->options.wait;
   if (!this->sources.reader_place().reads_store) {
     bool goes_on_with_peer = this->sources.HasFreshPeer(Now());
@@ -216,7 +228,7 @@
   this->peer_client.SetAddress(*address);
   TopicRead read;
   read.topic = this->options.topic;
-  read.wait = kPeerWait;
+  read.wait = this->WaitAtPeer(Now());
   if (this->loaded) read.from = this->next_offset;
   if (this->loaded) read.epoch = this->epoch;
   Time sent = Now();
@@ -234,11 +246,36 @@
   }
   this->ApplyUpdate(*update, sent);
   Time now = Now();
-  bool is_stale = now - this->topic_state.proved() > this->options.max_proof_age;
-  if (is_stale) this->sources.NotePeerStale(box, now);
+  if (this->IsStale(now)) this->sources.NotePeerStale(box, now);
   this->WaitForChanges();
 }
 
+// Whether what the peer has answered is too old to rely on.
+bool TopicFollower::IsStale(Time now) {
+  if (this->topic_state.has_store()) {
+    this->without_store_since.reset();
+  } else if (!this->without_store_since) {
+    this->without_store_since = now;
+  }
+  bool is_old = now - this->topic_state.proved() > this->options.max_proof_age;
+  bool is_without_store =
+      this->without_store_since && now - *this->without_store_since >= kMaxPeerWithoutStore;
+  if (is_without_store) this->without_store_since.reset();
+  return is_old || is_without_store;
+}
+
+// A root that the store refuses asks the store again soon.
+Duration TopicFollower::WaitAtPeer(Time now) const {
+  Duration wait = kPeerWait;
+  if (this->sources.reader_place().reads_store) {
+    wait = std::min(wait, this->sources.StorePauseLeft(now));
+  }
+  if (this->without_store_since) {
+    wait = std::min(wait, *this->without_store_since + kMaxPeerWithoutStore - now);
+  }
+  return std::max(wait, kMinPeerWait);
+}
+
 // A peer that has seen a newer epoch than this gateway, or an older one, has other offsets.  The
 // changes must begin where this gateway has read to; a peer may have read less.
 bool TopicFollower::IsUsable(const TopicUpdate& update) const {
@@ -252,6 +289,10 @@
 }
 
 void TopicFollower::ApplyUpdate(const TopicUpdate& update, Time sent) {
+  // A root relies only on one that reads from the store itself: two roots that the store refuses
+  // would otherwise rely on each other.
+  bool is_root = this->sources.reader_place().reads_store;
+  this->SetHasStore(update.has_store && (!is_root || update.hops == 1));
   bool is_behind = this->loaded && update.epoch == this->epoch && update.end < this->next_offset;
   if (is_behind) return;
   this->epoch = update.epoch;
@@ -360,6 +401,7 @@
 void TopicFollower::Succeed() {
   this->recovery->OnCallSucceeded();
   this->sources.NoteStoreAnswered();
+  this->SetHasStore(true);
   this->silence_limit = kMaxUpdateDelay;
   if (!this->is_lost) return;
   this->is_lost = false;
@@ -372,6 +414,7 @@
   bool first = !std::exchange(this->is_lost, true);
   if (first && this->hooks.lost) this->hooks.lost(reason);
   this->sources.NoteStoreFailed(Now());
+  this->SetHasStore(false);
   if (this->NextPeer()) {
     this->ReadOn();
   } else {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -64,6 +64,11 @@
   // the batch delay is added.
   static constexpr Duration kMaxLagAtStore = milliseconds(150);
   static constexpr Duration kMaxLagAtPeer = milliseconds(300);
+  // How long a peer is read on after the store has stopped answering it: a store that resets its
+  // connections answers again soon, and all readers of the peer would turn to it at once.
+  static constexpr Duration kMaxPeerWithoutStore = milliseconds(600);
+  // The shortest wait of a read from a peer, so that reads do not follow each other too fast.
+  static constexpr Duration kMinPeerWait = milliseconds(50);
   // While nothing has been read yet, peers that do not answer are asked again for this long before
   // the store is asked: in a start of the whole fleet they have not read anything either.
   static constexpr Duration kStartPatience = seconds(1);
@@ -171,6 +176,9 @@
   void TakeNewestRecords(const std::vector<platform::KeyedRecord>& records, uint64_t end,
                          Time proved);
   void NotifyStateChanged();
+  void SetHasStore(bool answers);
+  bool IsStale(Time now);
+  Duration WaitAtPeer(Time now) const;
   bool IsCurrentEpoch(const StoreAnswer& answer) const { return answer.epoch == this->epoch; }
   void OnPage(const StoreAnswer& answer);
   void OnTail(const StoreAnswer& answer);
@@ -205,8 +213,9 @@
   Time regained{};
   TopicSources sources;
   TopicState topic_state;
-  // The peer that is being read.
+  // The peer that is being read, and since when its answers state that the store does not answer.
   std::string current_peer;
+  std::optional<Time> without_store_since;
   // Until when peers that do not answer are asked again.
   Time patient_until{};
   // Since when peers are known to have read further than `behind_offset`, this follower's offset.
--- a/src/gateway/topic_relay.cc
+++ b/src/gateway/topic_relay.cc
@@ -65,7 +65,8 @@
     return true;
   }
   Time now = Now();
-  Waiting entry{*std::move(read), std::move(answer), {}, found->second->proved()};
+  Waiting entry{
+      *std::move(read), std::move(answer), {}, found->second->proved(), found->second->has_store()};
   entry.until = now + entry.read.wait;
   if (this->IsDue(entry, now)) {
     this->Respond(entry, now);
@@ -79,7 +80,8 @@
   if (now >= entry.until) return true;
   const TopicState& state = *this->topics.at(entry.read.topic);
   if (!state.is_loaded()) return false;
-  return state.HasNews(entry.read.epoch, entry.read.from) || state.proved() > entry.proof;
+  return state.HasNews(entry.read.epoch, entry.read.from) || state.proved() > entry.proof ||
+         state.has_store() != entry.had_store;
 }
 
 void TopicRelay::Respond(const Waiting& entry, Time now) {
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -3,7 +3,8 @@
 //
 // A peer asks over HTTP for the changes after an offset, and gets a TopicUpdate (topic_state.h) at
 // once if there are any.  Otherwise the read waits: for a change, for a newer proof than the last
-// one, or for the time that the peer states, so that the peer knows soon if this gateway is gone.
+// one, for the store to stop or begin answering, or for the time that the peer states, so that the
+// peer knows soon if this gateway is gone.
 //
 //   TopicRelay relay;
 //   relay.Add("keyed.op", &follower.state());
@@ -71,8 +72,9 @@
     TopicRead read;
     HttpPages::Answer answer;
     Time until{};
-    // The proof of the state when the read arrived.
+    // The state's proof, and whether it had the store, when the read arrived.
     Time proof{};
+    bool had_store = false;
   };
 
   bool IsDue(const Waiting& waiting, Time now) const;
--- a/src/gateway/topic_state.cc
+++ b/src/gateway/topic_state.cc
@@ -42,7 +42,8 @@
   if (update.epoch) epoch = *update.epoch;
   builder.Finish(fb::CreateTopicUpdate(builder, epoch, update.end, update.is_snapshot,
                                        packed_records, Microseconds(update.proved_ago),
-                                       Microseconds(update.regained_ago), update.hops));
+                                       Microseconds(update.regained_ago), update.hops,
+                                       update.has_store));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -58,6 +59,7 @@
   update.proved_ago = AgeFrom(packed->proved_ago_us());
   update.regained_ago = AgeFrom(packed->regained_ago_us());
   update.hops = packed->hops();
+  update.has_store = packed->has_store();
   if (packed->records() == nullptr) return update;
   for (const fb::TopicRecord* record : *packed->records()) {
     if (record->key() == nullptr || record->value() == nullptr) return std::nullopt;
@@ -103,6 +105,7 @@
   update.proved_ago = now - this->proved_at;
   update.regained_ago = now - this->regained_at;
   update.hops = this->hops + 1;
+  update.has_store = this->store_answers;
   uint64_t first_kept = this->next_offset - this->changes.size();
   bool has_changes = reader_epoch == this->store_epoch && from && *from >= first_kept;
   if (has_changes) {
--- a/src/gateway/topic_state.h
+++ b/src/gateway/topic_state.h
@@ -50,6 +50,8 @@
   Duration regained_ago{};
   // Number of gateways over which the update came from the store, without the receiver.
   uint32_t hops = 0;
+  // Whether the store answered the gateway that read from it at its last call.
+  bool has_store = false;
 
   bool operator==(const TopicUpdate&) const = default;
 };
@@ -73,11 +75,14 @@
   // Sets over how many gateways the state came, and when the store was last regained.
   void SetHops(uint32_t new_hops) { this->hops = new_hops; }
   void SetRegained(Time at) { this->regained_at = at; }
+  // Sets whether the store answers the gateway from which all of this comes.
+  void SetHasStore(bool answers) { this->store_answers = answers; }
 
   bool is_loaded() const { return this->loaded; }
   uint64_t end() const { return this->next_offset; }
   std::optional<uint64_t> epoch() const { return this->store_epoch; }
   Time proved() const { return this->proved_at; }
+  bool has_store() const { return this->store_answers; }
 
   // Whether a reader that has read up to `from` in `reader_epoch` lacks records.  A reader that
   // has read further than this gateway lacks none.
@@ -101,6 +106,7 @@
   Time proved_at{};
   Time regained_at{};
   uint32_t hops = 0;
+  bool store_answers = false;
 };
 
 }  // namespace gullward
--- a/src/serving/reader_tree.cc
+++ b/src/serving/reader_tree.cc
@@ -46,10 +46,10 @@
   return trees;
 }
 
-// The position of the parent of the gateway at `position`, which is not a root.
-size_t ParentOf(size_t position) {
-  size_t level_begin = kRoots;
-  size_t level_size = kRoots * kChildren;
+// The position of the parent of the gateway at `position`, which is not one of the roots.
+size_t ParentOf(size_t position, size_t roots) {
+  size_t level_begin = roots;
+  size_t level_size = roots * kChildren;
   size_t above_begin = 0;
   while (position >= level_begin + level_size) {
     above_begin = level_begin;
@@ -69,22 +69,24 @@
   auto found = std::find(ordered.begin(), ordered.end(), self.box);
   size_t position = static_cast<size_t>(found - ordered.begin());
   ReaderPlace place;
-  place.reads_store = position < kRoots;
-  place.tree_size = ordered.size();
-  while (position >= kRoots) {
-    position = ParentOf(position);
+  place.has_children = ordered.size() >= kMinTree;
+  size_t roots = std::max(kRootsPerTree, (kMinRoots + trees.size() - 1) / trees.size());
+  if (!place.has_children) roots = ordered.size();
+  place.reads_store = position < roots;
+  while (position >= roots) {
+    position = ParentOf(position, roots);
     place.sources.push_back(ordered[position]);
   }
-  for (size_t root = 0; root < std::min(kRoots, ordered.size()); ++root) {
+  for (size_t root = 0; root < roots; ++root) {
     if (root != position) place.sources.push_back(ordered[root]);
   }
   if (!place.reads_store) return place;
   std::vector<std::string> remote_roots;
   for (const auto& [tree, boxes] : trees) {
     if (tree == own_tree) continue;
-    std::vector<std::string> roots = Ordered(boxes, /*seed=*/0);
-    roots.resize(std::min(kRoots, roots.size()));
-    remote_roots.insert(remote_roots.end(), roots.begin(), roots.end());
+    std::vector<std::string> others = Ordered(boxes, /*seed=*/0);
+    others.resize(std::min(roots, others.size()));
+    remote_roots.insert(remote_roots.end(), others.begin(), others.end());
   }
   for (std::string& root : Ordered(remote_roots, XXH3_64bits(self.box.data(), self.box.size()))) {
     place.sources.push_back(std::move(root));
--- a/src/serving/reader_tree.h
+++ b/src/serving/reader_tree.h
@@ -2,20 +2,22 @@
 //
 // If every gateway read each topic at the store, each change would cost one call for each gateway,
 // and the calls would grow with the fleet.  Instead, the gateways of a data centre form a tree. The
-// first kRoots of them, the roots, read from the store; every other gateway reads from its parent,
+// first few of them, the roots, read from the store; every other gateway reads from its parent,
 // which passes on what it has read (gateway/topic_relay.h).  The calls then grow with the number of
 // data centres and of changes only.  Data centres with fewer than kMinTree gateways share one tree.
+// In a tree that is smaller than that all are roots: there is little to save, and the few roots
+// might all be refused by the store.
 //
 // There is no coordinator.  Each gateway computes its place from the names of the gateways:
 //
 //   - The gateways of a tree are ordered by a hash of the box.
-//   - The order is divided into levels.  The first has kRoots gateways and each further one
-//     kChildren times as many as the one before, so no gateway passes a topic on to more than
+//   - The order is divided into levels.  The first has the roots and each further one kChildren
+//     times as many as the one before, so no gateway passes a topic on to more than
 //     kChildren others.  The gateways of a level have those of the level above as their parents in
 //     turn.  The members of a cell are thus spread over the subtrees of all roots, and notice when
 //     one subtree lags behind.
 //   - A gateway that cannot reach its parent reads from the next ancestor, then from the other
-//     root.  A root that the store refuses reads from the other root, then from the roots of other
+//     roots.  A root that the store refuses reads from the other roots, then from those of other
 //     trees.
 //
 // Gateways that know different sets of gateways may compute different trees, and two of them may
@@ -35,11 +37,13 @@
 
 namespace gullward {
 
-// Gateways of a tree that read from the store.  Two, so that neither the failure nor a delay of one
-// keeps the changes from the others.
-inline constexpr size_t kRoots = 2;
+// Gateways of each tree, and of the whole fleet at the least, that read from the store.  The
+// failure or delay of one keeps no changes from the others, and a store that refuses a third of the
+// gateways hardly refuses all roots.
+inline constexpr size_t kRootsPerTree = 2;
+inline constexpr size_t kMinRoots = 4;
 // Number of gateways from which on a data centre has a tree of its own, so that reads stay within
-// it.
+// it, and from which on a tree has children.
 inline constexpr size_t kMinTree = 16;
 // Gateways that read from the same parent.  A configuration of 100 KB then occupies a parent's link
 // of 20 Mbit/s for 0.16 s.
@@ -51,8 +55,8 @@
   bool reads_store = true;
   // Boxes of the gateways to read from otherwise, in order of preference.
   std::vector<std::string> sources;
-  // Number of gateways in the tree.
-  size_t tree_size = 1;
+  // Whether any gateway of the tree reads from another one.
+  bool has_children = false;
 
   bool operator==(const ReaderPlace&) const = default;
 };
--- a/src/serving/topic_sources.h
+++ b/src/serving/topic_sources.h
@@ -5,7 +5,8 @@
 //   - A gateway that is not a root reads from the first peer that is neither failed nor stale.
 //   - A peer counts as failed for kPeerPause after a read that was not answered.
 //   - A peer counts as stale for kPeerPause after it turned out to lag: other gateways have read
-//     further, or what it has was last shown to be current too long ago.  A stale peer is read only
+//     further, what it has was last shown to be current too long ago, or the store has stopped
+//     answering the gateway from which it comes.  A stale peer is read only
 //     if there is no other peer and the store refuses this gateway.
 //   - After either, the next read goes to the store, since a change may have been missed.
 //   - Each answer also states over how many gateways it came.  An answer over more than kMaxHops
@@ -81,6 +82,11 @@
     this->store_pause = kFirstStorePause;
   }
 
+  // How long the store will not be asked yet.
+  Duration StorePauseLeft(Time now) const {
+    return std::max(this->store_paused_until - now, Duration::zero());
+  }
+
   void NoteStoreFailed(Time now) {
     this->store_paused_until = now + this->store_pause;
     this->store_pause = std::min(2 * this->store_pause, kMaxStorePause);
