Two comments of the reads from peers and of the quarantine

The header of topic_relay named a topic of the users' platform in its example; that name belongs in platform/. A rule in quarantine.h had been broken over its lines by the formatter. No code changed; format checked.

--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -7,9 +7,9 @@
 // peer knows soon if this gateway is gone.
 //
 //   TopicRelay relay;
-//   relay.Add("keyed.op", &follower.state());
+//   relay.Add("topic", &follower.state());
 //   relay.OnRequest(path, answer);          // for each request
-//   relay.OnNews("keyed.op");               // after a change or a newer proof
+//   relay.OnNews("topic");                  // after a change or a newer proof
 //   relay.Tick(now);                        // now and then
 //
 // Memory is bounded: kMaxWaiting reads wait at most; more are refused.
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -26,10 +26,10 @@
 //   - A content with kMaxCrashes crashes is put into quarantine even if other contents shared
 //     the engines or explain the crashes.
 //   - A content that was answered lately (recent_contents.h) or since its first crash is trusted
-//   more than one that never
-//     was: a crash that both share is attributed to the other, however many each has.  A content
-//     that many callers send runs on most engines and so shares the crashes of every crashing one.
-//     The two rules above apply to it only by the crashes that are attributed to it.
+//     more than one that never was: a crash that both share is attributed to the other, however
+//     many each has.  A content that many callers send runs on most engines and so shares the
+//     crashes of every crashing one.  The two rules above apply to it only by the crashes that are
+//     attributed to it.
 //
 // A quarantine ends after the time in the settings, since engines get new software.  It ends at
 // once if an attempt that was already running returns a complete answer.
