One choice of the next read; no wrapper around the address of a peer

Found when the change was read once more: TopicFollower chose between pages and changes in two places, and GatewayServer had a function that only called LoadExchange::AddressOf.

--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -40,7 +40,9 @@
                         .Number("records", static_cast<double>(records)));
   };
   hooks.pause_after_return = [this] { return this->RandomReadDelay(); };
-  hooks.peer_address = [this](const std::string& box) { return this->AddressToRead(box); };
+  hooks.peer_address = [this](const std::string& box) {
+    return this->load_exchange.AddressOf(box);
+  };
   hooks.state_changed = [this] { this->topic_relay.OnNews(std::string(platform::kEnginesTopic)); };
   hooks.lost = [this, log_lost = hooks.lost](const std::string& reason) {
     log_lost(reason);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -134,7 +134,6 @@
   void StartReading();
   void OnPeerConnection(int fd);
   void OnPeerRequest(const std::string& path, const HttpPages::Answer& answer);
-  std::optional<SocketAddress> AddressToRead(const std::string& box) const;
   TopicFollower::Hooks LoggingHooks(const std::string& topic);
   TopicFollower::Hooks ConfigFollowerHooks();
   TopicFollower::Hooks EngineFollowerHooks();
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -32,7 +32,9 @@
   };
   hooks.change = [this](const platform::KeyedRecord& record) { this->OnOperatorRecord(record); };
   hooks.up_to_date = [this](Time sent) { this->OnValidated(sent); };
-  hooks.peer_address = [this](const std::string& box) { return this->AddressToRead(box); };
+  hooks.peer_address = [this](const std::string& box) {
+    return this->load_exchange.AddressOf(box);
+  };
   hooks.state_changed = [this] { this->topic_relay.OnNews(std::string(platform::kConfigTopic)); };
   return hooks;
 }
--- a/src/gateway/gateway_topics.cc
+++ b/src/gateway/gateway_topics.cc
@@ -57,10 +57,6 @@
   }
 }
 
-std::optional<SocketAddress> GatewayServer::AddressToRead(const std::string& box) const {
-  return this->load_exchange.AddressOf(box);
-}
-
 // A peer has read a change that this gateway's waiting read has not returned.  The store sometimes
 // answers a waiting read late, together with the next change, but an engine that is leaving must
 // get no work after two seconds.
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -59,13 +59,15 @@
 }
 
 void TopicFollower::ReadOnAfter(Duration pause) {
-  this->loop->RunAfter(pause, [this] {
-    if (this->loaded) {
-      this->WaitForChanges();
-    } else {
-      this->ReadOn();
-    }
-  });
+  this->loop->RunAfter(pause, [this] { this->ReadNext(); });
+}
+
+void TopicFollower::ReadNext() {
+  if (this->loaded) {
+    this->WaitForChanges();
+  } else {
+    this->ReadOn();
+  }
 }
 
 // How long it is known that other gateways have read further than this one.
@@ -317,11 +319,7 @@
     return;
   }
   this->sources.NotePeerFailed(box, now);
-  if (this->loaded) {
-    this->WaitForChanges();
-  } else {
-    this->ReadOn();
-  }
+  this->ReadNext();
 }
 
 void TopicFollower::ReadTail(Duration wait, size_t max_kb) {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -160,6 +160,7 @@
 
  private:
   void ReadOn();
+  void ReadNext();
   void ReadOnAfter(Duration pause);
   void OnReturn();
   void ReadPages();
