Gateways tell each other which contents were answered before an engine crashed

What callers saw: requests of a harmless content refused as crashing (2016), up to 32 of them within 0.3 s.

Cause: that a content was answered is known only to the gateway that delivered the answer. The crashes under it are known to all. A gateway that has become ready less than a second before, or whose callers do not send that content, holds three crashes and no answer, and refuses it while the decision is pending.

Ruled out: a quarantine of the harmless content (no line content_quarantined names it), crashes reported twice, reports lost on the way (all gateways hold the same three engines).

Change: a gateway that hears of a crash under a content that it has answered says so by gossip, once for each time that the record begins anew; the others trust the content as if they had answered it, and pass that on. The crashes still count, as the answer may be older than they are. One item of eight bytes a gateway for a content that many send; none for a content that came once.

The test AGatewayLearnsFromPeersThatAContentWasAnswered fails on the code before (both rows).

--- a/src/serving/crash_gossip.h
+++ b/src/serving/crash_gossip.h
@@ -40,9 +40,13 @@
   // Contents that were answered completely, so that crashes no longer count against them.
   std::vector<ContentId> answered;
   std::vector<QuarantineReport> quarantined;
+  // Contents with crashes that were answered completely at some time before: they are trusted more
+  // than others, and their crashes still count.
+  std::vector<ContentId> answered_before = {};
 
   bool empty() const {
-    return this->crashes.empty() && this->answered.empty() && this->quarantined.empty();
+    return this->crashes.empty() && this->answered.empty() && this->quarantined.empty() &&
+           this->answered_before.empty();
   }
 
   bool operator==(const CrashGossip&) const = default;
@@ -62,17 +66,20 @@
   void AddCrash(const CrashReport& report) { this->Add(&this->crashes, report); }
   void AddAnswered(ContentId content) { this->Add(&this->answered, content); }
   void AddQuarantined(const QuarantineReport& report) { this->Add(&this->quarantined, report); }
+  void AddAnsweredBefore(ContentId content) { this->Add(&this->answered_before, content); }
 
   bool has_any() const { return this->queued() > 0; }
 
   // Returns the items for the next datagram.  Quarantined contents go first, since a delay may
-  // cost another engine.
+  // cost another engine.  Contents that were answered before go last: a receiver without a crash of
+  // the content ignores them.
   CrashGossip TakeBatch() {
     CrashGossip batch;
     size_t room = kMaxBatchItems;
     room -= Move(&this->quarantined, &batch.quarantined, room);
     room -= Move(&this->answered, &batch.answered, room);
-    Move(&this->crashes, &batch.crashes, room);
+    room -= Move(&this->crashes, &batch.crashes, room);
+    Move(&this->answered_before, &batch.answered_before, room);
     return batch;
   }
 
@@ -80,7 +87,8 @@
 
  private:
   size_t queued() const {
-    return this->crashes.size() + this->answered.size() + this->quarantined.size();
+    return this->crashes.size() + this->answered.size() + this->quarantined.size() +
+           this->answered_before.size();
   }
 
   template <typename Item>
@@ -105,6 +113,7 @@
   std::deque<CrashReport> crashes;
   std::deque<ContentId> answered;
   std::deque<QuarantineReport> quarantined;
+  std::deque<ContentId> answered_before;
   uint64_t dropped_count = 0;
 };
 
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -93,6 +93,18 @@
   return notices;
 }
 
+using PackedContents = flatbuffers::Vector<uint64_t>;
+
+flatbuffers::Offset<PackedContents> PackContents(flatbuffers::FlatBufferBuilder* builder,
+                                                 const std::vector<ContentId>& contents) {
+  return contents.empty() ? 0 : builder->CreateVector(contents);
+}
+
+std::vector<ContentId> ReadContents(const PackedContents* packed) {
+  if (packed == nullptr) return {};
+  return {packed->begin(), packed->end()};
+}
+
 CrashGossip ReadCrashGossip(const fb::LoadDigest& packed) {
   CrashGossip gossip;
   if (packed.crashes() != nullptr) {
@@ -100,9 +112,8 @@
       gossip.crashes.push_back({entry->content(), entry->engine()});
     }
   }
-  if (packed.answered() != nullptr) {
-    gossip.answered.assign(packed.answered()->begin(), packed.answered()->end());
-  }
+  gossip.answered = ReadContents(packed.answered());
+  gossip.answered_before = ReadContents(packed.answered_before());
   if (packed.quarantined() != nullptr) {
     for (const fb::QuarantineNews* entry : *packed.quarantined()) {
       uint64_t left_ms = std::min(entry->left_ms(), kMaxQuarantineMs);
@@ -151,15 +162,14 @@
   for (const QuarantineReport& report : gossip.quarantined) {
     quarantined.emplace_back(report.content, ToMillis(report.left));
   }
-  builder.Finish(
-      fb::CreateLoadDigest(builder, builder.CreateString(digest.box), digest.incarnation,
-                           digest.sequence, builder.CreateVector(entries), freshness,
-                           builder.CreateVector(set_aside), digest.engines_copied.fingerprint,
-                           digest.engines_read_to, digest.is_offer, VectorOrNull(&builder, crashes),
-                           gossip.answered.empty() ? 0 : builder.CreateVector(gossip.answered),
-                           VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch),
-                           digest.epoch_is_settled, digest.engines_copied.revision,
-                           PackNotices(&builder, digest.notices), digest.operator_read_to));
+  builder.Finish(fb::CreateLoadDigest(
+      builder, builder.CreateString(digest.box), digest.incarnation, digest.sequence,
+      builder.CreateVector(entries), freshness, builder.CreateVector(set_aside),
+      digest.engines_copied.fingerprint, digest.engines_read_to, digest.is_offer,
+      VectorOrNull(&builder, crashes), PackContents(&builder, gossip.answered),
+      VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
+      digest.engines_copied.revision, PackNotices(&builder, digest.notices),
+      digest.operator_read_to, PackContents(&builder, gossip.answered_before)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
--- a/src/serving/quarantine.cc
+++ b/src/serving/quarantine.cc
@@ -59,6 +59,17 @@
   return had_evidence;
 }
 
+void Quarantine::NoteAnsweredByPeer(ContentId content) {
+  auto found = this->records.find(content);
+  if (found != this->records.end()) found->second.was_answered = true;
+}
+
+bool Quarantine::TakeAnsweredReport(ContentId content) {
+  auto found = this->records.find(content);
+  if (found == this->records.end() || !found->second.was_answered) return false;
+  return !std::exchange(found->second.answer_is_reported, true);
+}
+
 // Queues all contents that need a decision: a cleared content no longer shares their crashes.
 void Quarantine::QueueDecisions() {
   for (const auto& [other, other_record] : this->records) {
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -29,7 +29,8 @@
 //     more than one that never was: a crash that both share is attributed to the other, however
 //     many each has.  A content that many callers send runs on most engines and so shares the
 //     crashes of every crashing one.  The two rules above apply to it only by the crashes that are
-//     attributed to it.
+//     attributed to it.  Gateways tell each other which contents were answered when they hear of a
+//     crash under them, since one that has just started has answered nothing itself.
 //
 // A quarantine ends after the time in the settings, since engines get new software.  It ends at
 // once if an attempt that was already running returns a complete answer.
@@ -111,6 +112,14 @@
   // crashes or was in quarantine.
   bool NoteAnswered(ContentId content, Time now);
 
+  // Records that a peer has answered the content completely, lately or since its first crash.  The
+  // recorded crashes stay: the answer may be older than they are.
+  void NoteAnsweredByPeer(ContentId content);
+
+  // Whether peers are to be told that the content was answered.  True once after each crash report
+  // about a content that was cleared or had no record.
+  bool TakeAnsweredReport(ContentId content);
+
   // Whether the content is or was suspected, so that an answer to it must be recorded.
   bool HasRecordOf(ContentId content) const { return this->records.count(content) != 0; }
   bool has_records() const { return !this->records.empty(); }
@@ -168,6 +177,8 @@
     std::optional<Time> cleared_at;
     // Whether it was answered completely, lately before its first crash or since then.
     bool was_answered = false;
+    // Whether peers were told that it was answered.
+    bool answer_is_reported = false;
     std::optional<Time> quarantined_until;
   };
   using Records = std::unordered_map<ContentId, Record>;
--- a/src/serving/shared_quarantine.cc
+++ b/src/serving/shared_quarantine.cc
@@ -14,7 +14,9 @@
       quarantine(quarantine_duration) {}
 
 bool SharedQuarantine::NoteCrash(const CrashReport& report, Time now, std::optional<Time> sent) {
-  if (!this->quarantine.NoteCrash(report, now, sent)) return false;
+  bool is_new = this->quarantine.NoteCrash(report, now, sent);
+  this->ReportAnswered(report.content);
+  if (!is_new) return false;
   this->gossip.AddCrash(report);
   size_t engines = this->quarantine.UnexplainedCrashCount(report.content);
   bool must_report = engines >= kMinCrashesToReport && this->hooks.suspected;
@@ -22,6 +24,12 @@
   return true;
 }
 
+// A peer that has just started, or that gets no requests of this content, cannot know otherwise
+// that engines survive it.
+void SharedQuarantine::ReportAnswered(ContentId content) {
+  if (this->quarantine.TakeAnsweredReport(content)) this->gossip.AddAnsweredBefore(content);
+}
+
 // Clearing a content is passed on only if the content had several crashes or was in quarantine:
 // most requests that were running on a crashed engine have one crash and are answered soon.
 void SharedQuarantine::Clear(ContentId content, const std::string& by, Time now) {
@@ -49,8 +57,17 @@
   for (const QuarantineReport& report : received.quarantined)
     this->AdoptFromPeer(report, peer, now);
   for (ContentId content : received.answered) this->Clear(content, peer, now);
+  CrashGossip reply = this->ReceiveCrashes(received.crashes, now);
+  for (ContentId content : received.answered_before) {
+    this->quarantine.NoteAnsweredByPeer(content);
+    this->ReportAnswered(content);
+  }
+  return reply;
+}
+
+CrashGossip SharedQuarantine::ReceiveCrashes(const std::vector<CrashReport>& crashes, Time now) {
   CrashGossip reply;
-  for (const CrashReport& report : received.crashes) {
+  for (const CrashReport& report : crashes) {
     std::optional<Duration> left = this->quarantine.QuarantinedFor(report.content, now);
     bool is_new = this->NoteCrash(report, now);
     if (is_new && left) reply.quarantined.push_back({report.content, *left});
--- a/src/serving/shared_quarantine.h
+++ b/src/serving/shared_quarantine.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "serving/crash_gossip.h"
 #include "serving/quarantine.h"
@@ -69,6 +70,8 @@
 
  private:
   void Clear(ContentId content, const std::string& by, Time now);
+  void ReportAnswered(ContentId content);
+  CrashGossip ReceiveCrashes(const std::vector<CrashReport>& crashes, Time now);
   void AnnounceQuarantine(const QuarantineReport& report, const std::string& by);
 
   std::string box;
--- a/src/serving/testing/quarantine_test.cc
+++ b/src/serving/testing/quarantine_test.cc
@@ -411,12 +411,86 @@
   BOOST_TEST(rounds < 4);
 }
 
+// Gateways that pass all gossip on to each other at once.
+class GossipingGateways {
+ public:
+  explicit GossipingGateways(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      this->gateways.emplace_back(absl::StrCat("box-", i), kQuarantineDuration,
+                                  SharedQuarantine::Hooks{});
+    }
+  }
+
+  SharedQuarantine& operator[](size_t number) { return this->gateways[number]; }
+
+  // Passes gossip on until there is none left.
+  void Exchange(Time now) {
+    for (bool any = true; any;) {
+      any = false;
+      for (size_t from = 0; from < this->gateways.size(); ++from) {
+        CrashGossip gossip = this->gateways[from].TakeGossip();
+        any = any || !gossip.empty();
+        if (!gossip.empty()) this->Send(from, gossip, now);
+      }
+    }
+  }
+
+  void Tick(Time now) {
+    for (SharedQuarantine& gateway : this->gateways) gateway.Tick(now);
+    this->Exchange(now);
+  }
+
+  // The number of gateways that refuse the content.
+  size_t Refusing(ContentId content, Time now) const {
+    auto refuses = [&](const SharedQuarantine& gateway) {
+      return gateway.contents().RefusedFor(content, now).has_value();
+    };
+    return static_cast<size_t>(
+        std::count_if(this->gateways.begin(), this->gateways.end(), refuses));
+  }
+
+ private:
+  void Send(size_t from, const CrashGossip& gossip, Time now) {
+    for (size_t to = 0; to < this->gateways.size(); ++to) {
+      if (to == from) continue;
+      CrashGossip reply = this->gateways[to].Receive(absl::StrCat("box-", from), gossip, now);
+      this->gateways[from].Receive(absl::StrCat("box-", to), reply, now);
+    }
+  }
+
+  std::vector<SharedQuarantine> gateways;
+};
+
+// Guards against a gateway that has just started refusing a content that its peers have answered.
+BOOST_AUTO_TEST_CASE(AGatewayLearnsFromPeersThatAContentWasAnswered) {
+  // The answer is older than all crashes, or came between two of them.
+  for (int answered_at_ms : {0, 1100}) {
+    GossipingGateways gateways(4);
+    for (int i = 0; i < 3; ++i) {
+      Time crashed_at = At(1000 + 200 * i);
+      if (answered_at_ms < 1000 + 200 * i) gateways[0].NoteAnswered(kHarmless, At(answered_at_ms));
+      gateways.Exchange(crashed_at);
+      EngineKey engine = 1 + static_cast<EngineKey>(i);
+      for (ContentId content : {kCrashing, kHarmless}) {
+        gateways[1].NoteCrash({content, engine}, crashed_at);
+      }
+      gateways.Exchange(crashed_at);
+    }
+    BOOST_TEST(gateways.Refusing(kHarmless, At(1400)) == 0u, "answered at " << answered_at_ms);
+    BOOST_TEST(gateways.Refusing(kCrashing, At(1400)) == 4u);
+    gateways.Tick(At(2000));
+    BOOST_TEST(gateways.Refusing(kHarmless, At(2000)) == 0u);
+    BOOST_TEST(gateways.Refusing(kCrashing, At(2000)) == 4u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GossipIsDecodedAsEncoded) {
   LoadDigest digest;
   digest.box = "box-1";
   digest.crash_gossip.crashes = {{1, 2}, {3, 4}};
   digest.crash_gossip.answered = {5};
   digest.crash_gossip.quarantined = {{6, seconds(7)}};
+  digest.crash_gossip.answered_before = {8, 9};
   std::optional<LoadDigest> decoded = DecodeDigest(EncodeDigest(digest));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST((*decoded == digest));
