An answer that clears a single crash is passed on like any other

Found by reading, when looking for other places where an answer is known only to the gateway that delivered it; not seen in a soak.

Cause: crash reports spread one by one, but a whole answer was passed on only where the content had two crashes or more. A gateway without callers of that content kept each single crash, although others had answered the content in between. At the third it decided that the content crashes engines, and all others took over its decision.

Evidence: AnAnswerAfterASingleCrashClearsTheContentEverywhere plays three gateways, an engine lost every 30 s and an answer half a second after each; on the code before it fails at the third engine.

Change: every clearing is passed on; the hooks are still called only for suspects. Of a peer's datagram the crashes are taken in before the answers, as the answers are the newer ones. A content that was cleared without any crash keeps the mark that peers were told of its answer; otherwise two gateways tell each other once more than needed (GossipBetweenTwoGatewaysEnds, four rounds instead of three).

--- a/src/serving/quarantine.cc
+++ b/src/serving/quarantine.cc
@@ -46,7 +46,9 @@
   bool had_evidence = !record.crashes.empty() || record.quarantined_until;
   bool was_quarantined = record.quarantined_until.has_value();
   bool had_min_crashes = record.crashes.size() >= kMinCrashes;
+  bool is_reported = !had_evidence && record.answer_is_reported;
   record = Record{};
+  record.answer_is_reported = is_reported;
   record.cleared_at = now;
   record.was_answered = true;
   record.last_report_at = now;
--- a/src/serving/shared_quarantine.cc
+++ b/src/serving/shared_quarantine.cc
@@ -30,15 +30,17 @@
   if (this->quarantine.TakeAnsweredReport(content)) this->gossip.AddAnsweredBefore(content);
 }
 
-// Clearing a content is passed on only if the content had several crashes or was in quarantine:
-// most requests that were running on a crashed engine have one crash and are answered soon.
+// Every clearing is passed on: a peer that holds a single crash of the content would otherwise add
+// the next ones to it, although the content was answered in between.  Only those of suspects are
+// reported to the hooks, since most requests on a crashed engine have one crash and are answered
+// soon.
 void SharedQuarantine::Clear(ContentId content, const std::string& by, Time now) {
   bool was_quarantined = this->quarantine.IsQuarantined(content, now);
   bool was_suspect = this->quarantine.UnexplainedCrashCount(content) >= kMinCrashesToReport;
   if (!this->quarantine.NoteAnswered(content, now)) return;
-  if (!was_quarantined && !was_suspect) return;
   this->gossip.AddAnswered(content);
-  if (this->hooks.cleared) this->hooks.cleared(content, was_quarantined, by);
+  bool must_report = (was_quarantined || was_suspect) && this->hooks.cleared;
+  if (must_report) this->hooks.cleared(content, was_quarantined, by);
 }
 
 void SharedQuarantine::AnnounceQuarantine(const QuarantineReport& report, const std::string& by) {
@@ -56,8 +58,9 @@
                                       Time now) {
   for (const QuarantineReport& report : received.quarantined)
     this->AdoptFromPeer(report, peer, now);
-  for (ContentId content : received.answered) this->Clear(content, peer, now);
+  // The answers are the newer ones: a crash is not reported soon after an answer that clears it.
   CrashGossip reply = this->ReceiveCrashes(received.crashes, now);
+  for (ContentId content : received.answered) this->Clear(content, peer, now);
   for (ContentId content : received.answered_before) {
     this->quarantine.NoteAnsweredByPeer(content);
     this->ReportAnswered(content);
--- a/src/serving/testing/quarantine_test.cc
+++ b/src/serving/testing/quarantine_test.cc
@@ -484,6 +484,20 @@
   }
 }
 
+// Guards against counting crashes against a content that peers have answered after each of them.
+BOOST_AUTO_TEST_CASE(AnAnswerAfterASingleCrashClearsTheContentEverywhere) {
+  GossipingGateways gateways(3);
+  for (int i = 0; i < 6; ++i) {
+    Time crashed_at = kStart + i * seconds(30);
+    gateways[0].NoteCrash({kHarmless, 1 + static_cast<EngineKey>(i)}, crashed_at);
+    gateways.Exchange(crashed_at);
+    gateways[0].NoteAnswered(kHarmless, crashed_at + milliseconds(500));
+    gateways.Exchange(crashed_at + milliseconds(500));
+    gateways.Tick(crashed_at + seconds(1));
+    BOOST_TEST(gateways.Refusing(kHarmless, crashed_at + seconds(1)) == 0u, "crash " << i);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GossipIsDecodedAsEncoded) {
   LoadDigest digest;
   digest.box = "box-1";
