A gateway that has no offset in the operator's topic proves nothing of it to peers

What callers would see: a revoked key that works for longer than its bound at gateways that read their configuration from peers.

Cause: a note to a peer states when the sender's records of the operator's topic were last proved to be the newest, and the offset up to which it has read. A gateway that reads the topic anew (its offset has left the log, or it lags by more records than there are keys) has no offset and sent 0, together with the proof of what it had read before. Any peer had read that far, and took the proof for its own records, however many versions it lacked; it passed it on to its readers, which confirm their keys by it.

Change: no proof is sent without an offset, and none is taken in by a gateway that has no offset itself.

--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -62,10 +62,13 @@
   hooks.engines_read_to = [this] { return this->engine_follower.position().value_or(0); };
   hooks.on_engines_read_to = [this](uint64_t offset) { this->OnPeerEngineListPosition(offset); };
   hooks.on_gateways_changed = [this](bool are_complete) { this->OnGatewaysChanged(are_complete); };
-  hooks.topic_proved_at = [this] { return this->config_follower.state().proved(); };
+  // A proof holds for the offset that is sent with it, so without one there is none.
+  hooks.topic_proved_at = [this] {
+    return this->config_follower.position() ? this->config_follower.state().proved() : Time{};
+  };
   hooks.on_topic_proved = [this](Time at, uint64_t offset) {
-    if (this->config_follower.position().value_or(0) >= offset)
-      this->config_follower.NoteProved(at);
+    std::optional<uint64_t> own = this->config_follower.position();
+    if (own && *own >= offset) this->config_follower.NoteProved(at);
   };
   hooks.on_topic_changed = [this] { this->topic_relay.OnNews(std::string(platform::kPeersTopic)); };
   hooks.take_gossip = [this] { return this->crash_watch.TakeGossip(); };
