An evacuation is ended only by a read that was sent after the store's epoch settled

What callers would see: requests at the engines of a data centre that the operator is still evacuating, for as long as the store refuses the next read.

Cause: after the store's return from an older copy, evacuations that it lacks were kept until the epoch settled, by this gateway's clock. An answer that came after that moment ended them at once, although its read had been sent before, when the operator had not written them again. And without any further answer they ended then too, by nothing but an answer of the first moments.

Evidence: AReadBeforeAllWasWrittenAgainEndsNothing, row keyed.op, on the code before: the evacuation is gone until the next read. Its row for the engine list passes on the code before as well, since engines are kept for a while after refused reads; it stays as a guard.

Change: Evacuations compares the moment of settling with the time at which the newest read that confirms the topic was sent, not with the present. Its rules and their tests are as they were, with that time in place of the clock's. The configuration is validated several times within the bound on keys, so evacuations that the operator has ended meanwhile end within a second or two.

--- a/src/gateway/gateway_operator_records.cc
+++ b/src/gateway/gateway_operator_records.cc
@@ -65,8 +65,8 @@
     if (data_centre) listed.insert(*std::move(data_centre));
   }
   const StoreEpoch& epoch = this->store_recovery.returns().epoch();
-  this->evacuations.Replace(listed, epoch.settled_at(), Now());
-  this->ApplyEvacuations(Now());
+  this->evacuations.Replace(listed, epoch.settled_at(), this->config_follower.state().proved());
+  this->ApplyEvacuations();
 }
 
 void GatewayServer::OnOperatorRecord(const platform::KeyedRecord& record) {
@@ -79,13 +79,14 @@
   } else {
     this->evacuations.Begin(*data_centre);
   }
-  this->ApplyEvacuations(Now());
+  this->ApplyEvacuations();
 }
 
 // Hands the evacuated data centres to the fleet, and logs the changes.  An evacuated data centre
 // without engines may be a mistake of the operator, so the line states their number.
-void GatewayServer::ApplyEvacuations(Time now) {
-  std::set<std::string> current = this->evacuations.DataCentres(now);
+void GatewayServer::ApplyEvacuations() {
+  Time proved = this->config_follower.state().proved();
+  std::set<std::string> current = this->evacuations.DataCentres(proved);
   if (current == this->evacuated) return;
   EngineDirectory& directory = this->state.fleet.directory();
   auto log_change = [&](const std::string& data_centre, const char* change) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -288,7 +288,7 @@
   this->engine_follower.SetWait(this->RandomEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
-  this->ApplyEvacuations(now);
+  this->ApplyEvacuations();
   this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
     this->engine_list_copy.SetList(this->state.fleet.directory().Listed(), now);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -124,7 +124,7 @@
   void OnOperatorRecord(const platform::KeyedRecord& record);
   void OnConfigRecord(const platform::KeyedRecord& record);
   std::optional<std::string> ReadEvacuation(const platform::KeyedRecord& record);
-  void ApplyEvacuations(Time now);
+  void ApplyEvacuations();
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
   void OnEngineRecord(const platform::KeyedRecord& record);
   std::optional<EngineRecord> ReadEngine(const platform::KeyedRecord& record);
--- a/src/gateway/testing/proof_test.cc
+++ b/src/gateway/testing/proof_test.cc
@@ -1,7 +1,8 @@
 // An answer proves what held when its read was sent, and only of what was read.
 //
 // Failures guarded against: a gateway told its peers how current its configuration was while it
-// held none that it could name.
+// held none that it could name, and reads that had waited at a store which had just returned from
+// an older copy ended evacuations and removed engines.
 
 #define BOOST_TEST_MODULE proof
 #include <algorithm>
@@ -18,9 +19,14 @@
 namespace {
 
 constexpr char kOperatorTopic[] = "keyed.op";
+constexpr char kEnginesTopic[] = "keyed.servers";
 constexpr char kPeersTopic[] = "keyed.gullward-entries";
 constexpr char kEvacuation[] = "evacuate/hall-9";
 
+void RunFor(GatewayFixture* fixture, Duration duration) {
+  fixture->RunUntil([until = Now() + duration] { return Now() >= until; });
+}
+
 // A peer that a gateway sends its notes to.
 struct NotedPeer {
   explicit NotedPeer(GatewayFixture* fixture) {
@@ -64,5 +70,61 @@
   }
 }
 
+struct ReturnCase {
+  const char* topic;
+  // Writes a record that the older copy lacks.
+  std::function<void(GatewayFixture*)> write;
+  // Whether the gateway goes by that record.
+  std::function<bool(const GatewayFixture&)> holds;
+};
+
+// Lets the store return without the record.  The read of the topic is sent before all has been
+// written again, and answered after that.  Further reads are refused for a moment.
+void ReturnWithALateAnswer(GatewayFixture* fixture, const ReturnCase& row) {
+  fixture->store.RejectTopic(row.topic);
+  fixture->store.DropConnections();
+  fixture->store.RestoreCopy("2");
+  RunFor(fixture, milliseconds(2050));
+  fixture->store.HoldNextAnswer(row.topic);
+  fixture->store.RejectTopic("");
+  BOOST_REQUIRE(fixture->RunUntil([&] { return fixture->store.IsHolding(); }));
+  row.write(fixture);
+  RunFor(fixture, milliseconds(850));
+  fixture->store.RejectTopic(row.topic);
+  fixture->store.ReleaseAnswer();
+}
+
+BOOST_AUTO_TEST_CASE(AReadBeforeAllWasWrittenAgainEndsNothing) {
+  const ReturnCase table[] = {
+      {kOperatorTopic,
+       [](GatewayFixture* fixture) { fixture->store.Put(kOperatorTopic, kEvacuation, "{}"); },
+       [](const GatewayFixture& fixture) {
+         return fixture.gateway->EvacuatedDataCentres().count("hall-9") != 0;
+       }},
+      {kEnginesTopic,
+       [](GatewayFixture* fixture) { fixture->ListEngine(*fixture->engines[0], "models"); },
+       [](const GatewayFixture& fixture) { return fixture.gateway->HasEngine("engine-0"); }}};
+  for (const ReturnCase& row : table) {
+    GatewayFixture fixture({.engines = 1});
+    fixture.store.SetEpoch("1");
+    fixture.Publish(fixture.DefaultConfig());
+    fixture.store.Remove(kEnginesTopic, fixture.engines[0]->id());
+    fixture.store.SaveCopy();
+    row.write(&fixture);
+    fixture.StartGateway();
+    BOOST_REQUIRE(fixture.RunUntil([&] { return row.holds(fixture); }));
+    ReturnWithALateAnswer(&fixture, row);
+    bool is_lost = false;
+    fixture.RunUntil([&, until = Now() + milliseconds(300)] {
+      is_lost = is_lost || !row.holds(fixture);
+      return Now() >= until;
+    });
+    BOOST_TEST(!is_lost, row.topic);
+    fixture.store.RejectTopic("");
+    RunFor(&fixture, seconds(2));
+    BOOST_TEST(row.holds(fixture), row.topic);
+  }
+}
+
 }  // namespace
 }  // namespace gullward
