Requests wait while it is decided whether their content crashes engines

Cause: three engines were lost under both contents before any gateway had answered the harmless one, 0.3 s after the fleet's start. Nothing tells the two apart then, and while the decision is pending every request of either was refused.

A request that arrived after the pause and before the next tick could also be sent without the decision.

Ruled out: sending suspects on while the decision is pending (the crashing one would end one or two more engines each time); a shorter pause (the reports of 300 gateways need it).

Change: such a request waits for the decision, 0.6 s at most and within its deadline, and is then sent or refused; a content in quarantine is refused at once as before. The decisions of a tick are taken before its requests are looked at. New log line decision_awaited and gullward_decisions_awaited_total.

Tests: ARequestWaitsForTheDecisionWhetherItCrashesEngines (real gateway) fails without the wait: 503 instead of 200.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -60,13 +60,7 @@
     this->Refuse(ResultCode::kNoEndpoint);
     return;
   }
-  if (std::optional<Duration> wait = this->ContentRefusedFor(now)) {
-    this->Refuse(ResultCode::kQuarantined, wait);
-    return;
-  }
-  this->state->fleet.RetryBucketOf(this->service->name)
-      .AddRequest(this->state->loop->last_idle_at(), now);
-  this->StartAttempt(now);
+  this->StartUnlessSuspect(now);
 }
 
 // The properties of the request that the choice of engines depends on.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -109,6 +109,8 @@
   void NoteBrokenOff();
   void NoteWholeAnswer(AttemptResult result);
   std::optional<Duration> ContentRefusedFor(Time now);
+  void StartUnlessSuspect(Time now);
+  bool AwaitsDecision(Duration wait, Time now);
   bool MayCrashAnotherEngine(Time now);
   void ApplyStepAfterCrash(NextStep step, AttemptResult result);
   void AfterAttempt(AttemptResult result);
@@ -159,6 +161,9 @@
   std::optional<std::string> last_event_id;
   // Computed by Content() on first use, since most requests never need it.
   std::optional<ContentId> content;
+  // Until when the request waits for the decision whether its content crashes engines; empty if it
+  // does not wait.
+  std::optional<Time> decision_awaited_until;
   // Whether the connection of the last attempt broke before its answer was complete.
   bool broke_off = false;
   AnswerTimes times;
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -1,10 +1,19 @@
 // Handling of requests that may crash engines (crash_watch.h).  The exchange reports attempts
-// whose connection broke and answers that are whole to the crash watch, and it refuses requests
-// whose content the crash watch refuses.
+// whose connection broke and answers that are whole to the crash watch.  It refuses requests whose
+// content is in quarantine, and lets those wait on which the decision is pending.
+
+#include <algorithm>
 
 #include "gateway/exchange.h"
 
 namespace gullward {
+namespace {
+
+// The longest time that a request waits for a decision.  A crash that is reported meanwhile delays
+// the decision once.
+constexpr Duration kMaxDecisionWait = 2 * Quarantine::kDecisionDelay;
+
+}  // namespace
 
 ContentId Exchange::Content() {
   if (!this->content) {
@@ -48,6 +57,37 @@
   return watch.has_records() ? watch.RefusedFor(this->Content(), now) : std::nullopt;
 }
 
+// Starts the first attempt, or refuses the request if its content is in quarantine.  While the
+// decision is pending the request waits: at that time harmless contents that ran on the same
+// engines are suspected too, and most of them are served a moment later.
+void Exchange::StartUnlessSuspect(Time now) {
+  std::optional<Duration> wait = this->ContentRefusedFor(now);
+  if (wait && this->AwaitsDecision(*wait, now)) return;
+  this->decision_awaited_until.reset();
+  if (wait) {
+    this->Refuse(ResultCode::kQuarantined, wait);
+    return;
+  }
+  this->state->fleet.RetryBucketOf(this->service->name)
+      .AddRequest(this->state->loop->last_idle_at(), now);
+  this->StartAttempt(now);
+}
+
+// Whether the request waits for a decision that is due in `wait`.
+bool Exchange::AwaitsDecision(Duration wait, Time now) {
+  bool is_decided = this->state->crash_watch->quarantine().IsQuarantined(this->Content(), now);
+  if (is_decided) return false;
+  if (!this->decision_awaited_until) {
+    this->decision_awaited_until =
+        std::min(now + kMaxDecisionWait, this->admission.answer_deadline);
+    this->state->counters.decisions_awaited += 1;
+    this->state->log->Write(this->Line("decision_awaited")
+                                .Text("content", ContentName(this->Content()))
+                                .Number("wait_ms", ToSeconds(wait) * 1000));
+  }
+  return now + wait < *this->decision_awaited_until;
+}
+
 // Ends the request when another attempt might crash another engine.  An answer that is complete
 // or has begun still takes the usual step; otherwise the request is refused.
 void Exchange::ApplyStepAfterCrash(NextStep step, AttemptResult result) {
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -23,6 +23,10 @@
 
 void Exchange::Tick(Time now) {
   if (this->is_finished) return;
+  if (this->decision_awaited_until) {
+    this->StartUnlessSuspect(now);
+    return;
+  }
   if (this->tickets) this->tickets->Tick(now);
   if (!this->attempt) return;
   if (now >= this->admission.answer_deadline) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -230,8 +230,9 @@
 void GatewayServer::Tick() {
   Time now = Now();
   this->ticks += 1;
-  this->TickExchanges(now);
+  // First, since requests may wait for the decisions.
   this->crash_watch.Tick(now);
+  this->TickExchanges(now);
   this->load_exchange.Tick(now);
   this->topic_relay.Tick(now);
   this->config_revalidator.Tick(this->LastValidation(), now);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -27,6 +27,8 @@
   uint64_t attempts = 0;
   uint64_t retries = 0;
   uint64_t retries_denied = 0;
+  // Requests that waited for the decision whether their content crashes engines.
+  uint64_t decisions_awaited = 0;
   // Answers of engines that were forwarded whole, and answers that were broken off.
   uint64_t answers_whole = 0;
   uint64_t answers_broken = 0;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -21,6 +21,9 @@
   count("gullward_attempts_total", "Requests sent to engines", counters.attempts);
   count("gullward_retries_total", "Second and later attempts", counters.retries);
   count("gullward_retries_denied_total", "Retries that the budget denied", counters.retries_denied);
+  count("gullward_decisions_awaited_total",
+        "Requests that waited for the decision whether their content crashes engines",
+        counters.decisions_awaited);
   count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
   count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
--- a/src/gateway/testing/crashing_request_test.cc
+++ b/src/gateway/testing/crashing_request_test.cc
@@ -20,6 +20,8 @@
 #include "absl/strings/str_cat.h"
 #include "gateway/testing/gateway_fixture.h"
 #include "platform/headers.h"
+#include "serving/gateway_entry.h"
+#include "serving/load_digest.h"
 
 namespace gullward {
 namespace {
@@ -152,6 +154,61 @@
   BOOST_TEST(fixture->gateway->quarantined() == 0);
 }
 
+// A peer of the gateway that reports crashes.
+struct ReportingPeer {
+  explicit ReportingPeer(GatewayFixture* gateway_fixture) : fixture(gateway_fixture) {
+    auto ignore = [](std::string_view) {};
+    BOOST_REQUIRE(this->socket.Bind(&this->fixture->loop, {"127.0.0.1", 0}, ignore).ok());
+    auto entry = [this] { return this->fixture->store.Newest("keyed.gullward-entries", "box-1"); };
+    BOOST_REQUIRE(this->fixture->RunUntil([&] { return !entry().empty(); }));
+    this->gateway = DecodeGatewayEntry("box-1", entry())->address;
+  }
+
+  // Reports that three engines crashed under the contents, one after the other.
+  void ReportThreeCrashes(const std::vector<ContentId>& contents) {
+    for (EngineKey engine : {1, 2, 3}) {
+      LoadDigest digest;
+      digest.box = "box-2";
+      digest.sequence = engine;
+      for (ContentId content : contents) digest.crash_gossip.crashes.push_back({content, engine});
+      this->socket.Send(this->gateway, EncodeDigest(digest));
+      Time next = Now() + Quarantine::kBurstWindow;
+      this->fixture->RunUntil([next] { return Now() >= next; });
+    }
+  }
+
+  GatewayFixture* fixture;
+  UdpSocket socket;
+  SocketAddress gateway;
+};
+
+ContentId ContentOfStream(const std::string& body) {
+  return ContentOf({"shop", "POST", "/chat/x", body});
+}
+
+// Guards against refusing a harmless request that nobody has answered yet while the gateways decide
+// which of the contents on the crashed engines is the cause.
+BOOST_AUTO_TEST_CASE(ARequestWaitsForTheDecisionWhetherItCrashesEngines) {
+  struct Row {
+    const char* what;
+    std::vector<ContentId> contents;
+    bool is_served;
+  };
+  const Row table[] = {{"another content has the same crashes",
+                        {ContentOfStream("suspect"), ContentOfStream("other")},
+                        true},
+                       {"it alone has them", {ContentOfStream("suspect")}, false}};
+  for (const Row& row : table) {
+    auto fixture = StartedWithCrashes();
+    ReportingPeer peer(fixture.get());
+    peer.ReportThreeCrashes(row.contents);
+    Reply reply = fixture->Call(fixture->StreamRequest("one", "", "suspect"));
+    BOOST_TEST(reply.head.status == (row.is_served ? 200 : 503), row.what);
+    BOOST_TEST(IsQuarantined(reply) == !row.is_served, row.what);
+    BOOST_TEST(fixture->RunsOf("one") == (row.is_served ? 1 : 0), row.what);
+  }
+}
+
 // A broken connection to an engine that still runs does not count as a crash.
 BOOST_AUTO_TEST_CASE(BrokenConnectionsDoNotCountAsCrashes) {
   auto fixture = StartedWithCrashes();
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -17,7 +17,7 @@
 //   - Engines that crashed within kBurstWindow count as one, because a rack failure takes down
 //     many engines at once.  They count separately if one of them received the request after
 //     the crash of another engine under it was recorded.
-//   - A content with kMinCrashes unexplained crashes is refused for kDecisionDelay, while the
+//   - A content with kMinCrashes unexplained crashes is held back for kDecisionDelay, while the
 //     reports of other gateways arrive.  It is then put into quarantine if at least kMinCrashes
 //     of these crashes are attributed to it: it has lost more engines than any other content
 //     that was running on the crashed engine.  Otherwise the content may be sent again, because
--- a/src/trial/crash_trial.cc
+++ b/src/trial/crash_trial.cc
@@ -32,6 +32,8 @@
 constexpr Duration kCallerRetryDelay = milliseconds(400);
 constexpr int kMaxCallerTries = 2;
 constexpr int kAttemptsPerTry = 2;
+// The longest time that a request waits for a decision (gateway/exchange_crashes.cc).
+constexpr Duration kMaxDecisionWait = 2 * Quarantine::kDecisionDelay;
 constexpr Duration kQuarantineDuration = std::chrono::hours(1);
 constexpr ContentId kHotContent = 1;
 constexpr ContentId kFirstCrashingContent = 1000;
@@ -62,6 +64,8 @@
   std::optional<size_t> engine;
   Time sent{};
   std::set<EngineKey> tried;
+  // Until when this try waits for a decision; empty if it does not wait.
+  std::optional<Time> decision_awaited_until;
 };
 
 class CrashSimulation {
@@ -144,6 +148,7 @@
     request.tries_left -= 1;
     request.attempts = 0;
     request.tried.clear();
+    request.decision_awaited_until.reset();
     for (size_t i = 0; i < 2 * this->gateways.size(); ++i) {
       request.gateway = this->RandomBelow(this->gateways.size());
       const Gateway& gateway = this->gateways[request.gateway];
@@ -289,7 +294,12 @@
 
   void Send(uint64_t id) {
     Request& request = this->requests[id];
-    if (this->RefusedFor(request)) {
+    std::optional<Duration> wait = this->RefusedFor(request);
+    if (wait && this->AwaitsDecision(&request, *wait)) {
+      this->events.After(kTick, [this, id] { this->SendAfterDecision(id); });
+      return;
+    }
+    if (wait) {
       (request.is_crashing ? this->result.crashing_refused : this->result.harmless_refused) += 1;
       return this->RetryLater(id);
     }
@@ -309,6 +319,23 @@
     });
   }
 
+  // As Exchange::AwaitsDecision (gateway/exchange_crashes.cc).
+  bool AwaitsDecision(Request* request, Duration wait) {
+    const Quarantine& contents = this->gateways[request->gateway].shared->contents();
+    if (contents.IsQuarantined(request->content, this->now())) return false;
+    if (!request->decision_awaited_until) {
+      request->decision_awaited_until = this->now() + kMaxDecisionWait;
+    }
+    return this->now() + wait < *request->decision_awaited_until;
+  }
+
+  void SendAfterDecision(uint64_t id) {
+    Gateway& gateway = this->gateways[this->requests[id].gateway];
+    if (!gateway.is_up || gateway.is_suspended) return this->RetryLater(id);
+    gateway.shared->Tick(this->now());
+    this->Send(id);
+  }
+
   void CountSent(const Request& request) {
     auto third = this->third_crash.find(request.content);
     if (third == this->third_crash.end()) return;
--- a/src/trial/testing/crash_trial_test.cc
+++ b/src/trial/testing/crash_trial_test.cc
@@ -83,6 +83,33 @@
   }
 }
 
+// Guards against refusing a content that many callers send, and that no gateway has answered yet,
+// while engines crash under another one.
+BOOST_AUTO_TEST_CASE(ManySendersOfOneContentAreNotRefusedInSmallFleets) {
+  for (size_t gateways : {1, 2, 3, 4, 8}) {
+    CrashTrialOptions options;
+    options.gateways = gateways;
+    options.engines = 8;
+    options.crashing_per_s = 8;
+    options.crash_after = milliseconds(20);
+    options.restart_after = milliseconds(300);
+    options.harmless_per_s = 100;
+    options.harmless_work = milliseconds(400);
+    options.hot_share = 1;
+    options.kill_interval = milliseconds(1700);
+    options.fault_duration = milliseconds(300);
+    options.duration = seconds(14);
+    for (options.seed = 1; options.seed <= 8; ++options.seed) {
+      CrashTrialResult result = PlayCrashes(options);
+      BOOST_TEST_CONTEXT(gateways << " gateways, seed " << options.seed) {
+        BOOST_TEST(result.harmless_refused == 0u);
+        BOOST_TEST(result.harmless_quarantined == 0u);
+        BOOST_TEST(result.max_sent_after <= kMaxSentAfter);
+      }
+    }
+  }
+}
+
 // Without the quarantine the bound is violated, which shows that the trial can detect that.
 BOOST_AUTO_TEST_CASE(WithoutQuarantineTheBoundIsViolated) {
   CrashTrialOptions options;
