The late answer of proof_test is played until its read was sent in time

On a busy machine the read could be sent after the store's epoch had settled; an evacuation that it lacks then ends by right, and the test would fail. Such a play is played again.

The exchange's function that lets a request wait is named by what it does.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -110,7 +110,7 @@
   void NoteWholeAnswer(AttemptResult result);
   std::optional<Duration> ContentRefusedFor(Time now);
   void StartUnlessSuspect(Time now);
-  bool AwaitsDecision(Duration wait, Time now);
+  bool AwaitDecision(Duration wait, Time now);
   bool MayCrashAnotherEngine(Time now);
   void ApplyStepAfterCrash(NextStep step, AttemptResult result);
   void AfterAttempt(AttemptResult result);
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -62,7 +62,7 @@
 // engines are suspected too, and most of them are served a moment later.
 void Exchange::StartUnlessSuspect(Time now) {
   std::optional<Duration> wait = this->ContentRefusedFor(now);
-  if (wait && this->AwaitsDecision(*wait, now)) return;
+  if (wait && this->AwaitDecision(*wait, now)) return;
   this->decision_awaited_until.reset();
   if (wait) {
     this->Refuse(ResultCode::kQuarantined, wait);
@@ -73,8 +73,9 @@
   this->StartAttempt(now);
 }
 
-// Whether the request waits for a decision that is due in `wait`.
-bool Exchange::AwaitsDecision(Duration wait, Time now) {
+// Lets the request wait for a decision that is due in `wait`.  Returns false if the decision has
+// been made, or would come too late.
+bool Exchange::AwaitDecision(Duration wait, Time now) {
   bool is_decided = this->state->crash_watch->quarantine().IsQuarantined(this->Content(), now);
   if (is_decided) return false;
   if (!this->decision_awaited_until) {
--- a/src/gateway/testing/proof_test.cc
+++ b/src/gateway/testing/proof_test.cc
@@ -8,12 +8,14 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/testing/gateway_fixture.h"
 #include "serving/gateway_entry.h"
 #include "serving/load_digest.h"
+#include "serving/store_epoch.h"
 
 namespace gullward {
 namespace {
@@ -79,19 +81,48 @@
 };
 
 // Lets the store return without the record.  The read of the topic is sent before all has been
-// written again, and answered after that.  Further reads are refused for a moment.
-void ReturnWithALateAnswer(GatewayFixture* fixture, const ReturnCase& row) {
+// written again, and answered after that.  Further reads are refused for a moment.  Returns false
+// if the read was sent too late, as on a busy machine.
+bool ReturnWithALateAnswer(GatewayFixture* fixture, const ReturnCase& row) {
   fixture->store.RejectTopic(row.topic);
   fixture->store.DropConnections();
   fixture->store.RestoreCopy("2");
+  Time all_written = Now() + StoreEpoch::kRewriteTime;
   RunFor(fixture, milliseconds(2050));
   fixture->store.HoldNextAnswer(row.topic);
   fixture->store.RejectTopic("");
   BOOST_REQUIRE(fixture->RunUntil([&] { return fixture->store.IsHolding(); }));
+  if (Now() >= all_written) return false;
   row.write(fixture);
   RunFor(fixture, milliseconds(850));
   fixture->store.RejectTopic(row.topic);
   fixture->store.ReleaseAnswer();
+  return true;
+}
+
+// Plays the row.  Returns nothing if the read was sent too late, and otherwise whether the gateway
+// went by the record all the time.
+std::optional<bool> HoldsAllTheTime(const ReturnCase& row) {
+  GatewayFixture fixture({.engines = 1});
+  fixture.store.SetEpoch("1");
+  fixture.Publish(fixture.DefaultConfig());
+  fixture.store.Remove(kEnginesTopic, fixture.engines[0]->id());
+  fixture.store.SaveCopy();
+  row.write(&fixture);
+  fixture.StartGateway();
+  BOOST_REQUIRE(fixture.RunUntil([&] { return row.holds(fixture); }));
+  if (!ReturnWithALateAnswer(&fixture, row)) return std::nullopt;
+  bool holds = true;
+  auto watch = [&](Duration duration) {
+    fixture.RunUntil([&, until = Now() + duration] {
+      holds = holds && row.holds(fixture);
+      return Now() >= until;
+    });
+  };
+  watch(milliseconds(300));
+  fixture.store.RejectTopic("");
+  watch(seconds(2));
+  return holds;
 }
 
 BOOST_AUTO_TEST_CASE(AReadBeforeAllWasWrittenAgainEndsNothing) {
@@ -104,25 +135,12 @@
       {kEnginesTopic,
        [](GatewayFixture* fixture) { fixture->ListEngine(*fixture->engines[0], "models"); },
        [](const GatewayFixture& fixture) { return fixture.gateway->HasEngine("engine-0"); }}};
+  constexpr int kMaxPlays = 20;
   for (const ReturnCase& row : table) {
-    GatewayFixture fixture({.engines = 1});
-    fixture.store.SetEpoch("1");
-    fixture.Publish(fixture.DefaultConfig());
-    fixture.store.Remove(kEnginesTopic, fixture.engines[0]->id());
-    fixture.store.SaveCopy();
-    row.write(&fixture);
-    fixture.StartGateway();
-    BOOST_REQUIRE(fixture.RunUntil([&] { return row.holds(fixture); }));
-    ReturnWithALateAnswer(&fixture, row);
-    bool is_lost = false;
-    fixture.RunUntil([&, until = Now() + milliseconds(300)] {
-      is_lost = is_lost || !row.holds(fixture);
-      return Now() >= until;
-    });
-    BOOST_TEST(!is_lost, row.topic);
-    fixture.store.RejectTopic("");
-    RunFor(&fixture, seconds(2));
-    BOOST_TEST(row.holds(fixture), row.topic);
+    std::optional<bool> holds;
+    for (int play = 0; play < kMaxPlays && !holds; ++play) holds = HoldsAllTheTime(row);
+    BOOST_REQUIRE(holds.has_value());
+    BOOST_TEST(*holds, row.topic);
   }
 }
 
--- a/src/trial/crash_trial.cc
+++ b/src/trial/crash_trial.cc
@@ -295,7 +295,7 @@
   void Send(uint64_t id) {
     Request& request = this->requests[id];
     std::optional<Duration> wait = this->RefusedFor(request);
-    if (wait && this->AwaitsDecision(&request, *wait)) {
+    if (wait && this->AwaitDecision(&request, *wait)) {
       this->events.After(kTick, [this, id] { this->SendAfterDecision(id); });
       return;
     }
@@ -319,8 +319,8 @@
     });
   }
 
-  // As Exchange::AwaitsDecision (gateway/exchange_crashes.cc).
-  bool AwaitsDecision(Request* request, Duration wait) {
+  // As Exchange::AwaitDecision (gateway/exchange_crashes.cc).
+  bool AwaitDecision(Request* request, Duration wait) {
     const Quarantine& contents = this->gateways[request->gateway].shared->contents();
     if (contents.IsQuarantined(request->content, this->now())) return false;
     if (!request->decision_awaited_until) {
