--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -29,8 +29,8 @@
 //     more than one that never was: a crash that both share is attributed to the other, however
 //     many each has.  A content that many callers send runs on most engines and so shares the
 //     crashes of every crashing one.  The two rules above apply to it only by the crashes that are
-//     attributed to it.  Gateways tell each other which contents were answered when they hear of a
-//     crash under them, since one that has just started has answered nothing itself.
+//     attributed to it.  When a gateway gets a crash report about a content that it has answered,
+//     it tells the others so, since one that has just started has answered nothing itself.
 //
 // A quarantine ends after the time in the settings, since engines get new software.  It ends at
 // once if an attempt that was already running returns a complete answer.
