Whole answers are not hashed where the quarantine is off; one bound on the wait

A whole answer computed the hash of its request's body also with use_quarantine off, where the crash watch ignores it. The exchange asks first now. The longest wait for a decision stood in the exchange and again in the trial; it is a constant of Quarantine, with the delay from which it follows.

--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -52,6 +52,9 @@
   CrashWatch(EventLoop* event_loop, const Options& watch_options, StoreRecovery* store_recovery,
              EventLog* event_log, Hooks watch_hooks);
 
+  // If false, no content need be computed for this class.
+  bool is_enabled() const { return this->options.is_enabled; }
+
   // For how long a content must not be sent; nullopt if it may be sent.
   std::optional<Duration> RefusedFor(ContentId content, Time now) const;
 
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -7,13 +7,6 @@
 #include "gateway/exchange.h"
 
 namespace gullward {
-namespace {
-
-// The longest time that a request waits for a decision.  A crash that is reported meanwhile delays
-// the decision once.
-constexpr Duration kMaxDecisionWait = 2 * Quarantine::kDecisionDelay;
-
-}  // namespace
 
 ContentId Exchange::Content() {
   if (!this->content) {
@@ -38,8 +31,9 @@
 // the request: an engine that fails some of its requests does not run those requests.
 void Exchange::NoteWholeAnswer(AttemptResult result) {
   this->state->pool.Give(this->attempt->engine, this->attempt->channel, Now());
-  if (result == AttemptResult::kSuccess)
-    this->state->crash_watch->NoteAnswered(this->Content(), Now());
+  CrashWatch& watch = *this->state->crash_watch;
+  bool must_note = result == AttemptResult::kSuccess && watch.is_enabled();
+  if (must_note) watch.NoteAnswered(this->Content(), Now());
 }
 
 // Whether a retry might crash another engine: the last attempt broke off, and the content is
@@ -80,7 +74,7 @@
   if (is_decided) return false;
   if (!this->decision_awaited_until) {
     this->decision_awaited_until =
-        std::min(now + kMaxDecisionWait, this->admission.answer_deadline);
+        std::min(now + Quarantine::kMaxDecisionWait, this->admission.answer_deadline);
     this->state->counters.decisions_awaited += 1;
     this->state->log->Write(this->Line("decision_awaited")
                                 .Text("content", ContentName(this->Content()))
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -85,6 +85,9 @@
   // Time from a crash until the reports of all gateways have arrived: four hops of 25 ms reach
   // 300 gateways, and the rest is a margin for a slow event loop.
   static constexpr Duration kDecisionDelay = milliseconds(300);
+  // The longest time that a request waits for a decision.  A crash that is reported meanwhile
+  // delays the decision once.
+  static constexpr Duration kMaxDecisionWait = 2 * kDecisionDelay;
   // Crashes within this time may have one common cause: the engines of a rack crash within a
   // few milliseconds, and the reports spread over the hops above.
   static constexpr Duration kBurstWindow = milliseconds(150);
--- a/src/trial/crash_trial.cc
+++ b/src/trial/crash_trial.cc
@@ -32,8 +32,6 @@
 constexpr Duration kCallerRetryDelay = milliseconds(400);
 constexpr int kMaxCallerTries = 2;
 constexpr int kAttemptsPerTry = 2;
-// The longest time that a request waits for a decision (gateway/exchange_crashes.cc).
-constexpr Duration kMaxDecisionWait = 2 * Quarantine::kDecisionDelay;
 constexpr Duration kQuarantineDuration = std::chrono::hours(1);
 constexpr ContentId kHotContent = 1;
 constexpr ContentId kFirstCrashingContent = 1000;
@@ -324,7 +322,7 @@
     const Quarantine& contents = this->gateways[request->gateway].shared->contents();
     if (contents.IsQuarantined(request->content, this->now())) return false;
     if (!request->decision_awaited_until) {
-      request->decision_awaited_until = this->now() + kMaxDecisionWait;
+      request->decision_awaited_until = this->now() + Quarantine::kMaxDecisionWait;
     }
     return this->now() + wait < *request->decision_awaited_until;
   }
