Interfaces of the decisions under load: fields, terms of refusal, switches

Cause: several parts are built side by side for demand that exceeds the engines' room (ranks, returns, learned prices, the pace of engines).

Decisions are as before: placement_test, serving_test and gateway_test pass.

--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -26,7 +26,8 @@
 Mechanisms ReadMechanisms(TomlReader& reader) {
   Mechanisms mechanisms;
   for (const MechanismSwitch& mechanism : kMechanismSwitches) {
-    mechanisms.*mechanism.field = reader.Boolean(absl::StrCat("use_", mechanism.name), true);
+    bool& is_on = mechanisms.*mechanism.field;
+    is_on = reader.Boolean(absl::StrCat("use_", mechanism.name), is_on);
   }
   return mechanisms;
 }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,7 +34,7 @@
   // How long an engine may still get new work after it was announced as leaving.
   Duration leaving_bound = seconds(2);
   RetryBounds retry;
-  // Each mechanism is on unless the file switches it off by the key `use_` and the field's name.
+  // The file overrides a mechanism's default by the key `use_` and the field's name.
   Mechanisms mechanisms;
   // How long a gateway that is new to the fleet waits for the entries of others before it reads on.
   Duration registration_pause = seconds(1);
--- /dev/null
+++ b/src/overload/engine_pace.cc
@@ -0,0 +1,1 @@
+#include "overload/engine_pace.h"
--- /dev/null
+++ b/src/overload/ranks.cc
@@ -0,0 +1,1 @@
+#include "overload/ranks.h"
--- /dev/null
+++ b/src/overload/return_book.cc
@@ -0,0 +1,1 @@
+#include "overload/return_book.h"
--- /dev/null
+++ b/src/overload/return_book.h
@@ -0,0 +1,6 @@
+#ifndef GULLWARD_OVERLOAD_RETURN_BOOK_H_
+#define GULLWARD_OVERLOAD_RETURN_BOOK_H_
+
+namespace gullward {}  // namespace gullward
+
+#endif  // GULLWARD_OVERLOAD_RETURN_BOOK_H_
--- /dev/null
+++ b/src/overload/work_tally.cc
@@ -0,0 +1,1 @@
+#include "overload/work_tally.h"
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -1,5 +1,6 @@
-// Switches for the mechanisms by which a gateway chooses engines and refuses work.  All are on by
-// default.
+// Switches for the mechanisms by which a gateway chooses engines and refuses work.  The settings
+// hold a default for each; those for demand that exceeds the engines' room (src/overload) are off
+// unless the settings switch them on, except `ranks`, which the configuration calls for.
 //
 // Each mechanism can be switched off by itself, so that the same load can be run with and without
 // it.  A mechanism that is off falls back to the simplest behaviour that still serves requests
@@ -89,6 +90,18 @@
   // All gateways together keep to the service's rate for a cold engine (cold_engines.h).  Off: a
   // cold engine is chosen like any other, and may fail.
   bool cold_engines = true;
+  // Where the configuration ranks the routes of a service or its accounts differently, more urgent
+  // requests are served first (overload/ranks.h).  Off: all ranks are equal.
+  bool ranks = true;
+  // A refusal says when there will be room, and a caller that returns then goes before newcomers
+  // (overload/return_book.h).  Off: the time to return is a share of the route's objective.
+  bool kept_returns = false;
+  // What an engine second is worth follows from the work that competes for it
+  // (overload/work_price.h).  Off: it is a constant.
+  bool learned_price = false;
+  // Engines are priced by the speed that their answers show (overload/engine_pace.h).  Off: by the
+  // speed that the configuration publishes.
+  bool engine_pace = false;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -123,6 +136,10 @@
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
     {"cold_engines", &Mechanisms::cold_engines},
+    {"ranks", &Mechanisms::ranks},
+    {"kept_returns", &Mechanisms::kept_returns},
+    {"learned_price", &Mechanisms::learned_price},
+    {"engine_pace", &Mechanisms::engine_pace},
 };
 
 }  // namespace gullward
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -32,6 +32,29 @@
 
 namespace gullward {
 
+// The value earned in one second of an engine when all engines are busy, averaged over the kinds
+// of requests that share them, where nothing else is known.  The unit is the value of a short
+// request.
+inline constexpr double kDefaultValuePerEngineSecond = 8;
+
+// The terms on which a request may be refused for its cost to others.
+struct RefusalTerms {
+  // What a second of an engine is worth to the other requests of the service.
+  double value_per_engine_second = kDefaultValuePerEngineSecond;
+  // The request may cost others this many times its own value.
+  double value_factor = 1;
+  // Engine seconds, per engine of the service, that are kept for callers who were told to return
+  // and go before this request.
+  double reserved_seconds_per_engine = 0;
+  // Whether the caller returns at the time that it was told: it is refused only if it cannot be
+  // answered before it gives up.
+  bool is_promised = false;
+  // Time left until the caller gives up, in milliseconds; 0 if unknown.
+  double time_left_ms = 0;
+
+  bool operator==(const RefusalTerms&) const = default;
+};
+
 // What a request needs of an engine.
 struct Demand {
   double prompt_tokens = 0;
@@ -47,6 +70,11 @@
   // all be packed onto the same next engine, and if one of them crashed it, the crashing request
   // could not be told from the others.
   std::optional<uint64_t> scatter_hash;
+  // How many ranks the request is behind the most urgent one of its service; 0 where ranks are
+  // equal (overload/ranks.h).
+  int rank_steps = 0;
+  // What refusal.h weighs the request by.
+  RefusalTerms refusal = {};
 
   bool operator==(const Demand&) const = default;
 };
@@ -64,6 +92,8 @@
   double rank = 0;
   // Whether the engine may read parts of prompts of requests that run on other engines.
   bool may_help = true;
+  // How many times longer than published the engine takes for its work (overload/engine_pace.h).
+  double pace = 1;
 
   bool operator==(const Candidate&) const = default;
 };
--- a/src/serving/refusal.cc
+++ b/src/serving/refusal.cc
@@ -7,9 +7,6 @@
 namespace gullward {
 namespace {
 
-// The value earned in one second of an engine when all engines are busy, averaged over the kinds
-// of requests that share them.
-constexpr double kValuePerEngineSecond = 8;
 // A request that was refused before may cost others this many times its own value.
 constexpr double kRefusedBeforeFactor = 1.2;
 // Share of the objective from which an expected first event counts as late here.  It is higher than
@@ -25,10 +22,11 @@
 bool ShouldRefuse(const Placement& placement, const Demand& demand) {
   double lateness = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
   double value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss * lateness);
-  double engine_time_value = kValuePerEngineSecond * placement.engine_seconds;
+  double engine_time_value = demand.refusal.value_per_engine_second * placement.engine_seconds;
   double cost =
       placement.cost_to_streams + placement.utilization * placement.utilization * engine_time_value;
-  double factor = demand.was_refused_before ? kRefusedBeforeFactor : 1;
+  double factor = demand.refusal.value_factor;
+  if (demand.was_refused_before) factor *= kRefusedBeforeFactor;
   if (cost > factor * value) return true;
   bool slot_wait_is_cause = placement.slot_wait_ms > kMaxSlotWaitShare * demand.objective_ms;
   return slot_wait_is_cause && placement.first_event_ms > demand.objective_ms;
