Ranks weigh streams and engine time in the choice of engines and in refusals

Cause: a long prompt of a less urgent rank may pause more urgent streams and take engine time that more urgent requests need.

Ruled out: a weight on all costs of the request itself, since the small preferences among engines would then outweigh the lateness of the least urgent requests and change their placement on idle engines; a strict order, which starves the last rank.

Change: overload/ranks has the weights and what each rank has lately lost; costs to streams are relative to the request's rank; ChooseByRank tries the placements of other ranks before a refusal; ConfigIndex says which ranks a service's requests have, and which are out of range (code 4009); load reports carry the ranks of streams where they differ.

Conclusion: no caller states ranks yet, so requests are decided as before.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -75,6 +75,8 @@
        "a field of an engine's answer that tells its state cannot be read"},
       {ResultCode::kOperatorRecordUnreadable, "operator_record_unreadable", 0,
        "a record of the operator has a key that cannot be read"},
+      {ResultCode::kRankOutOfRange, "rank_out_of_range", 0,
+       "a rank in the configuration is not between 0 and 9 and counts as not stated"},
       {ResultCode::kBadFrame, "bad_frame", 0, "a peer sent a frame that fails verification"},
       {ResultCode::kInternal, "internal", 500, "a fault of gullward itself"},
   };
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -79,6 +79,7 @@
   kEntryUnreadable = 4006,
   kNoticeUnreadable = 4007,
   kOperatorRecordUnreadable = 4008,
+  kRankOutOfRange = 4009,
 
   kBadFrame = 5001,
   kInternal = 5002,
--- a/src/serving/config_index.cc
+++ b/src/serving/config_index.cc
@@ -3,6 +3,7 @@
 
 #include "serving/config_index.h"
 
+#include <set>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -15,6 +16,12 @@
   return absl::AsciiStrToLower(AbslView(host.substr(0, host.find(':'))));
 }
 
+constexpr int kUnstatedRank = ClientAccount{}.priority;
+
+int EffectiveRank(const Route& route, int account_rank) {
+  return account_rank == kUnstatedRank ? route.priority : account_rank;
+}
+
 std::string PrefixKey(const std::string& host_name, std::string_view prefix) {
   return host_name + std::string(prefix);
 }
@@ -34,6 +41,39 @@
   for (size_t i = 0; i < this->published.services.size(); ++i) {
     this->service_by_name[this->published.services[i].name] = i;
   }
+  this->DropInvalidRanks();
+  this->IndexRanks();
+}
+
+void ConfigIndex::DropInvalidRanks() {
+  for (Route& route : this->published.routes) {
+    if (IsRank(route.priority)) continue;
+    this->ranks_invalid.push_back({route.name, route.priority});
+    route.priority = Route{}.priority;
+  }
+  for (ClientAccount& account : this->published.accounts) {
+    if (account.priority == kUnstatedRank || IsRank(account.priority)) continue;
+    this->ranks_invalid.push_back({account.name, account.priority});
+    account.priority = kUnstatedRank;
+  }
+}
+
+// Adds, for each service, the ranks that requests by its routes can have.
+void ConfigIndex::IndexRanks() {
+  std::set<int> account_ranks;
+  for (const ClientAccount& account : this->published.accounts) {
+    account_ranks.insert(account.priority);
+  }
+  for (const Route& route : this->published.routes) {
+    bool needs_account = !account_ranks.empty() && !route.is_public;
+    const std::set<int> without_account = {kUnstatedRank};
+    for (const ServiceShare& share : route.services) {
+      if (share.weight <= 0) continue;
+      for (int account_rank : needs_account ? account_ranks : without_account) {
+        this->ranks_by_service[share.service].Add(EffectiveRank(route, account_rank));
+      }
+    }
+  }
 }
 
 const Route* ConfigIndex::FindRoute(std::string_view host, std::string_view path) const {
@@ -58,4 +98,11 @@
   return found == this->service_by_name.end() ? nullptr : &this->published.services[found->second];
 }
 
+std::optional<RequestRank> ConfigIndex::RankOf(const Route& route, int account_priority,
+                                               const std::string& service) const {
+  auto found = this->ranks_by_service.find(service);
+  if (found == this->ranks_by_service.end()) return std::nullopt;
+  return found->second.Find(EffectiveRank(route, account_priority));
+}
+
 }  // namespace gullward
--- a/src/serving/config_index.h
+++ b/src/serving/config_index.h
@@ -3,19 +3,32 @@
 //   ConfigIndex index(config);
 //   const Route* route = index.FindRoute(host, path);
 //   const ClientAccount* account = index.FindAccount(api_key);
+//   std::optional<RequestRank> rank = index.RankOf(*route, account->priority, service);
 
 #ifndef GULLWARD_SERVING_CONFIG_INDEX_H_
 #define GULLWARD_SERVING_CONFIG_INDEX_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
+#include "overload/ranks.h"
 #include "serving/serving_config.h"
 
 namespace gullward {
 
+// A rank in the configuration that is out of range.  It counts as not stated.
+struct InvalidRank {
+  // The name of the route or of the account.
+  std::string name;
+  int rank = 0;
+
+  bool operator==(const InvalidRank&) const = default;
+};
+
 class ConfigIndex {
  public:
   explicit ConfigIndex(ServingConfig published);
@@ -34,13 +47,25 @@
   // The service of that name, or null.
   const Service* FindService(const std::string& name) const;
 
+  // The rank of a request; empty if all requests to the service have the same.  The rank is that of
+  // the account, or that of the route if `account_priority` is -1.
+  std::optional<RequestRank> RankOf(const Route& route, int account_priority,
+                                    const std::string& service) const;
+
+  const std::vector<InvalidRank>& invalid_ranks() const { return this->ranks_invalid; }
+
  private:
+  void DropInvalidRanks();
+  void IndexRanks();
+
   ServingConfig published;
   // The maps hold indices into the vectors of `published`.  The key of a route is its host name
   // followed by its path prefix.
   std::unordered_map<std::string, size_t> route_by_prefix;
   std::unordered_map<std::string, size_t> account_by_key;
   std::unordered_map<std::string, size_t> service_by_name;
+  std::unordered_map<std::string, RankRange> ranks_by_service;
+  std::vector<InvalidRank> ranks_invalid;
 };
 
 }  // namespace gullward
--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <limits>
 
+#include "overload/ranks.h"
+
 namespace gullward {
 namespace {
 
@@ -44,12 +46,18 @@
 // answers grow while they run.
 constexpr double kMemoryShare = 0.95;
 
+// The value of a class of streams to a request that is `rank_steps` behind the most urgent rank.
+double StreamValue(const PauseClass& streams, int rank_steps) {
+  double mean_context = streams.context_tokens / streams.streams;
+  return RelativeWeight(streams.rank_steps, rank_steps) * RequestValue(mean_context) *
+         streams.streams;
+}
+
 // The value that the streams on an engine lose if their pause becomes `pause_ms`.
-double StreamLoss(const EngineLoad& load, double pause_ms) {
+double StreamLoss(const EngineLoad& load, double pause_ms, int rank_steps) {
   double loss = 0;
   for (const PauseClass& streams : load.streams) {
-    double mean_context = streams.context_tokens / streams.streams;
-    double value = RequestValue(mean_context) * streams.streams;
+    double value = StreamValue(streams, rank_steps);
     double late_loss = kLateLoss * Lateness(pause_ms, streams.pause_ms, kPauseSafety);
     loss += value * (pause_ms > kMaxToleratedPauseMs ? 1 : late_loss);
   }
@@ -95,17 +103,17 @@
   return std::clamp((ms / aim - safety) / kLatenessSlope, 0.0, 1.0);
 }
 
-double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms) {
+double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms,
+                    int rank_steps) {
   double pass_ms = WritingPassMs(speed, candidate.load) + candidate.load.RemainingReadingMs();
-  double loss_before = StreamLoss(candidate.load, pass_ms);
-  return StreamLoss(candidate.load, pass_ms + reading_ms) - loss_before;
+  double loss_before = StreamLoss(candidate.load, pass_ms, rank_steps);
+  return StreamLoss(candidate.load, pass_ms + reading_ms, rank_steps) - loss_before;
 }
 
-double StreamDelayCost(const EngineLoad& load, double reading_ms) {
+double StreamDelayCost(const EngineLoad& load, double reading_ms, int rank_steps) {
   double delay = 0;
   for (const PauseClass& streams : load.streams) {
-    double value = RequestValue(streams.context_tokens / streams.streams) * streams.streams;
-    delay += value * reading_ms / std::max(streams.pause_ms, 1.0);
+    delay += StreamValue(streams, rank_steps) * reading_ms / std::max(streams.pause_ms, 1.0);
   }
   return delay;
 }
@@ -158,15 +166,16 @@
   // time this request writes.
   double own_pause = WritingPassMs(speed, candidate.load);
   cost += kLateLoss * value * Lateness(own_pause, demand.pause_ms, kPauseSafety);
-  return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
+  return cost + CostToOthers(speed, candidate, shares.part_reading_ms, demand.rank_steps);
 }
 
-double CostAsReader(const EngineSpeed& speed, const Candidate& candidate, double value,
+double CostAsReader(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
                     const Placement& shares) {
+  double value = RequestValue(demand.prompt_tokens);
   double cost = kReaderCost + kRankWeight * (1 - candidate.rank);
   cost += kFailureWeight * value * candidate.failure_rate;
   if (shares.spreads_memory) cost += MemoryCost(speed, candidate, shares.memory_tokens, value);
-  return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
+  return cost + CostToOthers(speed, candidate, shares.part_reading_ms, demand.rank_steps);
 }
 
 double MeanUtilization(const std::vector<Candidate>& candidates) {
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -1,6 +1,7 @@
 // The cost model of placement.h: what a request costs on an engine.
 //
-// A cost is a loss of value, and its unit is the value of a short request.  Each function below
+// A cost is a loss of value, and its unit is the value of a short request of the same rank; streams
+// of other ranks weigh more or less (overload/ranks.h).  Each function below
 // prices one cause of loss: the request waits, its own stream pauses, other streams pause, memory
 // or slots are short, or the engine fails.  placement.cc adds the costs up and compares them.
 
@@ -32,13 +33,15 @@
 // are estimates.
 double Lateness(double ms, double aim, double safety);
 
-// The cost to the streams on an engine of `reading_ms` more reading.
-double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms);
+// The cost to the streams on an engine of `reading_ms` more reading, for a request that is
+// `rank_steps` behind the most urgent rank.
+double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms,
+                    int rank_steps);
 
 // How much `reading_ms` of reading delays the streams on an engine: the sum of their values, each
 // times the ratio of the reading to the pause that the stream tolerates.  A delay is not a loss by
 // itself, but the streams end later and are still there at the next reading.
-double StreamDelayCost(const EngineLoad& load, double reading_ms);
+double StreamDelayCost(const EngineLoad& load, double reading_ms, int rank_steps);
 
 // Milliseconds that a new request waits for a slot.  Slots become free one by one, as answers
 // end.
@@ -60,8 +63,7 @@
                   const Placement& shares);
 
 // The cost of a candidate's reading a part of a prompt for another engine, without CostOfWaiting.
-// `value` is the value of the request.
-double CostAsReader(const EngineSpeed& speed, const Candidate& candidate, double value,
+double CostAsReader(const EngineSpeed& speed, const Candidate& candidate, const Demand& demand,
                     const Placement& shares);
 
 // The mean utilization of the candidates, 0 to 1.
--- a/src/serving/engine_load.cc
+++ b/src/serving/engine_load.cc
@@ -5,17 +5,23 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace gullward {
 namespace {
 
+bool HasSameKey(const PauseClass& a, const PauseClass& b) {
+  return a.pause_ms == b.pause_ms && a.rank_steps == b.rank_steps;
+}
+
 std::vector<PauseClass> Merged(std::vector<PauseClass> left, const std::vector<PauseClass>& right) {
   for (const PauseClass& added : right) {
     auto position = std::lower_bound(
-        left.begin(), left.end(), added,
-        [](const PauseClass& a, const PauseClass& b) { return a.pause_ms < b.pause_ms; });
-    if (position == left.end() || position->pause_ms != added.pause_ms) {
+        left.begin(), left.end(), added, [](const PauseClass& a, const PauseClass& b) {
+          return std::tie(a.pause_ms, a.rank_steps) < std::tie(b.pause_ms, b.rank_steps);
+        });
+    if (position == left.end() || !HasSameKey(*position, added)) {
       left.insert(position, added);
       continue;
     }
@@ -117,7 +123,7 @@
   if (!part.is_main) return load;
   load.requests = 1;
   load.writers = work.reading ? 0 : 1;
-  if (part.pause_ms > 0) load.streams = {{part.pause_ms, 1, part.prompt_tokens}};
+  if (part.pause_ms > 0) load.streams = {{part.pause_ms, 1, part.prompt_tokens, part.rank_steps}};
   return load;
 }
 
--- a/src/serving/engine_load.h
+++ b/src/serving/engine_load.h
@@ -25,11 +25,13 @@
 // The caller may still give up on a long pause; that loss is priced separately (engine_costs.cc).
 inline constexpr double kLateStreamPauseMs = 100'000;
 
-// The streams on one engine that tolerate the same pause between events.
+// The streams on one engine that tolerate the same pause between events and have the same rank.
 struct PauseClass {
   double pause_ms = 0;
   int streams = 0;
   double context_tokens = 0;
+  // How many ranks they are behind the most urgent one of their service (overload/ranks.h).
+  int rank_steps = 0;
 
   bool operator==(const PauseClass&) const = default;
 };
@@ -47,7 +49,7 @@
   // The part of `reading_ms` that is done.  An engine reads one prompt after another, so this is
   // the progress on the oldest prompt only.
   double read_ms = 0;
-  // The streams by the pause that they tolerate, shortest first.
+  // The streams by the pause that they tolerate, shortest first, and by rank.
   std::vector<PauseClass> streams;
 
   // Reading time that is still left, in milliseconds.
@@ -76,6 +78,8 @@
   // Whether the request itself runs on this engine; false for a reader.
   bool is_main = true;
   double pause_ms = 0;
+  // As in PauseClass.
+  int rank_steps = 0;
 
   bool operator==(const WorkPart&) const = default;
 };
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -134,9 +134,8 @@
   }
   FleetChoice choice;
   PlacementOptions options{this->switches.spread_reading, this->switches.gather_streams};
-  choice.placement = service.runs_models
-                         ? gullward::Choose(candidates, service.speed, demand, options)
-                         : ChooseLeastLoaded(candidates);
+  choice.placement = service.runs_models ? ChooseByRank(candidates, service.speed, demand, options)
+                                         : ChooseLeastLoaded(candidates);
   choice.candidates = candidates.size();
   const std::vector<size_t>& chosen = choice.placement.engines;
   if (chosen.empty()) return std::nullopt;
@@ -190,6 +189,9 @@
   elsewhere->spilled = true;
   if (!home) return elsewhere;
   bool is_better = elsewhere->placement.cost < kSpillGain * home->placement.cost;
+  // Where ranks differ, costs are relative to the rank, so they must not decide who is refused.
+  bool ranks_differ = demand.last_rank_steps > 0;
+  if (ranks_differ && ShouldRefuse(home->placement, demand)) is_better = true;
   return is_better && !ShouldRefuse(elsewhere->placement, demand) ? elsewhere : home;
 }
 
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <vector>
 
+#include "overload/ranks.h"
 #include "wire/gullward_generated.h"
 
 namespace gullward {
@@ -93,6 +94,28 @@
   return notices;
 }
 
+using StreamRanks = flatbuffers::Vector<uint8_t>;
+
+// Absent where all ranks are equal.
+flatbuffers::Offset<StreamRanks> PackStreamRanks(flatbuffers::FlatBufferBuilder* builder,
+                                                 const std::vector<PauseClass>& streams) {
+  std::vector<uint8_t> ranks;
+  for (const PauseClass& pause_class : streams) {
+    ranks.push_back(static_cast<uint8_t>(pause_class.rank_steps));
+  }
+  bool differ = std::any_of(ranks.begin(), ranks.end(), [](uint8_t rank) { return rank != 0; });
+  return differ ? builder->CreateVector(ranks) : 0;
+}
+
+// Streams without a valid rank count as the most urgent.
+void ReadStreamRanks(const StreamRanks* ranks, std::vector<PauseClass>* streams) {
+  if (ranks == nullptr || ranks->size() != streams->size()) return;
+  if (!std::all_of(ranks->begin(), ranks->end(), [](uint8_t rank) { return IsRank(rank); })) return;
+  for (size_t i = 0; i < streams->size(); ++i) {
+    (*streams)[i].rank_steps = ranks->Get(static_cast<flatbuffers::uoffset_t>(i));
+  }
+}
+
 using PackedContents = flatbuffers::Vector<uint64_t>;
 
 flatbuffers::Offset<PackedContents> PackContents(flatbuffers::FlatBufferBuilder* builder,
@@ -137,7 +160,8 @@
     entries.push_back(fb::CreateEngineLoadEntry(
         builder, builder.CreateString(engine), load.requests, load.writers,
         static_cast<float>(load.context_tokens), static_cast<float>(load.reading_ms),
-        static_cast<float>(load.read_ms), builder.CreateVectorOfStructs(streams)));
+        static_cast<float>(load.read_ms), builder.CreateVectorOfStructs(streams),
+        PackStreamRanks(&builder, load.streams)));
   }
   flatbuffers::Offset<fb::FreshnessNote> freshness;
   if (digest.freshness) {
@@ -222,6 +246,7 @@
         load.streams.push_back(
             {pause_class->pause_ms(), pause_class->streams(), pause_class->context_tokens()});
       }
+      ReadStreamRanks(entry->stream_ranks(), &load.streams);
     }
     digest.loads[entry->engine()->str()] = load;
   }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -40,11 +40,10 @@
 };
 
 ReaderCosts PriceReaders(const Problem& problem, const Placement& shares) {
-  double value = RequestValue(problem.demand.prompt_tokens);
   ReaderCosts costs;
   for (const Candidate& candidate : problem.candidates) {
     costs.first_event_ms.push_back(FirstEventMs(problem.speed, candidate, shares.part_reading_ms));
-    costs.as_reader.push_back(CostAsReader(problem.speed, candidate, value, shares));
+    costs.as_reader.push_back(CostAsReader(problem.speed, candidate, problem.demand, shares));
   }
   return costs;
 }
@@ -53,8 +52,8 @@
 // part of one, because of the streams on it.
 double GatheringTerm(const Problem& problem, size_t engine, const Placement& shares) {
   if (!problem.options.gather_streams) return 0;
-  return kGatheringWeight *
-         StreamDelayCost(problem.candidates[engine].load, shares.part_reading_ms);
+  return kGatheringWeight * StreamDelayCost(problem.candidates[engine].load, shares.part_reading_ms,
+                                            problem.demand.rank_steps);
 }
 
 // Chooses the engine that runs the request: the one of the lowest cost minus GatheringTerm.
@@ -117,7 +116,8 @@
   placement.engines = {*main};
   placement.first_event_ms = costs.first_event_ms[*main];
   placement.slot_wait_ms = SlotWaitMs(speed, candidates[*main]);
-  placement.cost_to_streams = CostToOthers(speed, candidates[*main], placement.part_reading_ms);
+  placement.cost_to_streams =
+      CostToOthers(speed, candidates[*main], placement.part_reading_ms, demand.rank_steps);
   // The slowest engine alone determines the time of the first event, so the cost of waiting is
   // counted once, after the loop.
   placement.cost -= CostOfWaiting(speed, demand, placement.first_event_ms);
@@ -126,7 +126,8 @@
   for (size_t helper : helpers) {
     placement.engines.push_back(helper);
     placement.cost += costs.as_reader[helper];
-    placement.cost_to_streams += CostToOthers(speed, candidates[helper], placement.part_reading_ms);
+    placement.cost_to_streams +=
+        CostToOthers(speed, candidates[helper], placement.part_reading_ms, demand.rank_steps);
     placement.first_event_ms = std::max(placement.first_event_ms, costs.first_event_ms[helper]);
   }
   placement.cost += CostOfWaiting(speed, demand, placement.first_event_ms);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -51,6 +51,9 @@
   bool is_promised = false;
   // Time left until the caller gives up, in milliseconds; 0 if unknown.
   double time_left_ms = 0;
+  // How many times more than to requests of its own rank the engine time is worth to more urgent
+  // ones that were refused or late lately (overload/ranks.h).
+  double engine_time_factor = 1;
 
   bool operator==(const RefusalTerms&) const = default;
 };
@@ -73,6 +76,8 @@
   // How many ranks the request is behind the most urgent one of its service; 0 where ranks are
   // equal (overload/ranks.h).
   int rank_steps = 0;
+  // The same for the least urgent request of the service; 0 where ranks are equal.
+  int last_rank_steps = 0;
   // What refusal.h weighs the request by.
   RefusalTerms refusal = {};
 
--- a/src/serving/refusal.cc
+++ b/src/serving/refusal.cc
@@ -2,6 +2,9 @@
 
 #include "serving/refusal.h"
 
+#include <algorithm>
+#include <optional>
+
 #include "serving/engine_costs.h"
 
 namespace gullward {
@@ -17,12 +20,23 @@
 // objective.
 constexpr double kMaxSlotWaitShare = 0.8;
 
+// No request is refused for its rank up to this utilization.
+constexpr double kRoomyUtilization = 0.5;
+
+// The factor on engine time, which rises from 1 at kRoomyUtilization to
+// RefusalTerms::engine_time_factor at full utilization.
+double EngineTimeFactor(const Placement& placement, const RefusalTerms& terms) {
+  double shortage = (placement.utilization - kRoomyUtilization) / (1 - kRoomyUtilization);
+  return 1 + (terms.engine_time_factor - 1) * std::clamp(shortage, 0.0, 1.0);
+}
+
 }  // namespace
 
 bool ShouldRefuse(const Placement& placement, const Demand& demand) {
   double lateness = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
   double value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss * lateness);
-  double engine_time_value = demand.refusal.value_per_engine_second * placement.engine_seconds;
+  double engine_time_value = demand.refusal.value_per_engine_second * placement.engine_seconds *
+                             EngineTimeFactor(placement, demand.refusal);
   double cost =
       placement.cost_to_streams + placement.utilization * placement.utilization * engine_time_value;
   double factor = demand.refusal.value_factor;
@@ -32,4 +46,25 @@
   return slot_wait_is_cause && placement.first_event_ms > demand.objective_ms;
 }
 
+Placement ChooseByRank(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
+                       const Demand& demand, const PlacementOptions& options) {
+  Placement chosen = Choose(candidates, speed, demand, options);
+  if (demand.last_rank_steps == 0 || !ShouldRefuse(chosen, demand)) return chosen;
+  auto admitted_as = [&](int rank_steps) -> std::optional<Placement> {
+    Demand other = demand;
+    other.rank_steps = rank_steps;
+    Placement placement = Choose(candidates, speed, other, options);
+    if (ShouldRefuse(placement, demand)) return std::nullopt;
+    return placement;
+  };
+  if (chosen.utilization <= kRoomyUtilization) {
+    if (std::optional<Placement> placement = admitted_as(0)) return *placement;
+  }
+  for (int steps = demand.rank_steps + 1; steps <= demand.last_rank_steps; ++steps) {
+    std::optional<Placement> placement = admitted_as(steps);
+    if (placement) return *placement;
+  }
+  return chosen;
+}
+
 }  // namespace gullward
--- a/src/serving/refusal.h
+++ b/src/serving/refusal.h
@@ -1,11 +1,13 @@
 // Decides which requests to refuse at once instead of running them.
 //
-//   Placement placement = Choose(candidates, speed, demand);
+//   Placement placement = ChooseByRank(candidates, speed, demand);
 //   if (ShouldRefuse(placement, demand)) ...      // 503 with a Retry-After header
 
 #ifndef GULLWARD_SERVING_REFUSAL_H_
 #define GULLWARD_SERVING_REFUSAL_H_
 
+#include <vector>
+
 #include "serving/placement.h"
 
 namespace gullward {
@@ -19,6 +21,13 @@
 // Idle engines never cause a refusal.
 bool ShouldRefuse(const Placement& placement, const Demand& demand);
 
+// As Choose, but if the request would be refused, tries the placements that it would have with
+// other ranks and returns the first with which it is not refused: as if ranks were equal unless
+// engines are more than half utilized, and as each less urgent rank of the service.  A
+// request is thus not refused where a less urgent one with the same need is not.
+Placement ChooseByRank(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
+                       const Demand& demand, const PlacementOptions& options = {});
+
 }  // namespace gullward
 
 #endif  // GULLWARD_SERVING_REFUSAL_H_
