Gateways decide by ranks where those of a service's requests differ

Cause: the ranks of routes and accounts had no effect on refusals, on the choice of engines, or on the order in which engines let requests in.

Ruled out: sending the rank where all are equal, which would change what engines see for nothing.

Change: a request keeps its rank from admission on; its demand, its load records and the Priority field to the engine state it; refusals and late answers of more urgent ranks make engine time dear to less urgent ones. Log fields, a metric by rank, and a line for ranks that are out of range.

Conclusion: with equal ranks, or use_ranks off, requests are decided and sent as before.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -33,6 +33,7 @@
   const ClientAccount* holder = config.FindAccount(*key);
   if (holder == nullptr) return Deny(state, config, ResultCode::kWrongKey, now);
   admission->account = holder->name;
+  admission->account_priority = holder->priority;
   return ResultCode::kOk;
 }
 
--- a/src/gateway/engine_request.cc
+++ b/src/gateway/engine_request.cc
@@ -67,6 +67,7 @@
   AppendHeader(&text, platform::kDeadlineMs, absl::StrCat(ToMillis(added.time_left)));
   AppendHeader(&text, platform::kExpectedEngine, added.engine_id);
   if (!added.account.empty()) AppendHeader(&text, platform::kAccount, added.account);
+  if (added.rank) AppendHeader(&text, platform::kPriority, absl::StrCat(*added.rank));
   if (added.last_event_id) AppendHeader(&text, platform::kLastEventId, *added.last_event_id);
   if (!added.readers.empty()) {
     AppendHeader(&text, platform::kReaders, absl::StrJoin(added.readers, ","));
--- a/src/gateway/engine_request.h
+++ b/src/gateway/engine_request.h
@@ -2,8 +2,8 @@
 //
 // The caller's header fields are forwarded unchanged, except for fields that apply to one
 // connection (hop-by-hop) and fields that only the gateway may set; these are removed.  The
-// gateway's own fields follow: the time left, the expected engine, the account, the readers, and
-// the event after which a stream resumes.
+// gateway's own fields follow: the time left, the expected engine, the account, the rank, the
+// readers, and the event after which a stream resumes.
 
 #ifndef GULLWARD_GATEWAY_ENGINE_REQUEST_H_
 #define GULLWARD_GATEWAY_ENGINE_REQUEST_H_
@@ -47,6 +47,8 @@
   // Engines that read parts of the prompt (platform::ReaderText), each with its ticket if it
   // holds memory.
   std::vector<std::string> readers;
+  // The rank of the request; empty if the engine need not know.
+  std::optional<int> rank;
   // If set, the engine is to resume the stream after this event.
   std::optional<std::string> last_event_id;
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -60,11 +60,15 @@
     this->Refuse(ResultCode::kNoEndpoint);
     return;
   }
+  if (this->state->fleet.mechanisms().ranks) {
+    this->rank = this->config->RankOf(*this->admission.route, this->admission.account_priority,
+                                      this->service->name);
+  }
   this->StartUnlessSuspect(now);
 }
 
 // The properties of the request that the choice of engines depends on.
-Demand Exchange::MakeDemand() {
+Demand Exchange::MakeDemand(Time now) {
   const Route& route = *this->admission.route;
   Demand demand;
   demand.prompt_tokens = this->facts.prompt_tokens;
@@ -76,16 +80,30 @@
   CrashWatch& watch = *this->state->crash_watch;
   bool is_suspect = this->broke_off || (watch.has_records() && watch.IsSuspect(this->Content()));
   if (is_suspect) demand.scatter_hash = this->Content();
+  this->SetRank(&demand, now);
   return demand;
 }
 
+void Exchange::SetRank(Demand* demand, Time now) {
+  RankLosses* losses = this->Losses();
+  if (losses == nullptr) return;
+  demand->rank_steps = losses->DecidedSteps(this->rank->steps, now);
+  demand->last_rank_steps = this->rank->last_steps;
+  demand->refusal.engine_time_factor = losses->EngineTimeFactor(demand->rank_steps, now);
+}
+
+// Null if all requests to the service have the same rank.
+RankLosses* Exchange::Losses() {
+  return this->rank ? &this->state->rank_losses[this->service->name] : nullptr;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
     this->ApplyStepUnsent(now);
     return;
   }
-  Demand demand = this->MakeDemand();
+  Demand demand = this->MakeDemand(now);
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -96,6 +114,10 @@
   bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
   if (first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand)) {
     this->LogOverload(choice->placement, demand);
+    if (RankLosses* losses = this->Losses()) {
+      losses->NoteRefused(this->rank->steps, now);
+      this->state->counters.refusals_by_rank[this->rank->rank] += 1;
+    }
     this->Refuse(ResultCode::kOverloaded);
     return;
   }
@@ -112,6 +134,7 @@
   if (choice.spilled) this->state->counters.spilled += 1;
   this->tried.insert(choice.engine.Incarnation());
   this->RecordLoad(choice, now);
+  if (RankLosses* losses = this->Losses()) losses->NoteAdmitted(this->rank->steps);
   // A request that must not run twice gets a new connection.  An engine may close a kept
   // connection just as the request is sent, and then it is unknown whether the request ran.
   bool fresh = this->admission.route->repeat == Repeat::kNever;
@@ -137,6 +160,7 @@
     std::string ticket = this->tickets ? this->tickets->tickets()[i].ticket : "";
     headers.readers.push_back(platform::FormatReader(choice.readers[i].address, ticket));
   }
+  if (this->rank) headers.rank = this->rank->rank;
   headers.last_event_id = this->last_event_id;
   return headers;
 }
@@ -170,6 +194,7 @@
   main.prompt_tokens = choice.placement.memory_tokens;
   main.reading_ms = choice.placement.part_reading_ms;
   main.pause_ms = ToSeconds(this->admission.route->longest_pause) * 1000;
+  if (this->rank) main.rank_steps = this->rank->steps;
   parts.push_back(main);
   for (const EngineRecord& reader : choice.readers) {
     WorkPart part;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -82,7 +82,9 @@
     double expected_first_ms = 0;
   };
 
-  Demand MakeDemand();
+  Demand MakeDemand(Time now);
+  void SetRank(Demand* demand, Time now);
+  RankLosses* Losses();
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
@@ -144,6 +146,8 @@
   std::shared_ptr<const ConfigIndex> config;
   Admission admission;
   const Service* service = nullptr;
+  // Empty if all requests to the service have the same rank.
+  std::optional<RequestRank> rank;
 
   std::optional<Attempt> attempt;
   // Memory reserved on the readers of the attempt; null unless the prompt's memory is
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -31,14 +31,19 @@
   LogLine line(event);
   line.Text("request", this->facts.attempt_id);
   if (this->admission.route != nullptr) line.Text("route", this->admission.route->name);
+  if (this->rank) line.Number("rank", this->rank->rank);
   line.Number("age_ms", ToSeconds(Now() - this->request.arrived) * 1000);
   return line;
 }
 
 // Logs the inputs of a refusal for overload.
 void Exchange::LogOverload(const Placement& placement, const Demand& demand) {
-  this->state->log->Write(this->Line("overload_inputs")
-                              .Number("prompt_tokens", demand.prompt_tokens)
+  LogLine line = this->Line("overload_inputs");
+  if (this->rank) {
+    line.Number("rank_steps", demand.rank_steps)
+        .Number("engine_time_factor", demand.refusal.engine_time_factor);
+  }
+  this->state->log->Write(line.Number("prompt_tokens", demand.prompt_tokens)
                               .Number("came_back", demand.was_refused_before ? 1 : 0)
                               .Number("readers", static_cast<double>(placement.engines.size()))
                               .Number("expected_first_ms", placement.first_event_ms)
@@ -78,6 +83,7 @@
   Duration first = this->times.FirstAfter(route, Now());
   this->times.AddToHistograms(route, this->facts.prompt_tokens, first, &this->state->counters);
   bool late = this->times.IsLate(route, first);
+  if (RankLosses* losses = this->Losses()) losses->NoteAnswered(this->rank->steps, late, Now());
   if (!late && !this->state->log->Sample()) return;
   LogLine line = this->Line(late ? "answered_late" : "answered");
   line.Text("engine", this->attempt->engine.Incarnation())
--- a/src/gateway/gateway_operator_records.cc
+++ b/src/gateway/gateway_operator_records.cc
@@ -39,9 +39,27 @@
                       .Number("accounts", static_cast<double>(config->accounts.size())));
   this->state.fleet.SetColdRates(ColdRates(*config));
   this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
+  this->LogInvalidRanks();
+  std::erase_if(this->state.rank_losses, [this](const auto& losses) {
+    return this->state.config->FindService(losses.first) == nullptr;
+  });
   this->state.config_record = std::make_shared<const std::string>(record.value);
 }
 
+// Logs the first rank that is out of range, and how many there are.
+void GatewayServer::LogInvalidRanks() {
+  const std::vector<InvalidRank>& invalid = this->state.config->invalid_ranks();
+  if (invalid.empty()) return;
+  const ResultCodeInfo& info = Info(ResultCode::kRankOutOfRange);
+  this->log.Write(
+      LogLine(info.name)
+          .Number("code", static_cast<double>(info.code))
+          .Number("version", static_cast<double>(this->ConfigVersion()))
+          .Number("ranks", static_cast<double>(invalid.size()))
+          .Text("name", std::string_view(invalid.front().name).substr(0, kMaxLoggedBytes))
+          .Number("rank", invalid.front().rank));
+}
+
 // Returns the data centre that the record evacuates, or nothing.  A key that cannot be decoded is
 // counted and logged.
 std::optional<std::string> GatewayServer::ReadEvacuation(const platform::KeyedRecord& record) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -123,6 +123,7 @@
   void OnOperatorRecords(const std::vector<platform::KeyedRecord>& records);
   void OnOperatorRecord(const platform::KeyedRecord& record);
   void OnConfigRecord(const platform::KeyedRecord& record);
+  void LogInvalidRanks();
   std::optional<std::string> ReadEvacuation(const platform::KeyedRecord& record);
   void ApplyEvacuations();
   void OnEngineRecords(const std::vector<platform::KeyedRecord>& records);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
 #include "gateway/settings.h"
+#include "overload/ranks.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
 #include "serving/config_index.h"
@@ -56,6 +57,8 @@
   // Whole answers that are not streams.
   LatencyHistogram plain_answer;
   std::map<ResultCode, uint64_t> failures;
+  // Refusals for overload of services whose requests differ in rank, by rank.
+  std::map<int, uint64_t> refusals_by_rank;
 
   bool operator==(const GatewayCounters&) const = default;
 };
@@ -92,6 +95,8 @@
   Time newest_peer_version_at{};
   KeyFreshness keys;
   Fleet fleet;
+  // What ranks have lately lost here, by service; only services whose requests differ in rank.
+  std::map<std::string, RankLosses> rank_losses;
   EnginePool pool;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -69,6 +69,11 @@
                   {{"code", absl::StrCat(static_cast<uint32_t>(code))}, {"name", Info(code).name}},
                   static_cast<double>(failures));
   }
+  for (const auto& [rank, refusals] : counters.refusals_by_rank) {
+    text->Counter("gullward_refusals_by_rank_total",
+                  "Refusals for overload where ranks differ, by rank",
+                  {{"rank", absl::StrCat(rank)}}, static_cast<double>(refusals));
+  }
 }
 
 // Adds the metrics about requests that crash engines.
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -180,6 +180,41 @@
   BOOST_TEST(left > 0u);
 }
 
+// Only where the ranks of a service's requests differ, and with the route's rank.
+BOOST_AUTO_TEST_CASE(EnginesGetTheRankWhereRanksDiffer) {
+  struct Case {
+    const char* what;
+    int other_route;
+    Mechanisms mechanisms;
+    std::string expected;
+  };
+  Mechanisms off;
+  off.ranks = false;
+  const Case table[] = {{"the other route is more urgent", 0, {}, "1"},
+                        {"equal ranks", 1, {}, "none"},
+                        {"the mechanism is off", 0, off, "none"},
+                        {"an invalid rank counts as 0", 12, {}, "1"}};
+  for (const Case& test_case : table) {
+    GatewayFixture fixture({.engines = 1, .mechanisms = test_case.mechanisms});
+    json config = fixture.DefaultConfig();
+    json other = config["routes"][0];
+    other["pathPrefix"] = "/other/";
+    other["priority"] = test_case.other_route;
+    config["routes"].push_back(other);
+    fixture.Publish(config);
+    fixture.StartGateway();
+    Reply reply = fixture.Call(fixture.StreamRequest("r", "Priority: 7\r\n"));
+    const auto& received = fixture.engines[0]->received();
+    BOOST_TEST_CONTEXT(test_case.what) {
+      BOOST_TEST(reply.body == kWholeStream);
+      BOOST_REQUIRE(received.size() == 1u);
+      std::string_view rank =
+          FindHeader(received[0].request.head.headers, platform::kPriority).value_or("none");
+      BOOST_TEST(rank == test_case.expected);
+    }
+  }
+}
+
 struct BadRequest {
   const char* what;
   std::string text;
