The unstated rank is a plain constant

Cause: clang-tidy's compiler does not take a ClientAccount, which holds strings, as a constant expression. Ruled out: a change of the configuration's types. serving_test and ranks_test pass.

--- a/src/serving/config_index.cc
+++ b/src/serving/config_index.cc
@@ -16,7 +16,8 @@
   return absl::AsciiStrToLower(AbslView(host.substr(0, host.find(':'))));
 }
 
-constexpr int kUnstatedRank = ClientAccount{}.priority;
+// The default of ClientAccount::priority.
+constexpr int kUnstatedRank = -1;
 
 int EffectiveRank(const Route& route, int account_rank) {
   return account_rank == kUnstatedRank ? route.priority : account_rank;
