No account takes the others' engine time while room is short

Cause: accounts are uneven; one that sends most of a service's work leaves the others without room.

Ruled out: a bound for each account, which leaves engines idle when the others ask for nothing; shares told between gateways, since callers of an account reach all gateways alike.

Change: overload/account_share counts decaying engine seconds for each account and service at this gateway. While engines are more than half utilized, an account with more than twice an equal share has its requests valued less, down to half. Acts only where ranks differ.

Tests: account_share_test (3 cases), ranks_test, gateway_test, serving_test and cell_test pass.

Conclusion: not measured under load yet.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -90,6 +90,10 @@
   demand->rank_steps = losses->DecidedSteps(this->rank->steps, now);
   demand->last_rank_steps = this->rank->last_steps;
   demand->refusal.engine_time_factor = losses->EngineTimeFactor(demand->rank_steps, now);
+  AccountShares* shares = this->Shares();
+  if (shares != nullptr) {
+    demand->refusal.value_factor *= shares->ValueFactor(this->admission.account, now);
+  }
 }
 
 // Null if all requests to the service have the same rank.
@@ -97,6 +101,12 @@
   return this->rank ? &this->state->rank_losses[this->service->name] : nullptr;
 }
 
+// Null if all requests to the service have the same rank, or the route needs no account.
+AccountShares* Exchange::Shares() {
+  bool is_counted = this->rank && !this->admission.account.empty();
+  return is_counted ? &this->state->account_shares[this->service->name] : nullptr;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
@@ -110,6 +120,9 @@
     this->ApplyStepUnsent(now);
     return;
   }
+  if (AccountShares* shares = this->Shares()) {
+    shares->NoteAsked(this->admission.account, choice->placement.utilization, now);
+  }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
   bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
   if (first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand)) {
@@ -135,6 +148,9 @@
   this->tried.insert(choice.engine.Incarnation());
   this->RecordLoad(choice, now);
   if (RankLosses* losses = this->Losses()) losses->NoteAdmitted(this->rank->steps);
+  if (AccountShares* shares = this->Shares()) {
+    shares->Add(this->admission.account, choice.placement.engine_seconds, now);
+  }
   // A request that must not run twice gets a new connection.  An engine may close a kept
   // connection just as the request is sent, and then it is unknown whether the request ran.
   bool fresh = this->admission.route->repeat == Repeat::kNever;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,7 @@
   Demand MakeDemand(Time now);
   void SetRank(Demand* demand, Time now);
   RankLosses* Losses();
+  AccountShares* Shares();
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -41,7 +41,9 @@
   LogLine line = this->Line("overload_inputs");
   if (this->rank) {
     line.Number("rank_steps", demand.rank_steps)
-        .Number("engine_time_factor", demand.refusal.engine_time_factor);
+        .Number("engine_time_factor", demand.refusal.engine_time_factor)
+        .Text("account", this->admission.account)
+        .Number("value_factor", demand.refusal.value_factor);
   }
   this->state->log->Write(line.Number("prompt_tokens", demand.prompt_tokens)
                               .Number("came_back", demand.was_refused_before ? 1 : 0)
--- a/src/gateway/gateway_operator_records.cc
+++ b/src/gateway/gateway_operator_records.cc
@@ -40,9 +40,11 @@
   this->state.fleet.SetColdRates(ColdRates(*config));
   this->state.config = std::make_shared<const ConfigIndex>(*std::move(config));
   this->LogInvalidRanks();
-  std::erase_if(this->state.rank_losses, [this](const auto& losses) {
-    return this->state.config->FindService(losses.first) == nullptr;
-  });
+  auto is_unlisted = [this](const auto& entry) {
+    return this->state.config->FindService(entry.first) == nullptr;
+  };
+  std::erase_if(this->state.rank_losses, is_unlisted);
+  std::erase_if(this->state.account_shares, is_unlisted);
   this->state.config_record = std::make_shared<const std::string>(record.value);
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
 #include "gateway/settings.h"
+#include "overload/account_share.h"
 #include "overload/ranks.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
@@ -97,6 +98,8 @@
   Fleet fleet;
   // What ranks have lately lost here, by service; only services whose requests differ in rank.
   std::map<std::string, RankLosses> rank_losses;
+  // Engine time of client accounts, for the same services.
+  std::map<std::string, AccountShares> account_shares;
   EnginePool pool;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
