Engines are priced by their pace, and paces travel in the datagrams

Cause: placement prices every engine of a service by the published speed, so a slow engine at the front of the shared order gets short prompts first, and a slow reader makes a whole prompt late.

Ruled out: multiplying the gathering term, which would draw very long prompts to slow engines; a pace in the load figures themselves, since peers multiply for themselves and would do so twice.

Change: the times in engine_costs are multiplied by the candidate's pace; Fleet holds the paces and judges events by the load that it knows; LoadDigest carries reports, and invalid ones are dropped. Engines that are clearly slow are not offered to other cells.

Figures: slow_engine_test, 9 cases: of 18 engines, of which four are four times slower, the slow ones get none of 60 short prompts and no part of prompts of 110,000, 210,000 and 400,000 tokens. Over 190 random demands a fleet with the mechanism off chooses the same placements as one that knows no pace. placement_test, serving_test, cell_test and incarnation_test pass unchanged. Trials with a fault put in: pricing a reader's part as published fails 9 checks; learning with the switch off fails the comparison.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -88,6 +88,10 @@
   return step * speed.steps_per_pass;
 }
 
+double RemainingReadingMs(const Candidate& candidate) {
+  return std::max(candidate.pace * candidate.load.reading_ms - candidate.load.read_ms, 0.0);
+}
+
 double RequestValue(double tokens) { return kValueBase + kValuePerToken * tokens; }
 
 double Lateness(double ms, double aim, double safety) {
@@ -96,9 +100,10 @@
 }
 
 double CostToOthers(const EngineSpeed& speed, const Candidate& candidate, double reading_ms) {
-  double pass_ms = WritingPassMs(speed, candidate.load) + candidate.load.RemainingReadingMs();
+  double pass_ms =
+      candidate.pace * WritingPassMs(speed, candidate.load) + RemainingReadingMs(candidate);
   double loss_before = StreamLoss(candidate.load, pass_ms);
-  return StreamLoss(candidate.load, pass_ms + reading_ms) - loss_before;
+  return StreamLoss(candidate.load, pass_ms + candidate.pace * reading_ms) - loss_before;
 }
 
 double StreamDelayCost(const EngineLoad& load, double reading_ms) {
@@ -115,18 +120,18 @@
   if (excess <= 0) return 0;
   double step = speed.step_ms + speed.step_ms_per_request * candidate.slots +
                 speed.step_ms_per_thousand_context * candidate.load.context_tokens / 1000;
-  double answer_ms = speed.usual_answer_tokens * step;
+  double answer_ms = candidate.pace * speed.usual_answer_tokens * step;
   return excess * answer_ms / candidate.slots;
 }
 
 double FirstEventMs(const EngineSpeed& speed, const Candidate& candidate, double reading_ms) {
-  double pass_ms = WritingPassMs(speed, candidate.load);
+  double pass_ms = candidate.pace * WritingPassMs(speed, candidate.load);
   // The sum of: half of the running pass, the wait for a slot, the reading that is queued, the
   // reading of this prompt, and the decode steps before the first event.
   double wait_ms = candidate.load.writers > 0 ? pass_ms / 2 : 0;
-  double steps_ms = std::max(pass_ms, speed.steps_per_pass * speed.step_ms);
-  return wait_ms + SlotWaitMs(speed, candidate) + candidate.load.RemainingReadingMs() + reading_ms +
-         steps_ms;
+  double steps_ms = std::max(pass_ms, candidate.pace * speed.steps_per_pass * speed.step_ms);
+  return wait_ms + SlotWaitMs(speed, candidate) + RemainingReadingMs(candidate) +
+         candidate.pace * reading_ms + steps_ms;
 }
 
 int UsefulReaders(const EngineSpeed& speed, const Demand& demand) {
@@ -156,7 +161,7 @@
   cost += kRankWeight * (is_very_long ? 1 - candidate.rank : candidate.rank);
   // Only the writing time counts: the prompts being read there now will have been read by the
   // time this request writes.
-  double own_pause = WritingPassMs(speed, candidate.load);
+  double own_pause = candidate.pace * WritingPassMs(speed, candidate.load);
   cost += kLateLoss * value * Lateness(own_pause, demand.pause_ms, kPauseSafety);
   return cost + CostToOthers(speed, candidate, shares.part_reading_ms);
 }
@@ -173,7 +178,7 @@
   double sum = 0;
   for (const Candidate& candidate : candidates) {
     double slots = static_cast<double>(candidate.load.requests) / std::max(candidate.slots, 1);
-    double reading = candidate.load.RemainingReadingMs() / kFullUseReadingMs;
+    double reading = RemainingReadingMs(candidate) / kFullUseReadingMs;
     sum += std::min(std::max(slots, reading), 1.0);
   }
   return sum / static_cast<double>(std::max<size_t>(candidates.size(), 1));
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -24,6 +24,10 @@
 // the request.
 inline constexpr double kFailureWeight = 2.0;
 
+// Time in milliseconds that the engine still reads, at its pace.  The load counts the time that has
+// passed, of which a slow engine needs more than the published reading time.
+double RemainingReadingMs(const Candidate& candidate);
+
 // The value of a request with a prompt of `tokens` tokens.
 double RequestValue(double tokens);
 
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -80,6 +80,41 @@
   this->suspicion.ReceiveSetAside(peer, set_aside, this->plan(now).engines(), now);
 }
 
+void Fleet::NoteEvents(const std::string& engine, const EngineSpeed& speed, int events,
+                       GapSpan* span, Time now) {
+  if (!this->switches.engine_pace) return;
+  EngineLoad load = this->load_tracker.LoadOn(engine, now);
+  EventArrival arrival{now, events, WritingPassMs(speed, load),
+                       speed.remote_step_ms * speed.steps_per_pass, load.reading_ms};
+  if (std::optional<PaceObservation> seen = span->Add(arrival)) {
+    this->engine_paces.Observe(engine, *seen);
+  }
+}
+
+// The first event shows the pace only if no other work explains its time: one engine read the
+// prompt, was idle before and has got no other request since.
+void Fleet::NoteFirstEvent(const FleetChoice& choice, const EngineSpeed& speed, Time sent,
+                           Time now) {
+  if (!this->switches.engine_pace || !choice.readers.empty()) return;
+  std::string engine = choice.engine.Incarnation();
+  bool was_idle = choice.load.requests == 0 && choice.load.reading_ms == 0;
+  EngineLoad load = this->load_tracker.LoadOn(engine, now);
+  if (!was_idle || load.requests > 1 || load.reading_ms > 0) return;
+  double expected_ms = choice.placement.part_reading_ms + speed.steps_per_pass * speed.step_ms;
+  if (std::optional<PaceObservation> seen = FirstEventObservation(sent, now, expected_ms)) {
+    this->engine_paces.Observe(engine, *seen);
+  }
+}
+
+void Fleet::ReceivePaces(const std::string& peer, const std::map<std::string, PaceReport>& reports,
+                         Time now) {
+  if (!this->switches.engine_pace) return;
+  for (const auto& [engine, report] : reports) {
+    if (this->engines.FindIncarnation(engine) == nullptr) continue;
+    this->engine_paces.ReceiveReport(engine, peer, report, now);
+  }
+}
+
 // Whether an engine is passed over while others are left.
 bool Fleet::ShouldAvoid(const std::string& engine, Time now) {
   const EngineHealth& record = this->health[engine];
@@ -128,6 +163,7 @@
     candidate.failure_rate = this->health[engine.incarnation].FailureRate(now);
     candidate.rank = this->switches.shared_order ? static_cast<double>(i) / last : 0;
     candidate.may_help = this->MayHelp(engine.incarnation);
+    candidate.pace = this->engine_paces.PaceOf(engine.incarnation, now);
     if (demand.scatter_hash)
       candidate.rank = ScatteredRank(engine.incarnation, *demand.scatter_hash);
     candidates.push_back(std::move(candidate));
@@ -142,6 +178,7 @@
   if (chosen.empty()) return std::nullopt;
   choice.engine = selectable[chosen.front()]->record;
   choice.load = candidates[chosen.front()].load;
+  choice.pace = candidates[chosen.front()].pace;
   for (size_t i = 1; i < chosen.size(); ++i) {
     choice.readers.push_back(selectable[chosen[i]]->record);
   }
@@ -199,7 +236,8 @@
   std::map<std::string, EngineLoad> loads;
   for (const PlannedEngine& engine : current.ForService(current.main_service()).engines) {
     bool is_free = !this->ShouldAvoid(engine.incarnation, now) &&
-                   !this->engine_notices.Has(engine.incarnation);
+                   !this->engine_notices.Has(engine.incarnation) &&
+                   this->engine_paces.PaceOf(engine.incarnation, now) < EnginePaces::kSlow;
     if (!is_free) continue;
     EngineLoad load = this->load_tracker.LoadOn(engine.incarnation, now);
     double slot_use = static_cast<double>(load.requests) / std::max(engine.record.slots, 1);
@@ -242,6 +280,7 @@
   }
   this->engine_notices.Forget(listed, now);
   this->cold_engines.Forget(now);
+  this->engine_paces.Forget(listed, now);
 }
 
 }  // namespace gullward
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -22,6 +22,7 @@
 #include <utility>
 #include <vector>
 
+#include "overload/engine_pace.h"
 #include "serving/cold_engines.h"
 #include "serving/engine_directory.h"
 #include "serving/engine_health.h"
@@ -50,6 +51,8 @@
   bool spilled = false;
   // The load of `engine` at the time of the choice, without this request.
   EngineLoad load;
+  // The pace by which `engine` was priced.
+  double pace = 1;
 };
 
 class Fleet {
@@ -72,6 +75,9 @@
   // Which engines are cold (cold_engines.h).
   ColdEngines& cold() { return this->cold_engines; }
   const ColdEngines& cold() const { return this->cold_engines; }
+  // How fast engines are (overload/engine_pace.h); empty if the mechanism is off.
+  EnginePaces& paces() { return this->engine_paces; }
+  const EnginePaces& paces() const { return this->engine_paces; }
   // Sets the requests a second that a cold engine of each service bears from all gateways
   // together.  Services that state no such rate are left out.
   void SetColdRates(std::map<std::string, double> rates) { this->cold_rates = std::move(rates); }
@@ -85,6 +91,15 @@
   // The engines that this gateway has set aside because of its own failures.  Empty if they are
   // so many that the fault is more likely this gateway's own (PeerSuspicion::IsInTrouble).
   std::set<std::string> SetAsideEngines(Time now) const;
+  // Records the events of a stream that have just arrived together from an engine.
+  void NoteEvents(const std::string& engine, const EngineSpeed& speed, int events, GapSpan* span,
+                  Time now);
+  // Records the first event of a request that was sent to `choice` at `sent`.
+  void NoteFirstEvent(const FleetChoice& choice, const EngineSpeed& speed, Time sent, Time now);
+  // Records a peer's reports on the paces of engines.  Engines that are not listed are ignored.
+  void ReceivePaces(const std::string& peer, const std::map<std::string, PaceReport>& reports,
+                    Time now);
+
   // Records the engines that a peer has set aside.
   void ReceiveSetAside(const std::string& peer, const std::set<std::string>& set_aside, Time now);
 
@@ -168,6 +183,7 @@
   EngineNotices engine_notices;
   ColdEngines cold_engines;
   std::map<std::string, double> cold_rates;
+  EnginePaces engine_paces;
   // Whether SetGateways has been called.
   bool gateways_known = false;
   std::set<std::string> silent_gateways;
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -93,6 +93,32 @@
   return notices;
 }
 
+using PacesOffset =
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::EnginePaceEntry>>>;
+
+PacesOffset PackPaces(flatbuffers::FlatBufferBuilder* builder,
+                      const std::map<std::string, PaceReport>& paces) {
+  if (paces.empty()) return 0;
+  std::vector<flatbuffers::Offset<fb::EnginePaceEntry>> entries;
+  for (const auto& [engine, report] : paces) {
+    entries.push_back(fb::CreateEnginePaceEntry(*builder, builder->CreateString(engine),
+                                                report.pace,
+                                                static_cast<uint64_t>(report.age.count())));
+  }
+  return builder->CreateVector(entries);
+}
+
+std::map<std::string, PaceReport> ReadPaces(const fb::LoadDigest& packed) {
+  std::map<std::string, PaceReport> paces;
+  if (packed.paces() == nullptr) return paces;
+  for (const fb::EnginePaceEntry* entry : *packed.paces()) {
+    if (entry->engine() == nullptr || entry->age_us() > kMaxAgeUs) continue;
+    PaceReport report{entry->pace(), Duration(static_cast<int64_t>(entry->age_us()))};
+    if (IsValid(report)) paces[entry->engine()->str()] = report;
+  }
+  return paces;
+}
+
 using PackedContents = flatbuffers::Vector<uint64_t>;
 
 flatbuffers::Offset<PackedContents> PackContents(flatbuffers::FlatBufferBuilder* builder,
@@ -169,7 +195,8 @@
       VectorOrNull(&builder, crashes), PackContents(&builder, gossip.answered),
       VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
       digest.engines_copied.revision, PackNotices(&builder, digest.notices),
-      digest.operator_read_to, PackContents(&builder, gossip.answered_before)));
+      digest.operator_read_to, PackContents(&builder, gossip.answered_before),
+      PackPaces(&builder, digest.paces)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -191,6 +218,7 @@
   digest.is_offer = packed->is_offer();
   digest.crash_gossip = ReadCrashGossip(*packed);
   digest.notices = ReadNotices(*packed);
+  digest.paces = ReadPaces(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote received;
     received.round = note->round();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "overload/engine_pace.h"
 #include "serving/copy_schedule.h"
 #include "serving/crash_gossip.h"
 #include "serving/engine_load.h"
@@ -52,6 +53,8 @@
   bool is_offer = false;
   // Notices that engines have sent, by engine incarnation (serving/engine_notices.h).
   std::map<std::string, NoticeReport> notices;
+  // Paces that the sender has measured, by engine incarnation (overload/engine_pace.h).
+  std::map<std::string, PaceReport> paces;
   // Crash reports that the receiver passes on (serving/crash_gossip.h).
   CrashGossip crash_gossip;
 
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -107,7 +107,7 @@
   bool spreads_memory = false;
   // Tokens of memory on each engine, or on the first alone if the memory is not spread.
   double memory_tokens = 0;
-  // Reading time on each engine, in milliseconds.
+  // Reading time on each engine at the published speed, in milliseconds.
   double part_reading_ms = 0;
   // Expected wait for a slot, in milliseconds; above zero only if all slots of every engine are
   // in use.
