Gateways learn paces from streams, tell them, log them and count slow engines

Cause: the paces need the times of events, which only an exchange sees.

Ruled out: judging a stream while its caller reads slowly, since events then wait for the caller: the span begins anew. Judging readers, since the first event shows only the slowest of them.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -121,6 +121,7 @@
   this->attempt->sent = now;
   this->attempt->last_progress = now;
   this->attempt->expected_first_ms = choice.placement.first_event_ms;
+  this->attempt->choice = choice;
   this->state->fleet.NoteSent(choice.engine, now);
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   this->LogAttempt(choice, now);
@@ -221,6 +222,8 @@
   }
   if (this->attempt && this->caller->pending() > kMaxUnreadBytes) {
     this->attempt->channel->SetReading(false);
+    // Events now wait for the caller, which proves nothing of the engine's pace.
+    this->attempt->gaps = GapSpan{};
   }
 }
 
@@ -228,7 +231,7 @@
   WholeEvents whole = this->attempt->events.Feed(bytes);
   if (whole.count == 0) return;
   if (!this->attempt->any_event) this->NoteFirstEvent();
-  this->NoteEvent();
+  this->NoteEvent(whole.count);
   this->state->counters.events_forwarded += static_cast<uint64_t>(whole.count);
   if (!this->answer_begun) this->BeginAnswer(std::nullopt);
   if (whole.last_id) this->last_event_id = whole.last_id;
@@ -240,8 +243,13 @@
 // practically free seemed too expensive to read very long prompts.  Leaving late streams out,
 // together with sending the start of each reading to peers at once, gained 0.009 of the value of
 // all requests.
-void Exchange::NoteEvent() {
-  this->times.NoteEvent(Now());
+void Exchange::NoteEvent(int events) {
+  Time now = Now();
+  if (this->service->runs_models) {
+    this->state->fleet.NoteEvents(this->attempt->engine.Incarnation(), this->service->speed, events,
+                                  &this->attempt->gaps, now);
+  }
+  this->times.NoteEvent(now);
   const Route& route = *this->admission.route;
   bool late = this->times.IsLate(route, this->times.FirstAfter(route, Now()));
   if (!late || !this->state->fleet.mechanisms().spare_late_streams) return;
@@ -251,6 +259,9 @@
 void Exchange::NoteFirstEvent() {
   this->attempt->any_event = true;
   this->state->fleet.loads().MarkFirstEvent(this->id);
+  if (!this->service->runs_models) return;
+  this->state->fleet.NoteFirstEvent(this->attempt->choice, this->service->speed,
+                                    this->attempt->sent, Now());
 }
 
 void Exchange::ForwardBody(std::string_view bytes) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -80,6 +80,9 @@
     bool any_event = false;
     // Expected time from sending to the first event, in milliseconds.
     double expected_first_ms = 0;
+    // What the engine's pace is judged by: the choice, and the last events.
+    FleetChoice choice;
+    GapSpan gaps;
   };
 
   Demand MakeDemand();
@@ -96,7 +99,7 @@
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void ForwardEvents(std::string_view bytes);
-  void NoteEvent();
+  void NoteEvent(int events);
   void NoteFirstEvent();
   void LogAnswered();
   void ForwardBody(std::string_view bytes);
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -57,6 +57,7 @@
   LogLine line = this->Line("attempt");
   if (std::optional<double> limit = notices.LimitOf(engine)) line.Number("limit_per_s", *limit);
   if (notices.IsLeaving(engine)) line.Number("leaving", 1);
+  if (choice.pace > kMinPace) line.Number("pace", choice.pace);
   Duration rest = notices.RestLeft(engine, now);
   if (rest > Duration::zero()) line.Number("rest_left_ms", ToSeconds(rest) * 1000);
   this->state->log->Write(
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -289,6 +289,7 @@
   this->engine_follower.SetWait(this->RandomEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
+  this->LogPaces(now);
   this->ApplyEvacuations();
   this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
@@ -297,6 +298,17 @@
   if (this->state.fleet.mechanisms().copy_engine_list) this->engine_list_copy.Tick(now);
 }
 
+void GatewayServer::LogPaces(Time now) {
+  for (const PaceChange& change : this->state.fleet.paces().TakeChanges(now)) {
+    LogLine line("engine_pace");
+    line.Text("engine", change.engine)
+        .Number("pace", change.pace)
+        .Number("observations", static_cast<double>(change.observations));
+    if (!change.told_by.empty()) line.Text("told_by", change.told_by);
+    this->log.Write(line);
+  }
+}
+
 bool GatewayServer::IsReady() const {
   return !this->stopping && this->state.config && this->engines_known &&
          this->state.keys.IsFresh(Now());
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -64,6 +64,9 @@
   // The engines that this gateway has set aside because of failures that it saw itself.
   std::set<std::string> SetAside() const { return this->state.fleet.SetAsideEngines(Now()); }
 
+  // The number of engines that are clearly slower than published (overload/engine_pace.h).
+  size_t slow_engines() const { return this->state.fleet.paces().slow(Now()); }
+
   // The version of the configuration in force; 0 if none has been read.
   uint64_t ConfigVersion() const;
 
@@ -161,6 +164,7 @@
   void LogKeyFreshness(Time now);
   void TickConnections(Time now);
   void TickFleet(Time now);
+  void LogPaces(Time now);
   Duration RandomEngineListWait();
   void StartReadingEngines();
   Duration RandomReadDelay();
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -40,6 +40,8 @@
   snapshot.engines_resting = notices.resting(Now());
   snapshot.notices_forgotten = notices.forgotten();
   snapshot.engines_cold = this->state.fleet.cold().size();
+  snapshot.engines_slow = this->slow_engines();
+  snapshot.highest_pace = this->state.fleet.paces().highest(Now());
   snapshot.evacuated_data_centres = this->evacuated.size();
   snapshot.config_version = this->ConfigVersion();
   snapshot.config_age = Now() - this->state.keys.confirmed_at();
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -177,6 +177,7 @@
   this->liveness.OnDatagram(digest->box, now);
   this->OnNotices(*digest, now);
   this->OnStoreState(*digest);
+  this->fleet->ReceivePaces(digest->box, digest->paces, now);
   if (digest->is_offer) {
     this->fleet->ReceiveOffer(digest->box, digest->incarnation, digest->sequence, digest->loads,
                               now);
@@ -293,6 +294,7 @@
   bool all_notices = refresh && this->rounds % kRoundsPerNoticeRefresh == 0;
   this->SendToCells(this->fleet->NoticesToSend(all_notices, now), &LoadDigest::notices, now);
   this->SendToCells(this->TakeUnsent(refresh, now), &LoadDigest::loads, now);
+  this->SendToCells(this->fleet->paces().ReportsToSend(refresh, now), &LoadDigest::paces, now);
 }
 
 // Returns the loads to send: the changed ones, or all of them.  Marks them as sent.
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -137,6 +137,10 @@
              static_cast<double>(snapshot.engines_resting));
   text.Gauge("gullward_engines_cold", "Engines that are cold", {},
              static_cast<double>(snapshot.engines_cold));
+  text.Gauge("gullward_engines_slow", "Engines that take 1.5 times as long as published or longer",
+             {}, static_cast<double>(snapshot.engines_slow));
+  text.Gauge("gullward_engine_pace_highest",
+             "The slowest engine's time, as a multiple of published", {}, snapshot.highest_pace);
   text.Gauge("gullward_evacuated_data_centres", "Data centres that the operator evacuates", {},
              static_cast<double>(snapshot.evacuated_data_centres));
   AddProcess(&text);
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -50,6 +50,10 @@
   // Engines that are cold, and data centres that the operator evacuates.
   size_t engines_cold = 0;
   size_t evacuated_data_centres = 0;
+  // Engines that are clearly slower than published, and the highest pace
+  // (overload/engine_pace.h).
+  size_t engines_slow = 0;
+  double highest_pace = 1;
   // 0 without a configuration.
   uint64_t config_version = 0;
   // The time since the configuration was last shown to be current.
