When refused requests will have room, and terms for callers that return

Cause: Retry-After was a share of the route's objective whatever the load, so callers returned into the same crest.

Ruled out: asking at every step of the time that a caller has left, 129 placements; the search by halves prices nine at most.

Change: serving/room_forecast.h advances the loads and asks placement and refusal again; promised work counts as work ahead. Refusal follows RefusalTerms: what is kept for others counts as used, a promised caller is refused only if it gives up before its first event, and IsWorthRunningLate prices a late answer. Datagrams carry promises; those out of range are dropped.

room_forecast_test (8 cases) passes: loads that drain, the search against the walk over every step on random loads, later promises for later callers, terms, encoding. Without promises, 2000 random placements are judged as by the rule written out. placement_test, serving_test and cell_test pass.

Conclusion: the search agrees with the walk wherever room has no gaps; with gaps it may name a later time that has room.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -38,8 +38,6 @@
 // Cost of each request that uses one of these slots or waits for a slot, as a share of its
 // value.
 constexpr double kCrowdingWeight = 0.2;
-// An engine with this much reading left counts as fully used.
-constexpr double kFullUseReadingMs = 1000;
 // Share of an engine's memory that is assigned to requests; the rest is left free because
 // answers grow while they run.
 constexpr double kMemoryShare = 0.95;
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -23,6 +23,8 @@
 // Multiplies the failure rate.  An engine that always fails costs more than the whole value of
 // the request.
 inline constexpr double kFailureWeight = 2.0;
+// An engine with this much reading left counts as fully used.
+inline constexpr double kFullUseReadingMs = 1000;
 
 // The value of a request with a prompt of `tokens` tokens.
 double RequestValue(double tokens);
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "serving/refusal.h"
+#include "serving/room_forecast.h"
 
 namespace gullward {
 namespace {
@@ -110,11 +111,8 @@
   return untried.empty() ? all : untried;
 }
 
-std::optional<FleetChoice> Fleet::ChooseAmong(const std::vector<PlannedEngine>& usable,
-                                              const Service& service, const Demand& demand,
-                                              const std::set<std::string>& tried, Time now) {
-  std::vector<const PlannedEngine*> selectable = this->Selectable(usable, tried, now);
-  if (selectable.empty()) return std::nullopt;
+std::vector<Candidate> Fleet::CandidatesOf(const std::vector<const PlannedEngine*>& selectable,
+                                           const Demand& demand, Time now) {
   std::vector<Candidate> candidates;
   candidates.reserve(selectable.size());
   double last = std::max<double>(static_cast<double>(selectable.size()) - 1, 1);
@@ -132,6 +130,15 @@
       candidate.rank = ScatteredRank(engine.incarnation, *demand.scatter_hash);
     candidates.push_back(std::move(candidate));
   }
+  return candidates;
+}
+
+std::optional<FleetChoice> Fleet::ChooseAmong(const std::vector<PlannedEngine>& usable,
+                                              const Service& service, const Demand& demand,
+                                              const std::set<std::string>& tried, Time now) {
+  std::vector<const PlannedEngine*> selectable = this->Selectable(usable, tried, now);
+  if (selectable.empty()) return std::nullopt;
+  std::vector<Candidate> candidates = this->CandidatesOf(selectable, demand, now);
   FleetChoice choice;
   PlacementOptions options{this->switches.spread_reading, this->switches.gather_streams};
   choice.placement = service.runs_models
@@ -193,6 +200,18 @@
   return is_better && !ShouldRefuse(elsewhere->placement, demand) ? elsewhere : home;
 }
 
+std::optional<Duration> Fleet::ForecastRoom(const Service& service, const Demand& demand,
+                                            double promised_seconds, Duration horizon, Time now) {
+  const ServicePlan& home_plan = this->plan(now).ForService(service.name);
+  std::vector<const PlannedEngine*> selectable = this->Selectable(home_plan.engines, {}, now);
+  if (selectable.empty() || !service.runs_models) return std::nullopt;
+  std::vector<Candidate> candidates = this->CandidatesOf(selectable, demand, now);
+  PlacementOptions options{this->switches.spread_reading, this->switches.gather_streams};
+  double promised_per_engine = promised_seconds / static_cast<double>(candidates.size());
+  return gullward::ForecastRoom(candidates, service.speed, demand, options, promised_per_engine,
+                                horizon);
+}
+
 std::map<std::string, EngineLoad> Fleet::EnginesToOffer(Time now) {
   const WorkPlan& current = this->plan(now);
   std::vector<std::pair<double, std::string>> by_load;
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -135,6 +135,12 @@
   std::optional<FleetChoice> Choose(const Service& service, const Demand& demand,
                                     const std::set<std::string>& tried, Time now);
 
+  // The time until the home cell's engines have room for a request that they refuse now
+  // (room_forecast.h); no value if that is longer than `horizon`.  `promised_seconds` is the
+  // engine time that goes before it and is not yet on the engines.
+  std::optional<Duration> ForecastRoom(const Service& service, const Demand& demand,
+                                       double promised_seconds, Duration horizon, Time now);
+
   // Drops state of engines that are no longer listed, and expired reports of peers.
   void ForgetUnlisted(Time now);
 
@@ -148,6 +154,8 @@
   std::vector<PlannedEngine> ReachableEngines(const Service& service, Time now);
   std::vector<const PlannedEngine*> Selectable(const std::vector<PlannedEngine>& usable,
                                                const std::set<std::string>& tried, Time now);
+  std::vector<Candidate> CandidatesOf(const std::vector<const PlannedEngine*>& selectable,
+                                      const Demand& demand, Time now);
   std::optional<FleetChoice> ChooseAmong(const std::vector<PlannedEngine>& usable,
                                          const Service& service, const Demand& demand,
                                          const std::set<std::string>& tried, Time now);
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -123,6 +123,39 @@
   return gossip;
 }
 
+using PromiseOffset =
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::ReturnPromiseEntry>>>;
+
+PromiseOffset PackPromises(flatbuffers::FlatBufferBuilder* builder,
+                           const std::vector<ReturnPromise>& promises) {
+  if (promises.empty()) return 0;
+  std::vector<flatbuffers::Offset<fb::ReturnPromiseEntry>> entries;
+  for (const ReturnPromise& promise : promises) {
+    int64_t due_ms = std::chrono::duration_cast<milliseconds>(promise.due_in).count();
+    entries.push_back(fb::CreateReturnPromiseEntry(
+        *builder, promise.content, builder->CreateString(promise.service), due_ms,
+        promise.engine_seconds, static_cast<uint8_t>(promise.rank_steps), promise.is_kept));
+  }
+  return builder->CreateVector(entries);
+}
+
+// Leaves out promises with values out of range.
+std::vector<ReturnPromise> ReadPromises(const fb::LoadDigest& packed) {
+  std::vector<ReturnPromise> promises;
+  if (packed.return_promises() == nullptr) return promises;
+  constexpr int64_t kMaxDueMs =
+      std::chrono::duration_cast<milliseconds>(ReturnBook::kMaxDue).count();
+  for (const fb::ReturnPromiseEntry* entry : *packed.return_promises()) {
+    bool fits = entry->due_ms() >= -kMaxDueMs && entry->due_ms() <= kMaxDueMs;
+    if (!fits || entry->service() == nullptr) continue;
+    ReturnPromise promise{entry->content(),        entry->service()->str(),
+                          entry->rank(),           milliseconds(entry->due_ms()),
+                          entry->engine_seconds(), entry->is_kept()};
+    if (ReturnBook::IsValid(promise)) promises.push_back(std::move(promise));
+  }
+  return promises;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const LoadDigest& digest) {
@@ -169,7 +202,8 @@
       VectorOrNull(&builder, crashes), PackContents(&builder, gossip.answered),
       VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
       digest.engines_copied.revision, PackNotices(&builder, digest.notices),
-      digest.operator_read_to, PackContents(&builder, gossip.answered_before)));
+      digest.operator_read_to, PackContents(&builder, gossip.answered_before), /*paces=*/0,
+      /*tallies=*/0, PackPromises(&builder, digest.return_promises)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -191,6 +225,7 @@
   digest.is_offer = packed->is_offer();
   digest.crash_gossip = ReadCrashGossip(*packed);
   digest.notices = ReadNotices(*packed);
+  digest.return_promises = ReadPromises(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote received;
     received.round = note->round();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -12,7 +12,9 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "overload/return_book.h"
 #include "serving/copy_schedule.h"
 #include "serving/crash_gossip.h"
 #include "serving/engine_load.h"
@@ -54,6 +56,8 @@
   std::map<std::string, NoticeReport> notices;
   // Crash reports that the receiver passes on (serving/crash_gossip.h).
   CrashGossip crash_gossip;
+  // Promises to refused callers, and that they were kept.
+  std::vector<ReturnPromise> return_promises;
 
   bool operator==(const LoadDigest&) const = default;
 };
--- a/src/serving/refusal.cc
+++ b/src/serving/refusal.cc
@@ -2,6 +2,8 @@
 
 #include "serving/refusal.h"
 
+#include <algorithm>
+
 #include "serving/engine_costs.h"
 
 namespace gullward {
@@ -17,19 +19,37 @@
 // objective.
 constexpr double kMaxSlotWaitShare = 0.8;
 
+// The mean utilization of the engines, with what is kept for others counted as used.
+double UtilizationWithReserved(const Placement& placement, const RefusalTerms& terms) {
+  double reserved = terms.reserved_seconds_per_engine * 1000 / kFullUseReadingMs;
+  return reserved > 0 ? std::min(placement.utilization + reserved, 1.0) : placement.utilization;
+}
+
+bool IsAfterCallerGivesUp(const Placement& placement, const RefusalTerms& terms) {
+  return terms.time_left_ms > 0 && placement.first_event_ms > terms.time_left_ms;
+}
+
 }  // namespace
 
 bool ShouldRefuse(const Placement& placement, const Demand& demand) {
+  const RefusalTerms& terms = demand.refusal;
+  if (terms.is_promised) return IsAfterCallerGivesUp(placement, terms);
   double lateness = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
   double value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss * lateness);
-  double engine_time_value = demand.refusal.value_per_engine_second * placement.engine_seconds;
-  double cost =
-      placement.cost_to_streams + placement.utilization * placement.utilization * engine_time_value;
-  double factor = demand.refusal.value_factor;
+  double engine_time_value = terms.value_per_engine_second * placement.engine_seconds;
+  double utilization = UtilizationWithReserved(placement, terms);
+  double cost = placement.cost_to_streams + utilization * utilization * engine_time_value;
+  double factor = terms.value_factor;
   if (demand.was_refused_before) factor *= kRefusedBeforeFactor;
   if (cost > factor * value) return true;
   bool slot_wait_is_cause = placement.slot_wait_ms > kMaxSlotWaitShare * demand.objective_ms;
   return slot_wait_is_cause && placement.first_event_ms > demand.objective_ms;
 }
 
+bool IsWorthRunningLate(const Placement& placement, const Demand& demand) {
+  double late_value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss);
+  return !IsAfterCallerGivesUp(placement, demand.refusal) &&
+         placement.cost_to_streams <= late_value;
+}
+
 }  // namespace gullward
--- a/src/serving/refusal.h
+++ b/src/serving/refusal.h
@@ -16,9 +16,16 @@
 //     exceeds the value that its answer would have, or
 //   - all slots are in use and the wait for a slot alone makes its answer late.
 //
-// Idle engines never cause a refusal.
+// Idle engines never cause a refusal.  What is kept for others (RefusalTerms) counts as in use.
+// A caller that returns at the time that it was told is refused only if the first event is
+// expected after it gives up.
 bool ShouldRefuse(const Placement& placement, const Demand& demand);
 
+// Whether a request that would be refused, and has no room to wait for, is worth running all the
+// same: its first event is expected before the caller gives up, and the loss of the streams beside
+// it does not exceed the value of a late answer.
+bool IsWorthRunningLate(const Placement& placement, const Demand& demand);
+
 }  // namespace gullward
 
 #endif  // GULLWARD_SERVING_REFUSAL_H_
