Gateways keep room for refused callers (use_kept_returns, off by default)

Cause: seven prompts of one play were refused twice 1.3 s apart: a refusal told a time that had nothing to do with the load, and newcomers took the room meanwhile.

Ruled out: sending promises again in each round, as they live for a few seconds; hashing the content of every request, as bodies are long: it is done on a refusal and while there are promises.

Change: a first attempt that is refused is told the forecast time, and the room is promised, if the caller waits that long; otherwise it is run for its late value where that exceeds the harm to streams beside it; otherwise it is refused. Promises go once to the gateways of the home cell. New log lines return_promised, return_kept, return_early, room_in_ms in overload_inputs, and gullward_returns_total.

returns_test (3 cases) passes: a caller refused in one wave is run at another gateway in the next wave, in which newcomers are refused; an early one is told the rest of its time; with the switch off Retry-After is as before. gateway_test, serving_test and placement_test pass.

Conclusion: the method works between two gateways on one machine. What it is worth under the users' demand is not measured yet.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,6 +1,7 @@
 // The functions stand in the order in which a request reaches them: admission, choice of
 // an engine, sending an attempt, forwarding its answer, and the decision when the attempt
 // ends.  Other files hold the rest of the class: exchange_log.cc the log lines,
+// exchange_returns.cc refusals for overload and the return of refused callers,
 // exchange_tickets.cc the reservation of memory on readers, exchange_timeouts.cc deadlines
 // and silent engines, and exchange_crashes.cc requests that crash engines.
 
@@ -85,20 +86,19 @@
     this->ApplyStepUnsent(now);
     return;
   }
+  bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
   Demand demand = this->MakeDemand();
+  if (first_time) this->SetRefusalTerms(&demand, now);
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
     this->ApplyStepUnsent(now);
     return;
   }
-  bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
   bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
-  if (first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand)) {
-    this->LogOverload(choice->placement, demand);
-    this->Refuse(ResultCode::kOverloaded);
-    return;
-  }
+  bool is_refused = first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand);
+  if (is_refused && this->RefuseForOverload(choice->placement, demand, now)) return;
+  if (first_time) this->KeepReturn(now);
   if (choice->placement.spreads_memory) {
     this->AcquireTickets(*choice);
   } else {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,10 +87,15 @@
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
   void ReleaseTickets();
+  void SetRefusalTerms(Demand* demand, Time now);
+  bool RefuseForOverload(const Placement& placement, const Demand& demand, Time now);
+  bool PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in, Time now);
+  void KeepReturn(Time now);
   void SendAttempt(const FleetChoice& choice, Time now);
   AttemptHeaders HeadersFor(const FleetChoice& choice, Time now) const;
   void LogAttempt(const FleetChoice& choice, Time now);
-  void LogOverload(const Placement& placement, const Demand& demand);
+  void LogOverload(const Placement& placement, const Demand& demand,
+                   std::optional<Duration> room_in = std::nullopt);
   RequestChannel::Hooks AttemptHooks();
   void RecordLoad(const FleetChoice& choice, Time now);
   void OnHead(const ResponseHead& head);
@@ -161,6 +166,8 @@
   std::optional<std::string> last_event_id;
   // Computed by Content() on first use, since most requests never need it.
   std::optional<ContentId> content;
+  // How the request relates to a promise to its caller; set before the first attempt.
+  ReturnMatch return_match = ReturnMatch::kUnknown;
   // Until when the request waits for the decision whether its content crashes engines; empty if it
   // does not wait.
   std::optional<Time> decision_awaited_until;
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -36,16 +36,19 @@
 }
 
 // Logs the inputs of a refusal for overload.
-void Exchange::LogOverload(const Placement& placement, const Demand& demand) {
-  this->state->log->Write(this->Line("overload_inputs")
-                              .Number("prompt_tokens", demand.prompt_tokens)
-                              .Number("came_back", demand.was_refused_before ? 1 : 0)
-                              .Number("readers", static_cast<double>(placement.engines.size()))
-                              .Number("expected_first_ms", placement.first_event_ms)
-                              .Number("slot_wait_ms", placement.slot_wait_ms)
-                              .Number("harm", placement.cost_to_streams)
-                              .Number("busy", placement.utilization)
-                              .Number("engine_seconds", placement.engine_seconds));
+void Exchange::LogOverload(const Placement& placement, const Demand& demand,
+                           std::optional<Duration> room_in) {
+  LogLine line = this->Line("overload_inputs");
+  line.Number("prompt_tokens", demand.prompt_tokens)
+      .Number("came_back", demand.was_refused_before ? 1 : 0)
+      .Number("readers", static_cast<double>(placement.engines.size()))
+      .Number("expected_first_ms", placement.first_event_ms)
+      .Number("slot_wait_ms", placement.slot_wait_ms)
+      .Number("harm", placement.cost_to_streams)
+      .Number("busy", placement.utilization)
+      .Number("engine_seconds", placement.engine_seconds);
+  if (room_in) line.Number("room_in_ms", ToSeconds(*room_in) * 1000);
+  this->state->log->Write(line);
 }
 
 // Always logs second attempts and attempts at engines with notices in effect; samples the rest.
--- /dev/null
+++ b/src/gateway/exchange_returns.cc
@@ -0,0 +1,103 @@
+// Refusals for overload.  A caller is told when there will be room, if it can wait that long, and
+// the room is kept for it (overload/return_book.h).  Without `kept_returns` it is told a share of
+// the route's objective, and returns like any other.
+//
+// A request's content is computed on a refusal and while there are promises, since bodies are long.
+
+#include <algorithm>
+
+#include "gateway/exchange.h"
+#include "gateway/failure_answer.h"
+#include "serving/refusal.h"
+
+namespace gullward {
+namespace {
+
+// Callers respect a Retry-After of up to their remaining time divided by this.
+constexpr int kRespectedDivisor = 3;
+
+}  // namespace
+
+// Finds the promise to this caller, and fills in the terms that depend on promises and on the
+// caller's time.
+void Exchange::SetRefusalTerms(Demand* demand, Time now) {
+  Fleet& fleet = this->state->fleet;
+  if (!fleet.mechanisms().kept_returns || !this->service->runs_models) return;
+  ReturnBook& book = this->state->returns;
+  RefusalTerms& terms = demand->refusal;
+  terms.time_left_ms = ToSeconds(this->admission.caller_deadline - now) * 1000;
+  if (book.IsEmpty(now)) return;
+  this->return_match = book.Match(this->Content(), now);
+  terms.is_promised = this->return_match == ReturnMatch::kOnTime;
+  if (terms.is_promised) return;
+  size_t engines = fleet.plan(now).ForService(this->service->name).engines.size();
+  terms.reserved_seconds_per_engine =
+      book.ReservedSeconds(this->service->name, demand->rank_steps, ReturnBook::kAhead, now) /
+      static_cast<double>(std::max<size_t>(engines, 1));
+}
+
+// Refuses a request that is not worth its cost to others.  Returns false, without an answer, if
+// it is to be run all the same, for the value of a late answer.
+bool Exchange::RefuseForOverload(const Placement& placement, const Demand& demand, Time now) {
+  Fleet& fleet = this->state->fleet;
+  if (!fleet.mechanisms().kept_returns) {
+    this->LogOverload(placement, demand);
+    this->Refuse(ResultCode::kOverloaded);
+    return true;
+  }
+  ReturnBook& book = this->state->returns;
+  Duration left = this->admission.caller_deadline - now;
+  double ahead =
+      book.ReservedSeconds(this->service->name, demand.rank_steps, ReturnBook::kMaxDue, now);
+  std::optional<Duration> room_in = fleet.ForecastRoom(*this->service, demand, ahead, left, now);
+  // A caller that is early is told the time that it was promised.
+  if (this->return_match == ReturnMatch::kEarly) {
+    room_in = book.TimeUntilDue(this->Content(), now);
+  }
+  this->LogOverload(placement, demand, room_in);
+  if (this->return_match == ReturnMatch::kOnTime) {
+    // No answer can reach this caller in time, so nothing is kept for it any more.
+    this->state->counters.returns_refused_again += 1;
+    book.Keep(this->Content(), now);
+  } else if (room_in && this->PromiseReturn(placement, demand, *room_in, now)) {
+    this->Refuse(ResultCode::kOverloaded, room_in);
+    return true;
+  } else if (IsWorthRunningLate(placement, demand)) {
+    this->state->counters.run_late += 1;
+    return false;
+  }
+  this->Refuse(ResultCode::kOverloaded, room_in);
+  return true;
+}
+
+// Promises the caller room in `due_in`, or confirms the promise that it has.  Returns false if the
+// caller would not wait that long, or if nothing can be promised to it.
+bool Exchange::PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in,
+                             Time now) {
+  due_in = std::max(due_in, kMinRetryAfter);
+  if (due_in > (this->admission.caller_deadline - now) / kRespectedDivisor) return false;
+  LogLine line = this->Line("return_early");
+  if (this->return_match != ReturnMatch::kEarly) {
+    ReturnPromise promise{this->Content(), this->service->name,      demand.rank_steps,
+                          due_in,          placement.engine_seconds, /*is_kept=*/false};
+    if (!this->state->returns.Promise(promise, now)) return false;
+    this->state->counters.returns_promised += 1;
+    line = this->Line("return_promised");
+  }
+  this->state->log->Write(line.Text("content", ContentName(this->Content()))
+                              .Number("in_ms", ToSeconds(due_in) * 1000)
+                              .Number("engine_seconds", placement.engine_seconds));
+  return true;
+}
+
+// Uses up the promise of a request that is now run, so that nothing is kept for it any more.
+void Exchange::KeepReturn(Time now) {
+  if (this->return_match == ReturnMatch::kUnknown) return;
+  this->state->returns.Keep(this->Content(), now);
+  bool is_on_time = this->return_match == ReturnMatch::kOnTime;
+  if (is_on_time) this->state->counters.returns_kept += 1;
+  this->state->log->Write(this->Line(is_on_time ? "return_kept" : "return_early")
+                              .Text("content", ContentName(this->Content())));
+}
+
+}  // namespace gullward
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -11,16 +11,14 @@
 namespace gullward {
 namespace {
 
-// In seconds, the minimum time until a refused caller should try again.  An engine's pass over
-// its requests and the update of its load at the gateways take about as long.
-constexpr double kMinRetryAfterSeconds = 0.3;
 // The share of the route's objective after which a refused caller should try again.
 constexpr double kRetryAfterShare = 0.3;
 
 double RetryAfterSeconds(const Route* route, std::optional<Duration> retry_after) {
-  if (retry_after) return std::max(kMinRetryAfterSeconds, ToSeconds(*retry_after));
-  if (route == nullptr) return kMinRetryAfterSeconds;
-  return std::max(kMinRetryAfterSeconds, kRetryAfterShare * ToSeconds(route->objective));
+  const double min_seconds = ToSeconds(kMinRetryAfter);
+  if (retry_after) return std::max(min_seconds, ToSeconds(*retry_after));
+  if (route == nullptr) return min_seconds;
+  return std::max(min_seconds, kRetryAfterShare * ToSeconds(route->objective));
 }
 
 }  // namespace
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -16,6 +16,10 @@
 
 namespace gullward {
 
+// The minimum time until a refused caller should try again.  An engine's pass over its requests
+// and the update of its load at the gateways take about as long.
+inline constexpr Duration kMinRetryAfter = milliseconds(300);
+
 // Returns the status and the header fields of the answer.  For statuses 429 and 503 the fields
 // say after how many seconds to try again.  That is `retry_after` if it is set, for a reason whose
 // end is known; otherwise it is a share of the route's objective, so that the answer may still
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -75,6 +75,11 @@
   hooks.on_gossip = [this](const std::string& box, const CrashGossip& gossip) {
     return this->crash_watch.ReceiveGossip(box, gossip, Now());
   };
+  hooks.take_promises = [this] { return this->state.returns.TakeUnsent(Now()); };
+  hooks.on_promise = [this](const ReturnPromise& promise) {
+    bool is_on = this->state.fleet.mechanisms().kept_returns;
+    if (is_on) this->state.returns.Receive(promise, Now());
+  };
   hooks.quarantine_record = [this](ContentId content, const std::string& value) {
     this->crash_watch.OnRecord(content, value, Now());
   };
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
 #include "gateway/settings.h"
+#include "overload/return_book.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
 #include "serving/config_index.h"
@@ -38,6 +39,12 @@
   uint64_t orders = 0;
   // Attempts sent to engines of other cells.
   uint64_t spilled = 0;
+  // Refused callers that were told when to return, that then were run on time, and that were
+  // refused again on time; and requests run late since there was no room to wait for.
+  uint64_t returns_promised = 0;
+  uint64_t returns_kept = 0;
+  uint64_t returns_refused_again = 0;
+  uint64_t run_late = 0;
   // Unreadable entries of the engine list, and incarnations that replaced an earlier one of the
   // same engine id.
   uint64_t entries_unreadable = 0;
@@ -92,6 +99,8 @@
   Time newest_peer_version_at{};
   KeyFreshness keys;
   Fleet fleet;
+  // The promises to refused callers; empty unless kept_returns is on.
+  ReturnBook returns;
   EnginePool pool;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -177,6 +177,7 @@
   this->liveness.OnDatagram(digest->box, now);
   this->OnNotices(*digest, now);
   this->OnStoreState(*digest);
+  for (const ReturnPromise& promise : digest->return_promises) this->hooks.on_promise(promise);
   if (digest->is_offer) {
     this->fleet->ReceiveOffer(digest->box, digest->incarnation, digest->sequence, digest->loads,
                               now);
@@ -293,6 +294,7 @@
   bool all_notices = refresh && this->rounds % kRoundsPerNoticeRefresh == 0;
   this->SendToCells(this->fleet->NoticesToSend(all_notices, now), &LoadDigest::notices, now);
   this->SendToCells(this->TakeUnsent(refresh, now), &LoadDigest::loads, now);
+  this->SendPromises(now);
 }
 
 // Returns the loads to send: the changed ones, or all of them.  Marks them as sent.
@@ -384,6 +386,26 @@
   for (const Peer* peer : receivers) this->Send(*peer, datagram);
 }
 
+// Every gateway of the home cell gets each promise once, also in a large cell: the caller is due
+// before a next round would reach the others.
+void LoadExchange::SendPromises(Time now) {
+  std::vector<ReturnPromise> promises = this->hooks.take_promises();
+  if (promises.empty()) return;
+  const WorkPlan& plan = this->fleet->plan(now);
+  const ServicePlan& main = plan.ForService(plan.main_service());
+  const std::vector<const Peer*>& members =
+      this->directory.MembersOf(plan.main_service(), main.cells, main.home, plan.revision());
+  LoadDigest digest = this->NewDigest(now);
+  for (size_t begin = 0; begin < promises.size(); begin += kEntriesPerDatagram) {
+    size_t end = std::min(begin + kEntriesPerDatagram, promises.size());
+    digest.sequence = ++this->sequence;
+    digest.return_promises.assign(promises.begin() + static_cast<long>(begin),
+                                  promises.begin() + static_cast<long>(end));
+    std::string datagram = EncodeDigest(digest);
+    for (const Peer* peer : members) this->Send(*peer, datagram);
+  }
+}
+
 void LoadExchange::OnNotices(const LoadDigest& digest, Time now) {
   for (const auto& [engine, report] : digest.notices) {
     EngineNotices::Change change = this->fleet->notices().ReceiveReport(engine, report, now);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -93,6 +93,10 @@
     std::function<CrashGossip()> take_gossip;
     // Called with crash gossip from a peer.  Returns what to send to that peer in reply.
     std::function<CrashGossip(const std::string& box, const CrashGossip& gossip)> on_gossip;
+    // Takes the promises to refused callers that are due to be sent, and called with one from a
+    // peer (overload/return_book.h).
+    std::function<std::vector<ReturnPromise>()> take_promises;
+    std::function<void(const ReturnPromise& promise)> on_promise;
     // Called with an entry of the peers' topic about a quarantined request content.
     std::function<void(ContentId content, const std::string& value)> quarantine_record;
     // Called when gateways are first known, and after each change of them.  Not complete: other
@@ -181,6 +185,7 @@
                    std::map<std::string, Entry> LoadDigest::*field,
                    const std::vector<const Peer*>& to, Time now);
   void SendOffers(Time now);
+  void SendPromises(Time now);
   void OnNotices(const LoadDigest& digest, Time now);
   void UpdateSilentPeers(Time now);
   void Send(const Peer& peer, const std::string& datagram);
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -29,6 +29,14 @@
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_events_total", "Stream events passed on", counters.events_forwarded);
   count("gullward_spilled_total", "Attempts at engines of other cells", counters.spilled);
+  for (const auto& [outcome, callers] :
+       {std::pair("promised", counters.returns_promised), std::pair("kept", counters.returns_kept),
+        std::pair("lapsed", snapshot.returns_lapsed),
+        std::pair("refused_again", counters.returns_refused_again),
+        std::pair("run_late", counters.run_late)}) {
+    text->Counter("gullward_returns_total", "Callers refused for overload, by what followed",
+                  {{"outcome", outcome}}, static_cast<double>(callers));
+  }
   count("gullward_datagrams_sent_total", "Datagrams to peers", snapshot.datagrams_sent);
   count("gullward_datagram_bytes_sent_total", "Bytes of them", snapshot.datagram_bytes_sent);
   count("gullward_datagrams_heard_total", "Datagrams of peers", snapshot.datagrams_received);
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -50,6 +50,8 @@
   // Engines that are cold, and data centres that the operator evacuates.
   size_t engines_cold = 0;
   size_t evacuated_data_centres = 0;
+  // Promises to refused callers that lapsed since the process started.
+  uint64_t returns_lapsed = 0;
   // 0 without a configuration.
   uint64_t config_version = 0;
   // The time since the configuration was last shown to be current.
