--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -43,6 +43,7 @@
   snapshot.engines_slow = this->slow_engines();
   snapshot.highest_pace = this->state.fleet.paces().highest(Now());
   snapshot.evacuated_data_centres = this->evacuated.size();
+  snapshot.returns_lapsed = this->state.returns.lapsed();
   snapshot.config_version = this->ConfigVersion();
   snapshot.config_age = Now() - this->state.keys.confirmed_at();
   return MetricsPage(this->state.counters, snapshot);
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -54,6 +54,8 @@
   // (overload/engine_pace.h).
   size_t engines_slow = 0;
   double highest_pace = 1;
+  // Promises to refused callers that lapsed since the process started.
+  uint64_t returns_lapsed = 0;
   // 0 without a configuration.
   uint64_t config_version = 0;
   // The time since the configuration was last shown to be current.
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -24,6 +24,8 @@
 // Multiplies the failure rate.  An engine that always fails costs more than the whole value of
 // the request.
 inline constexpr double kFailureWeight = 2.0;
+// An engine with this much reading left counts as fully used.
+inline constexpr double kFullUseReadingMs = 1000;
 
 // Time in milliseconds that the engine still reads, at its pace.  The load counts the time that has
 // passed, of which a slow engine needs more than the published reading time.
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -12,8 +12,10 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "overload/engine_pace.h"
+#include "overload/return_book.h"
 #include "serving/copy_schedule.h"
 #include "serving/crash_gossip.h"
 #include "serving/engine_load.h"
@@ -57,6 +59,8 @@
   std::map<std::string, PaceReport> paces;
   // Crash reports that the receiver passes on (serving/crash_gossip.h).
   CrashGossip crash_gossip;
+  // Promises to refused callers, and that they were kept.
+  std::vector<ReturnPromise> return_promises;
 
   bool operator==(const LoadDigest&) const = default;
 };
