Gateways refuse by the learned price of engine time where the settings ask for it

Cause: the price of engine time and the shares of routes were computed, but no request used them.

Ruled out: one factor for engine time and for harm to streams, since a vast prompt would then be let in at eight times its value in broken streams; the factor above two applies to engine time only.

Change: RoomPrice sets the price and the value factor of a request at services that run models and counts first tries; the sums go to the members of each service's home cell with each full round of loads. Setting use_learned_price (off by default), log line room_price, gauges gullward_room_price and gullward_route_served_share. With it off nothing is counted, sent or changed (a test).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -79,6 +79,18 @@
   return demand;
 }
 
+WorkKey Exchange::Work() const { return {this->service->name, this->admission.route->name}; }
+
+// Whether a request is refused for its cost to others, at its first choice of engines.
+bool Exchange::IsRefused(const Placement& placement, const Demand& demand, Time now) {
+  bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
+  bool is_refused = refuses_by_cost && ShouldRefuse(placement, demand);
+  if (this->service->runs_models) {
+    this->state->room_price.Note(this->Work(), demand, placement, is_refused, now);
+  }
+  return is_refused;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
@@ -86,6 +98,10 @@
     return;
   }
   Demand demand = this->MakeDemand();
+  if (this->service->runs_models) {
+    size_t engines = this->state->fleet.plan(now).ForService(this->service->name).engines.size();
+    this->state->room_price.SetTerms(this->Work(), engines, now, &demand);
+  }
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
   if (!choice) {
@@ -93,8 +109,7 @@
     return;
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
-  bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
-  if (first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand)) {
+  if (first_time && this->IsRefused(choice->placement, demand, now)) {
     this->LogOverload(choice->placement, demand);
     this->Refuse(ResultCode::kOverloaded);
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -83,6 +83,8 @@
   };
 
   Demand MakeDemand();
+  WorkKey Work() const;
+  bool IsRefused(const Placement& placement, const Demand& demand, Time now);
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -289,6 +289,7 @@
   this->engine_follower.SetWait(this->RandomEngineListWait());
   this->state.pool.Tick(now);
   this->state.fleet.ForgetUnlisted(now);
+  this->state.room_price.Tick(now);
   this->ApplyEvacuations();
   this->engine_list_copy.SetGateways(this->load_exchange.neighbours() + 1);
   if (std::exchange(this->engine_list_changed, false)) {
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -75,6 +75,11 @@
   hooks.on_gossip = [this](const std::string& box, const CrashGossip& gossip) {
     return this->crash_watch.ReceiveGossip(box, gossip, Now());
   };
+  hooks.work_to_send = [this](Time now) { return this->state.room_price.WorkToSend(now); };
+  hooks.on_work = [this](const LoadDigest& digest, Time now) {
+    this->state.room_price.ApplyPeer(digest.box, digest.incarnation, digest.sequence, digest.work,
+                                     now);
+  };
   hooks.quarantine_record = [this](ContentId content, const std::string& value) {
     this->crash_watch.OnRecord(content, value, Now());
   };
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -41,6 +41,7 @@
   snapshot.notices_forgotten = notices.forgotten();
   snapshot.engines_cold = this->state.fleet.cold().size();
   snapshot.evacuated_data_centres = this->evacuated.size();
+  snapshot.prices = &this->state.room_price.prices();
   snapshot.config_version = this->ConfigVersion();
   snapshot.config_age = Now() - this->state.keys.confirmed_at();
   return MetricsPage(this->state.counters, snapshot);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "base/result_code.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
+#include "gateway/room_price.h"
 #include "gateway/settings.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
@@ -76,6 +77,7 @@
         keys(gateway_settings.key_trust, gateway_settings.key_trust_mode),
         fleet(gateway_settings.retry, gateway_settings.box, gateway_settings.data_centre,
               gateway_settings.mechanisms, started),
+        room_price(gateway_settings.mechanisms.learned_price, event_log),
         pool(event_loop),
         random(random_seed),
         incarnation(random_seed) {}
@@ -92,6 +94,8 @@
   Time newest_peer_version_at{};
   KeyFreshness keys;
   Fleet fleet;
+  // What engine time is worth, and how much of each route is served.
+  RoomPrice room_price;
   EnginePool pool;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -183,6 +183,7 @@
     return;
   }
   this->fleet->ReceiveSetAside(digest->box, digest->set_aside, now);
+  if (!digest->work.empty()) this->hooks.on_work(*digest, now);
   if (!this->fleet->mechanisms().peer_loads) return;
   this->fleet->loads().ApplyPeer(digest->box, digest->incarnation, digest->sequence, digest->loads,
                                  now);
@@ -287,6 +288,7 @@
     this->directory.BeginRound();
     this->SendFreshness(now);
     this->SendOffers(now);
+    this->SendWork(now);
     this->UpdateSilentPeers(now);
   }
   // Changed notices, and in some rounds all notices that still hold.
@@ -351,9 +353,9 @@
 }
 
 // Sends a long list in several datagrams, since each holds at most kEntriesPerDatagram entries.
-template <typename Entry>
-void LoadExchange::SendInParts(std::map<std::string, Entry> entries,
-                               std::map<std::string, Entry> LoadDigest::*field,
+template <typename Key, typename Entry>
+void LoadExchange::SendInParts(std::map<Key, Entry> entries,
+                               std::map<Key, Entry> LoadDigest::*field,
                                const std::vector<const Peer*>& to, Time now) {
   if (entries.empty() || to.empty()) return;
   LoadDigest digest = this->NewDigest(now);
@@ -369,6 +371,19 @@
   }
 }
 
+// Sends the sums of each service to the gateways that share its engines with this one.
+void LoadExchange::SendWork(Time now) {
+  std::map<std::string, std::map<WorkKey, WorkSums>> by_service;
+  for (const auto& [key, sums] : this->hooks.work_to_send(now)) by_service[key.service][key] = sums;
+  const WorkPlan& plan = this->fleet->plan(now);
+  for (auto& [service, work] : by_service) {
+    const ServicePlan& part = plan.ForService(service);
+    this->SendInParts(
+        std::move(work), &LoadDigest::work,
+        this->directory.MembersForRound(service, part.cells, part.home, plan.revision()), now);
+  }
+}
+
 void LoadExchange::SendOffers(Time now) {
   if (!this->fleet->mechanisms().spill) return;
   const WorkPlan& plan = this->fleet->plan(now);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -11,13 +11,15 @@
 // Now and then it sends all of its loads.  Each datagram also lists the engines that the sender
 // has set aside (serving/peer_suspicion.h).
 //
-// Three kinds of datagrams carry other state:
+// Four kinds of datagrams carry other state:
 //   - Each neighbour (a member of the home cell) receives a note on how current the sender's
 //     configuration is, every half second and whenever the sender has revalidated it
 //     (serving/peer_freshness.h).  A gateway that cannot reach the store can therefore go on
 //     accepting keys.
 //   - The members of an engine's cell receive the notices that the engine has sent
 //     (serving/engine_notices.h).
+//   - The members of a service's home cell receive the work that the sender's callers have asked of
+//     it (overload/work_tally.h).
 //   - A few random gateways of other cells receive offers of this cell's engines
 //     (serving/spill.h).
 //
@@ -106,6 +108,10 @@
     std::function<void()> on_topic_changed;
     // Called with the entry of the peers' topic that names the settled epoch of the store.
     std::function<void(const std::string& value)> settled_epoch_record;
+    // The work that callers have lately asked of this gateway (overload/work_tally.h), and called
+    // with the sums of a peer, from the datagram with this incarnation and sequence number.
+    std::function<std::map<WorkKey, WorkSums>(Time now)> work_to_send;
+    std::function<void(const LoadDigest& digest, Time now)> on_work;
   };
 
   LoadExchange(EventLoop* event_loop, const GatewaySettings& settings, uint64_t own_incarnation,
@@ -176,10 +182,10 @@
   template <typename Entry>
   void SendToCells(const std::map<std::string, Entry>& entries,
                    std::map<std::string, Entry> LoadDigest::*field, Time now);
-  template <typename Entry>
-  void SendInParts(std::map<std::string, Entry> entries,
-                   std::map<std::string, Entry> LoadDigest::*field,
+  template <typename Key, typename Entry>
+  void SendInParts(std::map<Key, Entry> entries, std::map<Key, Entry> LoadDigest::*field,
                    const std::vector<const Peer*>& to, Time now);
+  void SendWork(Time now);
   void SendOffers(Time now);
   void OnNotices(const LoadDigest& digest, Time now);
   void UpdateSilentPeers(Time now);
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -93,6 +93,19 @@
               static_cast<double>(watch.quarantine().quarantined()));
 }
 
+// Adds the price of engine time and the served shares of routes; nothing while they are not
+// learned.
+void AddPrices(const WorkPrices& prices, MetricsText* text) {
+  for (const auto& [service, figures] : prices.services()) {
+    text->Gauge("gullward_room_price", "Value of an engine second, in short requests",
+                {{"service", service}}, figures.price);
+    for (const auto& [route, share] : figures.routes) {
+      text->Gauge("gullward_route_served_share", "Share of first tries that is not refused",
+                  {{"service", service}, {"route", route}}, share.served);
+    }
+  }
+}
+
 void AddLatencies(const GatewayCounters& counters, MetricsText* text) {
   for (const auto& [length, histogram] : counters.first_event) {
     text->Histogram("gullward_first_event_seconds", "From a request's arrival to its first event",
@@ -122,6 +135,7 @@
   MetricsText text;
   AddCounts(counters, snapshot, &text);
   AddCrashes(*snapshot.crashes, &text);
+  AddPrices(*snapshot.prices, &text);
   AddLatencies(counters, &text);
   text.Gauge("gullward_engines", "Engines on the list", {}, static_cast<double>(snapshot.engines));
   text.Gauge("gullward_peers", "Other gateways known", {}, static_cast<double>(snapshot.peers));
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -56,6 +56,8 @@
   Duration config_age{};
   // Requests that crash engines.  Never null when the page is produced.
   const CrashWatch* crashes = nullptr;
+  // What engine time is worth, by service.  Never null when the page is produced.
+  const WorkPrices* prices = nullptr;
 
   bool operator==(const MetricsSnapshot&) const = default;
 };
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -93,6 +93,35 @@
   return notices;
 }
 
+using WorkOffset =
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::WorkTallyEntry>>>;
+
+WorkOffset PackWork(flatbuffers::FlatBufferBuilder* builder,
+                    const std::map<WorkKey, WorkSums>& work) {
+  if (work.empty()) return 0;
+  std::vector<flatbuffers::Offset<fb::WorkTallyEntry>> entries;
+  for (const auto& [key, sums] : work) {
+    entries.push_back(fb::CreateWorkTallyEntry(*builder, builder->CreateString(key.service),
+                                               builder->CreateString(key.route), sums.asked,
+                                               sums.refused, sums.engine_seconds, sums.value));
+  }
+  return builder->CreateVector(entries);
+}
+
+bool IsEmpty(const flatbuffers::String* text) { return text == nullptr || text->size() == 0; }
+
+std::map<WorkKey, WorkSums> ReadWork(const fb::LoadDigest& packed) {
+  std::map<WorkKey, WorkSums> work;
+  if (packed.tallies() == nullptr) return work;
+  for (const fb::WorkTallyEntry* entry : *packed.tallies()) {
+    if (work.size() >= LoadDigest::kMaxWorkEntries) break;
+    WorkSums sums{entry->asked(), entry->refused(), entry->engine_seconds(), entry->value()};
+    if (IsEmpty(entry->service()) || IsEmpty(entry->route()) || !IsValidWork(sums)) continue;
+    work[{entry->service()->str(), entry->route()->str()}] = sums;
+  }
+  return work;
+}
+
 using PackedContents = flatbuffers::Vector<uint64_t>;
 
 flatbuffers::Offset<PackedContents> PackContents(flatbuffers::FlatBufferBuilder* builder,
@@ -169,7 +198,8 @@
       VectorOrNull(&builder, crashes), PackContents(&builder, gossip.answered),
       VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
       digest.engines_copied.revision, PackNotices(&builder, digest.notices),
-      digest.operator_read_to, PackContents(&builder, gossip.answered_before)));
+      digest.operator_read_to, PackContents(&builder, gossip.answered_before), /*paces=*/0,
+      PackWork(&builder, digest.work)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -191,6 +221,7 @@
   digest.is_offer = packed->is_offer();
   digest.crash_gossip = ReadCrashGossip(*packed);
   digest.notices = ReadNotices(*packed);
+  digest.work = ReadWork(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote received;
     received.round = note->round();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "overload/work_tally.h"
 #include "serving/copy_schedule.h"
 #include "serving/crash_gossip.h"
 #include "serving/engine_load.h"
@@ -22,6 +23,8 @@
 namespace gullward {
 
 struct LoadDigest {
+  static constexpr size_t kMaxWorkEntries = 64;
+
   // The sender and its incarnation.
   std::string box;
   uint64_t incarnation = 0;
@@ -54,6 +57,9 @@
   std::map<std::string, NoticeReport> notices;
   // Crash reports that the receiver passes on (serving/crash_gossip.h).
   CrashGossip crash_gossip;
+  // The work that the sender's callers have lately asked (overload/work_tally.h).  Invalid sums are
+  // dropped, and so are entries beyond kMaxWorkEntries.
+  std::map<WorkKey, WorkSums> work;
 
   bool operator==(const LoadDigest&) const = default;
 };
