--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -108,6 +108,27 @@
   return is_counted ? &this->state->account_shares[this->service->name] : nullptr;
 }
 
+WorkKey Exchange::Work() const { return {this->service->name, this->admission.route->name}; }
+
+// Sets the terms that depend on the work of all callers.
+void Exchange::SetPrice(Demand* demand, Time now) {
+  if (!this->service->runs_models) return;
+  size_t engines = this->state->fleet.plan(now).ForService(this->service->name).engines.size();
+  this->state->room_price.SetTerms(this->Work(), engines, now, demand);
+}
+
+// Decides on a request's first placement.  Returns whether it was refused.
+bool Exchange::RefuseOrNote(const Placement& placement, const Demand& demand, Time now) {
+  GatewayState& gateway = *this->state;
+  WorkKey work = this->Work();
+  bool has_price = this->service->runs_models;
+  bool is_refused = gateway.fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
+  if (is_refused) is_refused = this->RefuseForOverload(placement, demand, now);
+  if (has_price) gateway.room_price.Note(work, demand, placement, is_refused, now);
+  if (!is_refused) this->KeepReturn(now);
+  return is_refused;
+}
+
 void Exchange::StartAttempt(Time now) {
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
@@ -116,6 +137,7 @@
   }
   bool first_time = this->attempts == 0 && this->ticket_rounds == 0;
   Demand demand = this->MakeDemand(now);
+  this->SetPrice(&demand, now);
   if (first_time) this->SetRefusalTerms(&demand, now);
   std::optional<FleetChoice> choice =
       this->state->fleet.Choose(*this->service, demand, this->tried, now);
@@ -126,10 +148,7 @@
   if (AccountShares* shares = this->Shares()) {
     shares->NoteAsked(this->admission.account, choice->placement.utilization, now);
   }
-  bool refuses_by_cost = this->state->fleet.mechanisms().refusal_by_cost;
-  bool is_refused = first_time && refuses_by_cost && ShouldRefuse(choice->placement, demand);
-  if (is_refused && this->RefuseForOverload(choice->placement, demand, now)) return;
-  if (first_time) this->KeepReturn(now);
+  if (first_time && this->RefuseOrNote(choice->placement, demand, now)) return;
   if (choice->placement.spreads_memory) {
     this->AcquireTickets(*choice);
   } else {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,9 @@
   void SetRank(Demand* demand, Time now);
   RankLosses* Losses();
   AccountShares* Shares();
+  WorkKey Work() const;
+  void SetPrice(Demand* demand, Time now);
+  bool RefuseOrNote(const Placement& placement, const Demand& demand, Time now);
   void StartAttempt(Time now);
   void AcquireTickets(const FleetChoice& choice);
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -131,6 +131,21 @@
   return builder->CreateVector(entries);
 }
 
+using WorkOffset =
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::WorkTallyEntry>>>;
+
+WorkOffset PackWork(flatbuffers::FlatBufferBuilder* builder,
+                    const std::map<WorkKey, WorkSums>& work) {
+  if (work.empty()) return 0;
+  std::vector<flatbuffers::Offset<fb::WorkTallyEntry>> entries;
+  for (const auto& [key, sums] : work) {
+    entries.push_back(fb::CreateWorkTallyEntry(*builder, builder->CreateString(key.service),
+                                               builder->CreateString(key.route), sums.asked,
+                                               sums.refused, sums.engine_seconds, sums.value));
+  }
+  return builder->CreateVector(entries);
+}
+
 std::map<std::string, PaceReport> ReadPaces(const fb::LoadDigest& packed) {
   std::map<std::string, PaceReport> paces;
   if (packed.paces() == nullptr) return paces;
@@ -142,6 +157,20 @@
   return paces;
 }
 
+bool IsEmpty(const flatbuffers::String* text) { return text == nullptr || text->size() == 0; }
+
+std::map<WorkKey, WorkSums> ReadWork(const fb::LoadDigest& packed) {
+  std::map<WorkKey, WorkSums> work;
+  if (packed.tallies() == nullptr) return work;
+  for (const fb::WorkTallyEntry* entry : *packed.tallies()) {
+    if (work.size() >= LoadDigest::kMaxWorkEntries) break;
+    WorkSums sums{entry->asked(), entry->refused(), entry->engine_seconds(), entry->value()};
+    if (IsEmpty(entry->service()) || IsEmpty(entry->route()) || !IsValidWork(sums)) continue;
+    work[{entry->service()->str(), entry->route()->str()}] = sums;
+  }
+  return work;
+}
+
 using PackedContents = flatbuffers::Vector<uint64_t>;
 
 flatbuffers::Offset<PackedContents> PackContents(flatbuffers::FlatBufferBuilder* builder,
@@ -253,8 +282,8 @@
       VectorOrNull(&builder, quarantined), ToPacked(digest.store_epoch), digest.epoch_is_settled,
       digest.engines_copied.revision, PackNotices(&builder, digest.notices),
       digest.operator_read_to, PackContents(&builder, gossip.answered_before),
-      PackPaces(&builder, digest.paces),
-      /*tallies=*/0, PackPromises(&builder, digest.return_promises)));
+      PackPaces(&builder, digest.paces), PackWork(&builder, digest.work),
+      PackPromises(&builder, digest.return_promises)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -278,6 +307,7 @@
   digest.notices = ReadNotices(*packed);
   digest.paces = ReadPaces(*packed);
   digest.return_promises = ReadPromises(*packed);
+  digest.work = ReadWork(*packed);
   if (const fb::FreshnessNote* note = packed->freshness()) {
     FreshnessNote received;
     received.round = note->round();
--- a/src/serving/load_digest.h
+++ b/src/serving/load_digest.h
@@ -16,6 +16,7 @@
 
 #include "overload/engine_pace.h"
 #include "overload/return_book.h"
+#include "overload/work_tally.h"
 #include "serving/copy_schedule.h"
 #include "serving/crash_gossip.h"
 #include "serving/engine_load.h"
@@ -25,6 +26,8 @@
 namespace gullward {
 
 struct LoadDigest {
+  static constexpr size_t kMaxWorkEntries = 64;
+
   // The sender and its incarnation.
   std::string box;
   uint64_t incarnation = 0;
@@ -61,6 +64,9 @@
   CrashGossip crash_gossip;
   // Promises to refused callers, and that they were kept.
   std::vector<ReturnPromise> return_promises;
+  // The work that the sender's callers have lately asked (overload/work_tally.h).  Invalid sums are
+  // dropped, and so are entries beyond kMaxWorkEntries.
+  std::map<WorkKey, WorkSums> work;
 
   bool operator==(const LoadDigest&) const = default;
 };
