A start of the whole fleet does not wait a second for a lost packet

Cause: a gateway that reads the topics from a peer and starts before that peer's box has power sends the opening packet of its connection to a machine that says nothing. The kernel sends it again after a second, and the read had no earlier limit, so about half of a fleet of 24 served a second after the other half.

Ruled out: the pause of a registration (the entries are in place), the pause after a refused connection (0.1 s) and the relay's wait (a parent that is loading holds the read and answers as soon as it has the topic).

Change: in the first second, a read from a peer that has no connection after 100 ms is sent again on a new one, then with doubled limits. After the second the peer counts as failed, as before. Nothing changes once a topic is loaded.

Conclusion: the new test of the whole fleet fails without the change and passes with it; the calls do not grow. Not measured on a deployment.

--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -66,6 +66,9 @@
   // Whether a call is in progress.
   bool is_busy() const { return this->pending != nullptr; }
 
+  // Whether the call in progress waits for its connection, so that the server knows nothing of it.
+  bool is_connecting() const { return this->is_busy() && this->channel->is_connecting(); }
+
   uint64_t calls() const { return this->call_count; }
 
  private:
--- a/src/gateway/testing/topic_relay_test.cc
+++ b/src/gateway/testing/topic_relay_test.cc
@@ -7,6 +7,9 @@
 #define BOOST_TEST_MODULE topic_relay
 #include "gateway/topic_relay.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -16,6 +19,7 @@
 #include "gateway/testing/gateway_fixture.h"
 #include "serving/gateway_entry.h"
 #include "serving/reader_tree.h"
+#include "transport/socket_address.h"
 #include "transport/tcp_listener.h"
 
 namespace gullward {
@@ -332,5 +336,100 @@
   }
 }
 
+// ------------------------------------------------------------------- a start of the whole fleet
+
+// An address that loses the opening packets of connections, as a box without power does: the queue
+// of connections of its socket is full.  Connections to it are not refused.
+class UnpoweredAddress {
+ public:
+  explicit UnpoweredAddress(EventLoop* loop) {
+    sockaddr_storage storage;
+    socklen_t length = SocketAddress{"127.0.0.1", 0}.Fill(&storage);
+    this->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    BOOST_REQUIRE(bind(this->fd, reinterpret_cast<sockaddr*>(&storage), length) == 0);
+    BOOST_REQUIRE(listen(this->fd, 0) == 0);
+    for (auto& one : this->queued) one = TcpStream::Connect(loop, this->address());
+  }
+  ~UnpoweredAddress() { close(this->fd); }
+  UnpoweredAddress(const UnpoweredAddress&) = delete;
+  UnpoweredAddress& operator=(const UnpoweredAddress&) = delete;
+
+  SocketAddress address() const { return {"127.0.0.1", LocalPort(this->fd)}; }
+
+ private:
+  int fd = -1;
+  std::shared_ptr<TcpStream> queued[2];
+};
+
+struct FleetStart {
+  // From the start of the last gateway until all are ready.
+  double seconds = 0;
+  // Calls to the store until then.
+  uint64_t calls = 0;
+};
+
+// Starts gateways whose entries are in the store already, one after the other over this time.  The
+// last `missing` of them never start.
+FleetStart StartFleet(size_t gateways, size_t missing, Duration spread) {
+  GatewayFixture fixture({});
+  fixture.Publish(fixture.DefaultConfig());
+  std::vector<std::unique_ptr<UnpoweredAddress>> boxes;
+  for (size_t i = 0; i < gateways; ++i) {
+    boxes.push_back(std::make_unique<UnpoweredAddress>(&fixture.loop));
+    std::string box = absl::StrCat("box-", i + 2);
+    fixture.store.Put(kPeersTopic, box,
+                      EncodeGatewayEntry({box, boxes.back()->address(), "hall-1"}));
+  }
+  uint64_t calls_before = fixture.store.calls();
+  Time last_start{};
+  for (size_t i = 0; i + missing < gateways; ++i) {
+    fixture.peers_address = boxes[i]->address();
+    boxes[i].reset();
+    fixture.AddGatewayUnready();
+    last_start = Now();
+    Time next = last_start + spread / static_cast<int>(gateways);
+    fixture.RunUntil([next] { return Now() >= next; });
+  }
+  BOOST_REQUIRE(fixture.RunUntil([&] {
+    bool all = true;
+    for (const auto& one : fixture.more_gateways) all = all && one->IsReady();
+    return all;
+  }));
+  return {ToSeconds(Now() - last_start), fixture.store.calls() - calls_before};
+}
+
+// The load answered: all boxes of a fleet get power at about the same time.  Gateways that started
+// before the one they read from lost the opening packet of their connection to it, and waited a
+// second until the kernel sent it again.
+BOOST_AUTO_TEST_CASE(AFleetThatStartsTogetherIsReadyTogether) {
+  constexpr size_t kGateways = 24;
+  FleetStart start = StartFleet(kGateways, /*missing=*/0, milliseconds(200));
+  BOOST_TEST_MESSAGE("ready in " << start.seconds << " s with " << start.calls << " calls");
+  BOOST_TEST(start.seconds < 0.7);
+  // Each gateway reads its peers' topic and waits for its changes; the roots read the other topics.
+  BOOST_TEST(start.calls <= 2 * kGateways + 6 * kMinRoots, start.calls << " calls");
+}
+
+// In a small fleet every gateway reads all topics from the store and waits for no other.
+BOOST_AUTO_TEST_CASE(ASmallFleetStartsFromTheStore) {
+  constexpr size_t kGateways = 5;
+  FleetStart start = StartFleet(kGateways, /*missing=*/0, milliseconds(50));
+  BOOST_TEST_MESSAGE("ready in " << start.seconds << " s with " << start.calls << " calls");
+  BOOST_TEST(start.seconds < 0.7);
+  BOOST_TEST(start.calls <= 8 * kGateways, start.calls << " calls");
+}
+
+// Some boxes stay without power, and others read from them.
+BOOST_AUTO_TEST_CASE(BoxesThatStayWithoutPowerDelayTheirReadersByABoundedTime) {
+  constexpr size_t kGateways = 24;
+  constexpr size_t kMissing = 6;
+  FleetStart start = StartFleet(kGateways, kMissing, milliseconds(200));
+  BOOST_TEST_MESSAGE("ready in " << start.seconds << " s with " << start.calls << " calls");
+  BOOST_TEST(start.seconds < ToSeconds(TopicFollower::kStartPatience) + 0.4);
+  // Their readers turn to the store, for two topics.
+  BOOST_TEST(start.calls <= 2 * kGateways + 6 * kMinRoots + 2 * kChildren * kMissing,
+             start.calls << " calls");
+}
+
 }  // namespace
 }  // namespace gullward
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -32,7 +32,7 @@
 
 void TopicFollower::Start() {
   this->started = true;
-  this->patient_until = Now() + kStartPatience;
+  this->BePatient(Now());
   this->ReadOn();
 }
 
@@ -47,7 +47,7 @@
   if (!this->started || is_restarted) return;
   this->loaded = false;
   this->pages.clear();
-  this->patient_until = Now() + kStartPatience;
+  this->BePatient(Now());
   // Without a call in progress, the pending pause or retry will read the pages.
   if (!this->client.is_busy() && !this->peer_client.is_busy()) return;
   this->client.Cancel();
@@ -237,6 +237,31 @@
   this->peer_client.Call(
       {"GET", PathOf(read), ""}, kPeerWait + kPeerTimeout,
       [this, box, sent](const StoreAnswer& answer) { this->OnPeerAnswer(box, sent, answer); });
+  if (this->IsPatient(sent)) this->BoundConnectTime(box);
+}
+
+void TopicFollower::BePatient(Time now) {
+  this->patient_until = now + kStartPatience;
+  this->connect_limit = kStartConnectLimit;
+}
+
+// With doubled limits, a peer that is up after some time is noticed within as long again.
+void TopicFollower::BoundConnectTime(const std::string& box) {
+  Duration limit = std::min(this->connect_limit, this->patient_until - Now());
+  this->connect_limit *= 2;
+  uint64_t read = this->peer_client.calls();
+  this->loop->RunAfter(limit, [this, box, read] { this->OnConnectTimeOver(box, read); });
+}
+
+void TopicFollower::OnConnectTimeOver(const std::string& box, uint64_t read) {
+  bool is_waiting = read == this->peer_client.calls() && this->peer_client.is_connecting();
+  if (this->loaded || !is_waiting) return;
+  this->peer_client.Cancel();
+  if (this->IsPatient(Now())) {
+    this->ReadOn();
+  } else {
+    this->OnPeerFailed(box);
+  }
 }
 
 void TopicFollower::OnPeerAnswer(const std::string& box, Time sent, const StoreAnswer& answer) {
@@ -313,8 +338,7 @@
 
 void TopicFollower::OnPeerFailed(const std::string& box) {
   Time now = Now();
-  bool is_patient = !this->loaded && now < this->patient_until;
-  if (is_patient) {
+  if (this->IsPatient(now)) {
     this->ReadOnAfter(kStartPause);
     return;
   }
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -73,6 +73,10 @@
   // the store is asked: in a start of the whole fleet they have not read anything either.
   static constexpr Duration kStartPatience = seconds(1);
   static constexpr Duration kStartPause = milliseconds(100);
+  // In this time a read from a peer that has no connection yet is sent again on a new one, at first
+  // after kStartConnectLimit and then after twice as long each time.  A box that had no power has
+  // lost the opening packet, and the kernel sends it again only after a second.
+  static constexpr Duration kStartConnectLimit = milliseconds(100);
   // The largest answer to request from the history: 0.1 s on a link of 20 Mbit/s.
   static constexpr size_t kMaxHistoryKb = 256;
   // The smallest answer that can be requested.  It still states the log's end.
@@ -173,6 +177,10 @@
   bool IsUsable(const TopicUpdate& update) const;
   void ApplyUpdate(const TopicUpdate& update, Time sent);
   void OnPeerFailed(const std::string& box);
+  void BePatient(Time now);
+  bool IsPatient(Time now) const { return !this->loaded && now < this->patient_until; }
+  void BoundConnectTime(const std::string& box);
+  void OnConnectTimeOver(const std::string& box, uint64_t read);
   Duration LagBehindPeers(Time now);
   void TakeNewestRecords(const std::vector<platform::KeyedRecord>& records, uint64_t end,
                          Time proved);
@@ -219,6 +227,8 @@
   std::optional<Time> without_store_since;
   // Until when peers that do not answer are asked again.
   Time patient_until{};
+  // How long the next read in that time may wait for its connection.
+  Duration connect_limit = kStartConnectLimit;
   // Since when peers are known to have read further than `behind_offset`, this follower's offset.
   std::optional<uint64_t> behind_offset;
   Time behind_since{};
