Callers refused by a starting gateway can be told its expected time

Cause: a refusal during a start tells the caller to return after 0.3 s, or after 0.3 of the route's objective where a route is known, whatever the start still lacks.

Ruled out: holding the request. Without a configuration no route is known, so the time that the caller has is not known either, and the caller may reach a gateway that is further. Also telling less than 0.3 s: a caller that returns too early is refused twice.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -447,6 +447,11 @@
 void Exchange::Refuse(ResultCode code, std::optional<Duration> retry_after) {
   this->state->counters.failures[code] += 1;
   this->LogFailure(code);
+  const StartSteps& start = this->state->start;
+  bool tells_start = this->state->fleet.mechanisms().start_retry_after && start.IsCauseOf(code);
+  if (tells_start && !retry_after) {
+    retry_after = RetryAfterDuringStart(this->admission.route, start.SinceStart(Now()));
+  }
   AnswerHead head = FailureHead(code, this->facts.attempt_id, this->admission.route, retry_after);
   std::shared_ptr<CallerChannel> channel = this->caller;
   this->Finish();
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -17,6 +17,9 @@
 // The share of the route's objective after which a refused caller should try again.
 constexpr double kRetryAfterShare = 0.3;
 
+// The same while a gateway starts, as long as no route is known: other gateways may serve by then.
+constexpr double kMaxStartRetryAfterSeconds = 1;
+
 double RetryAfterSeconds(const Route* route, std::optional<Duration> retry_after) {
   if (retry_after) return std::max(kMinRetryAfterSeconds, ToSeconds(*retry_after));
   if (route == nullptr) return kMinRetryAfterSeconds;
@@ -41,6 +44,12 @@
   return head;
 }
 
+Duration RetryAfterDuringStart(const Route* route, Duration since_start) {
+  double longest =
+      route != nullptr ? RetryAfterSeconds(route, std::nullopt) : kMaxStartRetryAfterSeconds;
+  return FromSeconds(std::clamp(ToSeconds(since_start), kMinRetryAfterSeconds, longest));
+}
+
 std::string FailureBody(ResultCode code) {
   const ResultCodeInfo& info = Info(code);
   return absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"", info.name,
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -24,6 +24,11 @@
 AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
                        std::optional<Duration> retry_after = std::nullopt);
 
+// Returns after how long to try again a request that was refused because the gateway is starting,
+// `since_start` after it began to.  A start that has taken some time is expected to take as long
+// again.  Never later than for another refusal on this route; a second at most where none is known.
+Duration RetryAfterDuringStart(const Route* route, Duration since_start);
+
 // Returns the code's row of the table of result codes as JSON.
 std::string FailureBody(ResultCode code);
 
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -102,6 +102,9 @@
   // Engines are priced by the speed that their answers show (overload/engine_pace.h).  Off: by the
   // speed that the configuration publishes.
   bool engine_pace = false;
+  // A gateway that is starting tells refused callers to return when its start should be over
+  // (gateway/start_steps.h).  Off: as after any refusal, after a share of the route's objective.
+  bool start_retry_after = false;
 
   bool operator==(const Mechanisms&) const = default;
 };
@@ -140,6 +143,7 @@
     {"kept_returns", &Mechanisms::kept_returns},
     {"learned_price", &Mechanisms::learned_price},
     {"engine_pace", &Mechanisms::engine_pace},
+    {"start_retry_after", &Mechanisms::start_retry_after},
 };
 
 }  // namespace gullward
