--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -14,6 +14,9 @@
 // The share of the route's objective after which a refused caller should try again.
 constexpr double kRetryAfterShare = 0.3;
 
+// The same while a gateway starts, as long as no route is known: other gateways may serve by then.
+constexpr double kMaxStartRetryAfterSeconds = 1;
+
 double RetryAfterSeconds(const Route* route, std::optional<Duration> retry_after) {
   const double min_seconds = ToSeconds(kMinRetryAfter);
   if (retry_after) return std::max(min_seconds, ToSeconds(*retry_after));
@@ -39,6 +42,12 @@
   return head;
 }
 
+Duration RetryAfterDuringStart(const Route* route, Duration since_start) {
+  double longest =
+      route != nullptr ? RetryAfterSeconds(route, std::nullopt) : kMaxStartRetryAfterSeconds;
+  return FromSeconds(std::clamp(ToSeconds(since_start), kMinRetryAfterSeconds, longest));
+}
+
 std::string FailureBody(ResultCode code) {
   const ResultCodeInfo& info = Info(code);
   return absl::StrCat("{\"code\":", static_cast<uint32_t>(code), ",\"name\":\"", info.name,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "overload/account_share.h"
 #include "overload/ranks.h"
 #include "overload/return_book.h"
+#include "gateway/start_steps.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
 #include "serving/config_index.h"
@@ -90,6 +91,7 @@
               gateway_settings.mechanisms, started),
         room_price(gateway_settings.mechanisms.learned_price, event_log),
         pool(event_loop),
+        start(started),
         random(random_seed),
         incarnation(random_seed) {}
 
@@ -114,6 +116,7 @@
   // What engine time is worth, and how much of each route is served.
   RoomPrice room_price;
   EnginePool pool;
+  StartSteps start;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
   uint64_t incarnation;
--- a/src/gateway/testing/gateway_test.cc
+++ b/src/gateway/testing/gateway_test.cc
@@ -711,6 +711,10 @@
         "gullward_engines 5"}) {
     BOOST_TEST_CONTEXT(line) { BOOST_TEST(absl::StrContains(metrics, line)); }
   }
+  // The steps of the start are noted by the gateway's next tick.
+  BOOST_TEST(fixture->RunUntil([&] {
+    return absl::StrContains(fetch("/metrics").body, "gullward_start_seconds{step=\"serving\"}");
+  }));
   BOOST_TEST(json::parse(fetch("/state").body)["ready"] == true);
   BOOST_TEST(fetch("/readyz").head.status == 200);
   BOOST_TEST(fetch("/nothing").head.status == 404);
