--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -45,7 +45,7 @@
 Duration RetryAfterDuringStart(const Route* route, Duration since_start) {
   double longest =
       route != nullptr ? RetryAfterSeconds(route, std::nullopt) : kMaxStartRetryAfterSeconds;
-  return FromSeconds(std::clamp(ToSeconds(since_start), kMinRetryAfterSeconds, longest));
+  return FromSeconds(std::clamp(ToSeconds(since_start), ToSeconds(kMinRetryAfter), longest));
 }
 
 std::string FailureBody(ResultCode code) {
