A promise keeps room most when it is due, and is no right to any harm

Callers that returned on time were run whatever it cost others, and those without room to wait for were run late: the flood of very long prompts filled the engines, and of the short ones after it 756 of 2,605 were late.

Change: a return on time may cost others twice its value, no more; nothing is run late instead of refused; a promise keeps room in proportion to how near its due time is; nobody is told to return sooner than for any other refusal. Tests as tables for the two rules; the test of late running goes with its rule.

Tests: room_forecast_test, returns_test, return_book_test and ranks_test pass.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -123,7 +123,7 @@
   WorkKey work = this->Work();
   bool has_price = this->service->runs_models;
   bool is_refused = gateway.fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
-  if (is_refused) is_refused = this->RefuseForOverload(placement, demand, now);
+  if (is_refused) this->RefuseForOverload(placement, demand, now);
   if (has_price) gateway.room_price.Note(work, demand, placement, is_refused, now);
   if (!is_refused) this->KeepReturn(now);
   return is_refused;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,9 +97,9 @@
   void OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by);
   void ReleaseTickets();
   void SetRefusalTerms(Demand* demand, Time now);
-  bool RefuseForOverload(const Placement& placement, const Demand& demand, Time now);
+  void RefuseForOverload(const Placement& placement, const Demand& demand, Time now);
   void RefuseOverloaded(std::optional<Duration> retry_after, Time now);
-  bool PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in, Time now);
+  void PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in, Time now);
   void KeepReturn(Time now);
   void SendAttempt(const FleetChoice& choice, Time now);
   AttemptHeaders HeadersFor(const FleetChoice& choice, Time now) const;
--- a/src/gateway/exchange_returns.cc
+++ b/src/gateway/exchange_returns.cc
@@ -32,42 +32,36 @@
   if (terms.is_promised) return;
   size_t engines = fleet.plan(now).ForService(this->service->name).engines.size();
   terms.reserved_seconds_per_engine =
-      book.ReservedSeconds(this->service->name, demand->rank_steps, ReturnBook::kAhead, now) /
+      book.SecondsKept(this->service->name, demand->rank_steps, now) /
       static_cast<double>(std::max<size_t>(engines, 1));
 }
 
-// Refuses a request that is not worth its cost to others.  Returns false, without an answer, if
-// it is to be run all the same, for the value of a late answer.
-bool Exchange::RefuseForOverload(const Placement& placement, const Demand& demand, Time now) {
+// Refuses a request that is not worth its cost to others.
+void Exchange::RefuseForOverload(const Placement& placement, const Demand& demand, Time now) {
   Fleet& fleet = this->state->fleet;
   if (!fleet.mechanisms().kept_returns) {
     this->LogOverload(placement, demand);
     this->RefuseOverloaded(std::nullopt, now);
-    return true;
+    return;
   }
   ReturnBook& book = this->state->returns;
   Duration left = this->admission.caller_deadline - now;
-  double ahead =
-      book.ReservedSeconds(this->service->name, demand.rank_steps, ReturnBook::kMaxDue, now);
+  double ahead = book.PromisedSeconds(this->service->name, demand.rank_steps, now);
   std::optional<Duration> room_in = fleet.ForecastRoom(*this->service, demand, ahead, left, now);
   // A caller that is early is told the time that it was promised.
   if (this->return_match == ReturnMatch::kEarly) {
     room_in = book.TimeUntilDue(this->Content(), now);
   }
   this->LogOverload(placement, demand, room_in);
-  if (this->return_match == ReturnMatch::kOnTime) {
-    // No answer can reach this caller in time, so nothing is kept for it any more.
+  bool has_returned = this->return_match == ReturnMatch::kOnTime;
+  if (has_returned) {
     this->state->counters.returns_refused_again += 1;
     book.Keep(this->Content(), now);
-  } else if (room_in && this->PromiseReturn(placement, demand, *room_in, now)) {
-    this->RefuseOverloaded(room_in, now);
-    return true;
-  } else if (IsWorthRunningLate(placement, demand)) {
-    this->state->counters.run_late += 1;
-    return false;
+  } else if (room_in) {
+    this->PromiseReturn(placement, demand, *room_in, now);
   }
-  this->RefuseOverloaded(room_in, now);
-  return true;
+  // A caller for which there will be no room is told to stay away for as long as it would wait.
+  this->RefuseOverloaded(room_in.value_or(left), now);
 }
 
 void Exchange::RefuseOverloaded(std::optional<Duration> retry_after, Time now) {
@@ -78,24 +72,23 @@
   this->Refuse(ResultCode::kOverloaded, retry_after);
 }
 
-// Promises the caller room in `due_in`, or confirms the promise that it has.  Returns false if the
-// caller would not wait that long, or if nothing can be promised to it.
-bool Exchange::PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in,
+// Promises the caller room in `due_in`, or confirms the promise that it has, if it would wait that
+// long.
+void Exchange::PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in,
                              Time now) {
-  due_in = std::max(due_in, kMinRetryAfter);
-  if (due_in > (this->admission.caller_deadline - now) / kRespectedDivisor) return false;
+  due_in = std::max(due_in, UsualRetryAfter(this->admission.route));
+  if (due_in > (this->admission.caller_deadline - now) / kRespectedDivisor) return;
   LogLine line = this->Line("return_early");
   if (this->return_match != ReturnMatch::kEarly) {
     ReturnPromise promise{this->Content(), this->service->name,      demand.rank_steps,
                           due_in,          placement.engine_seconds, /*is_kept=*/false};
-    if (!this->state->returns.Promise(promise, now)) return false;
+    if (!this->state->returns.Promise(promise, now)) return;
     this->state->counters.returns_promised += 1;
     line = this->Line("return_promised");
   }
   this->state->log->Write(line.Text("content", ContentName(this->Content()))
                               .Number("in_ms", ToSeconds(due_in) * 1000)
                               .Number("engine_seconds", placement.engine_seconds));
-  return true;
 }
 
 // Uses up the promise of a request that is now run, so that nothing is kept for it any more.
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -26,6 +26,10 @@
 
 }  // namespace
 
+Duration UsualRetryAfter(const Route* route) {
+  return FromSeconds(RetryAfterSeconds(route, std::nullopt));
+}
+
 AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
                        std::optional<Duration> retry_after) {
   const ResultCodeInfo& info = Info(code);
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -20,11 +20,14 @@
 // and the update of its load at the gateways take about as long.
 inline constexpr Duration kMinRetryAfter = milliseconds(300);
 
+// Returns after how long to try again where nothing is known of when the reason ends: a share of
+// the route's objective, so that the answer may still be in time.  `route` may be null.
+Duration UsualRetryAfter(const Route* route);
+
 // Returns the status and the header fields of the answer.  For statuses 429 and 503 the fields
 // say after how many seconds to try again.  That is `retry_after` if it is set, for a reason whose
-// end is known; otherwise it is a share of the route's objective, so that the answer may still
-// be in time.  It is never too short for engines to make progress.  `attempt_id` may be empty;
-// `route` is null if no route was found.
+// end is known; otherwise it is UsualRetryAfter.  It is never too short for engines to make
+// progress.  `attempt_id` may be empty; `route` is null if no route was found.
 AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
                        std::optional<Duration> retry_after = std::nullopt);
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -14,10 +14,10 @@
 #include "gateway/engine_pool.h"
 #include "gateway/room_price.h"
 #include "gateway/settings.h"
+#include "gateway/start_steps.h"
 #include "overload/account_share.h"
 #include "overload/ranks.h"
 #include "overload/return_book.h"
-#include "gateway/start_steps.h"
 #include "process/event_log.h"
 #include "process/histogram.h"
 #include "serving/config_index.h"
@@ -44,11 +44,10 @@
   // Attempts sent to engines of other cells.
   uint64_t spilled = 0;
   // Refused callers that were told when to return, that then were run on time, and that were
-  // refused again on time; and requests run late since there was no room to wait for.
+  // refused again on time.
   uint64_t returns_promised = 0;
   uint64_t returns_kept = 0;
   uint64_t returns_refused_again = 0;
-  uint64_t run_late = 0;
   // Unreadable entries of the engine list, and incarnations that replaced an earlier one of the
   // same engine id.
   uint64_t entries_unreadable = 0;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -32,8 +32,7 @@
   for (const auto& [outcome, callers] :
        {std::pair("promised", counters.returns_promised), std::pair("kept", counters.returns_kept),
         std::pair("lapsed", snapshot.returns_lapsed),
-        std::pair("refused_again", counters.returns_refused_again),
-        std::pair("run_late", counters.run_late)}) {
+        std::pair("refused_again", counters.returns_refused_again)}) {
     text->Counter("gullward_returns_total", "Callers refused for overload, by what followed",
                   {{"outcome", outcome}}, static_cast<double>(callers));
   }
--- a/src/overload/return_book.cc
+++ b/src/overload/return_book.cc
@@ -2,6 +2,7 @@
 
 #include "overload/return_book.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace gullward {
@@ -62,16 +63,28 @@
   entry.is_unsent = true;
 }
 
-double ReturnBook::ReservedSeconds(const std::string& service, int rank_steps, Duration ahead,
-                                   Time now) const {
-  double reserved = 0;
+double ReturnBook::PromisedSeconds(const std::string& service, int rank_steps, Time now) const {
+  double promised = 0;
   for (const auto& [content, entry] : this->entries) {
     bool goes_first = entry.rank_steps <= rank_steps && entry.service == service;
-    if (goes_first && IsOpen(entry, now) && entry.due <= now + ahead) {
-      reserved += entry.engine_seconds;
-    }
+    if (goes_first && IsOpen(entry, now)) promised += entry.engine_seconds;
+  }
+  return promised;
+}
+
+double ReturnBook::ShareKept(const Entry& entry, Time now) {
+  bool is_before = now < entry.due;
+  double distance = ToSeconds(is_before ? entry.due - now : now - entry.due);
+  return std::max(1 - distance / ToSeconds(is_before ? kAhead : kGrace), 0.0);
+}
+
+double ReturnBook::SecondsKept(const std::string& service, int rank_steps, Time now) const {
+  double kept = 0;
+  for (const auto& [content, entry] : this->entries) {
+    bool goes_first = entry.rank_steps <= rank_steps && entry.service == service;
+    if (goes_first && IsOpen(entry, now)) kept += ShareKept(entry, now) * entry.engine_seconds;
   }
-  return reserved;
+  return kept;
 }
 
 bool ReturnBook::IsEmpty(Time now) {
--- a/src/overload/return_book.h
+++ b/src/overload/return_book.h
@@ -5,7 +5,7 @@
 //   ...
 //   if (book.Match(content, now) == ReturnMatch::kOnTime) ...                      // came back
 //   book.Keep(content, now);                                                       // is run
-//   double seconds = book.ReservedSeconds("models", rank_steps, ReturnBook::kAhead, now);
+//   double seconds = book.SecondsKept("models", rank_steps, now);
 //
 // The caller may return to any gateway and with another request id, so it is known by the content
 // of its request, and each promise is sent to the peers:
@@ -63,7 +63,7 @@
   static constexpr Duration kGrace = seconds(1);
   // How long before its due time a caller still counts as on time, since timers are inexact.
   static constexpr Duration kEarlySlack = milliseconds(20);
-  // Promises that are due within this time count as work of about now.
+  // A promise keeps room from this long before its due time on.
   static constexpr Duration kAhead = seconds(1);
   // The longest time until a promise is due, and the most engine time of one promise; more is
   // invalid.
@@ -93,10 +93,14 @@
   // Records that the caller has come back.  Changes nothing if there is no promise.
   void Keep(uint64_t content, Time now);
 
-  // Engine seconds promised, and not yet kept or lapsed, to callers of the service that are due
-  // within `ahead` and are of this rank or a more urgent one.
-  double ReservedSeconds(const std::string& service, int rank_steps, Duration ahead,
-                         Time now) const;
+  // Engine seconds promised, and not yet kept or lapsed, to callers of the service that are of this
+  // rank or a more urgent one.
+  double PromisedSeconds(const std::string& service, int rank_steps, Time now) const;
+
+  // The part of PromisedSeconds that is kept free now.  A promise counts in full when it is due,
+  // and the less the further away that is: before, the engines can still do other work, and
+  // afterwards its caller is less and less likely to come.
+  double SecondsKept(const std::string& service, int rank_steps, Time now) const;
 
   // Whether no promise is held.  Drops lapsed ones.
   bool IsEmpty(Time now);
@@ -121,6 +125,7 @@
   };
 
   static bool IsOpen(const Entry& entry, Time now);
+  static double ShareKept(const Entry& entry, Time now);
 
   const Entry* FindOpen(uint64_t content, Time now) const;
   bool Add(const ReturnPromise& promise, bool is_own, Time now);
--- a/src/overload/testing/return_book_test.cc
+++ b/src/overload/testing/return_book_test.cc
@@ -21,7 +21,7 @@
 }
 
 double AllReserved(const ReturnBook& book, Time now) {
-  return book.ReservedSeconds("models", ReturnBook::kMaxRankSteps, ReturnBook::kMaxDue, now);
+  return book.PromisedSeconds("models", ReturnBook::kMaxRankSteps, now);
 }
 
 BOOST_AUTO_TEST_CASE(APromiseIsMatchedFromItsDueTimeUntilItLapses) {
@@ -60,23 +60,30 @@
   BOOST_TEST(book.lapsed() == 0u);
 }
 
-BOOST_AUTO_TEST_CASE(OnlyPromisesThatGoFirstAndAreDueSoonAreReserved) {
+BOOST_AUTO_TEST_CASE(OnlyPromisesThatGoFirstKeepRoomAndMostWhenTheyAreDue) {
   ReturnBook book;
   book.Promise(PromiseOf(1, 500, 1, /*rank=*/0), At(0));
-  book.Promise(PromiseOf(2, 900, 10, /*rank=*/1), At(0));
-  book.Promise(PromiseOf(3, 2000, 100, /*rank=*/0), At(0));
+  book.Promise(PromiseOf(2, 750, 8, /*rank=*/1), At(0));
+  book.Promise(PromiseOf(3, 2500, 100, /*rank=*/0), At(0));
   struct Row {
     int rank;
-    Duration ahead;
-    double reserved;
+    int at_ms;
+    double kept;
+    double promised;
   };
-  for (const Row& row : std::vector<Row>{{0, ReturnBook::kAhead, 1},
-                                         {1, ReturnBook::kAhead, 11},
-                                         {0, milliseconds(499), 0},
-                                         {0, ReturnBook::kMaxDue, 101},
-                                         {5, ReturnBook::kMaxDue, 111}}) {
-    BOOST_TEST(book.ReservedSeconds("models", row.rank, row.ahead, At(0)) == row.reserved);
-    BOOST_TEST(book.ReservedSeconds("others", row.rank, row.ahead, At(0)) == 0);
+  for (const Row& row : std::vector<Row>{{0, 0, 0.5, 101},
+                                         {1, 0, 0.5 + 2, 109},
+                                         {0, 500, 1, 101},
+                                         {1, 750, 0.75 + 8, 109},
+                                         {1, 1000, 0.5 + 6, 109},
+                                         {1, 1501, 100 * 0.001 + 8 * 0.249, 108},
+                                         {0, 2500, 100, 100}}) {
+    BOOST_TEST_CONTEXT("rank " << row.rank << " at " << row.at_ms) {
+      double kept = book.SecondsKept("models", row.rank, At(row.at_ms));
+      BOOST_TEST(kept == row.kept, boost::test_tools::tolerance(1e-9));
+      BOOST_TEST(book.PromisedSeconds("models", row.rank, At(row.at_ms)) == row.promised);
+      BOOST_TEST(book.SecondsKept("others", row.rank, At(row.at_ms)) == 0);
+    }
   }
 }
 
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -46,8 +46,7 @@
   // Engine seconds, per engine of the service, that are kept for callers who were told to return
   // and go before this request.
   double reserved_seconds_per_engine = 0;
-  // Whether the caller returns at the time that it was told: it is refused only if it cannot be
-  // answered before it gives up.
+  // Whether the caller returns at the time that it was told, and so goes before newcomers.
   bool is_promised = false;
   // Time left until the caller gives up, in milliseconds; 0 if unknown.
   double time_left_ms = 0;
--- a/src/serving/refusal.cc
+++ b/src/serving/refusal.cc
@@ -12,6 +12,8 @@
 
 // A request that was refused before may cost others this many times its own value.
 constexpr double kRefusedBeforeFactor = 1.2;
+// The same for a caller that returns when it was told to: another refusal would be its last.
+constexpr double kPromisedFactor = 2;
 // Share of the objective from which an expected first event counts as late here.  It is higher than
 // the share for long prompts in engine_costs.cc: a wrong estimate here loses the whole answer, but
 // in a choice among placements only some engine time.
@@ -33,7 +35,8 @@
 // The mean utilization of the engines, with what is kept for others counted as used.
 double UtilizationWithReserved(const Placement& placement, const RefusalTerms& terms) {
   double reserved = terms.reserved_seconds_per_engine * 1000 / kFullUseReadingMs;
-  return reserved > 0 ? std::min(placement.utilization + reserved, 1.0) : placement.utilization;
+  return reserved > 0 && !terms.is_promised ? std::min(placement.utilization + reserved, 1.0)
+                                            : placement.utilization;
 }
 
 bool IsAfterCallerGivesUp(const Placement& placement, const RefusalTerms& terms) {
@@ -44,7 +47,7 @@
 
 bool ShouldRefuse(const Placement& placement, const Demand& demand) {
   const RefusalTerms& terms = demand.refusal;
-  if (terms.is_promised) return IsAfterCallerGivesUp(placement, terms);
+  if (terms.is_promised && IsAfterCallerGivesUp(placement, terms)) return true;
   double lateness = Lateness(placement.first_event_ms, demand.objective_ms, kRefusalSafety);
   double value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss * lateness);
   double engine_time_value =
@@ -52,7 +55,11 @@
   double utilization = UtilizationWithReserved(placement, terms);
   double cost = placement.cost_to_streams + utilization * utilization * engine_time_value;
   double factor = terms.value_factor;
-  if (demand.was_refused_before) factor *= kRefusedBeforeFactor;
+  if (terms.is_promised) {
+    factor *= kPromisedFactor;
+  } else if (demand.was_refused_before) {
+    factor *= kRefusedBeforeFactor;
+  }
   if (cost > factor * value) return true;
   bool slot_wait_is_cause = placement.slot_wait_ms > kMaxSlotWaitShare * demand.objective_ms;
   return slot_wait_is_cause && placement.first_event_ms > demand.objective_ms;
@@ -79,10 +86,4 @@
   return chosen;
 }
 
-bool IsWorthRunningLate(const Placement& placement, const Demand& demand) {
-  double late_value = RequestValue(demand.prompt_tokens) * (1 - kLateLoss);
-  return !IsAfterCallerGivesUp(placement, demand.refusal) &&
-         placement.cost_to_streams <= late_value;
-}
-
 }  // namespace gullward
--- a/src/serving/refusal.h
+++ b/src/serving/refusal.h
@@ -19,8 +19,8 @@
 //   - all slots are in use and the wait for a slot alone makes its answer late.
 //
 // Idle engines never cause a refusal.  What is kept for others (RefusalTerms) counts as in use.
-// A caller that returns at the time that it was told is refused only if the first event is
-// expected after it gives up.
+// A caller that returns at the time that it was told may cost others twice as much, and is refused
+// if its first event is expected after it gives up.
 bool ShouldRefuse(const Placement& placement, const Demand& demand);
 
 // As Choose, but if the request would be refused, tries the placements that it would have with
@@ -30,11 +30,6 @@
 Placement ChooseByRank(const std::vector<Candidate>& candidates, const EngineSpeed& speed,
                        const Demand& demand, const PlacementOptions& options = {});
 
-// Whether a request that would be refused, and has no room to wait for, is worth running all the
-// same: its first event is expected before the caller gives up, and the loss of the streams beside
-// it does not exceed the value of a late answer.
-bool IsWorthRunningLate(const Placement& placement, const Demand& demand);
-
 }  // namespace gullward
 
 #endif  // GULLWARD_SERVING_REFUSAL_H_
--- a/src/serving/room_forecast.h
+++ b/src/serving/room_forecast.h
@@ -4,10 +4,10 @@
 //       ForecastRoom(candidates, speed, demand, options, promised_seconds_per_engine, horizon);
 //   if (!room_in) ...      // none within the horizon
 //
-// The loads are advanced to a later time as if no further request came, and then the request is
-// placed and judged as it would be now (placement.h, refusal.h).  Later loads are lower, so if
-// there is room at one time there is room from then on, and the first such time is found by
-// halving the horizon.  The forecast holds for a caller that goes first when it returns
+// The loads are advanced to a later time, and then the request is placed and judged as it would be
+// now (placement.h, refusal.h).  No further requests are assumed to come meanwhile.  Later loads
+// are lower, so if there is room at one time there is room from then on, and the first such time is
+// found by halving the horizon.  The forecast holds for a caller that goes first when it returns
 // (overload/return_book.h): newcomers may take room from others.
 //
 // The functions here are pure.
--- a/src/serving/testing/room_forecast_test.cc
+++ b/src/serving/testing/room_forecast_test.cc
@@ -201,19 +201,17 @@
   BOOST_TEST(!ShouldRefuse(placement, demand));
 }
 
-BOOST_AUTO_TEST_CASE(ALateAnswerIsRunUnlessItHarmsMoreThanItIsWorth) {
+// A caller that returns on time may cost others twice its value, not more.
+BOOST_AUTO_TEST_CASE(APromiseIsNoRightToAnyHarm) {
   Demand demand = VeryLong(210'000);
-  demand.refusal.time_left_ms = 9000;
   Placement placement;
-  placement.first_event_ms = 8000;
-  BOOST_TEST(IsWorthRunningLate(placement, demand));
-  placement.cost_to_streams = 5.4;
-  BOOST_TEST(IsWorthRunningLate(placement, demand));
-  placement.cost_to_streams = 5.5;
-  BOOST_TEST(!IsWorthRunningLate(placement, demand));
-  placement.cost_to_streams = 0;
-  placement.first_event_ms = 9001;
-  BOOST_TEST(!IsWorthRunningLate(placement, demand));
+  placement.first_event_ms = 1000;
+  double value = RequestValue(demand.prompt_tokens);
+  demand.refusal.is_promised = true;
+  placement.cost_to_streams = 1.9 * value;
+  BOOST_TEST(!ShouldRefuse(placement, demand));
+  placement.cost_to_streams = 2.1 * value;
+  BOOST_TEST(ShouldRefuse(placement, demand));
 }
 
 BOOST_AUTO_TEST_CASE(PromisesDecodeAsEncodedAndWildOnesAreDropped) {
