--- a/src/gateway/exchange_returns.cc
+++ b/src/gateway/exchange_returns.cc
@@ -48,20 +48,20 @@
   Duration left = this->admission.caller_deadline - now;
   double ahead = book.PromisedSeconds(this->service->name, demand.rank_steps, now);
   std::optional<Duration> room_in = fleet.ForecastRoom(*this->service, demand, ahead, left, now);
-  // A caller that is early is told the time that it was promised.
-  if (this->return_match == ReturnMatch::kEarly) {
-    room_in = book.TimeUntilDue(this->Content(), now);
-  }
   this->LogOverload(placement, demand, room_in);
+  // The time that the caller is told: the whole time that it would wait if there is no room within
+  // it, and what is left of the time that it was promised if it is early.
+  Duration retry_after = std::max(room_in.value_or(left), UsualRetryAfter(this->admission.route));
+  std::optional<Duration> promised_in = book.TimeUntilDue(this->Content(), now);
+  if (promised_in) retry_after = *promised_in;
   bool has_returned = this->return_match == ReturnMatch::kOnTime;
   if (has_returned) {
     this->state->counters.returns_refused_again += 1;
     book.Keep(this->Content(), now);
-  } else if (room_in) {
-    this->PromiseReturn(placement, demand, *room_in, now);
+  } else if (room_in || promised_in) {
+    this->PromiseReturn(placement, demand, retry_after, now);
   }
-  // A caller for which there will be no room is told to stay away for as long as it would wait.
-  this->RefuseOverloaded(room_in.value_or(left), now);
+  this->RefuseOverloaded(retry_after, now);
 }
 
 void Exchange::RefuseOverloaded(std::optional<Duration> retry_after, Time now) {
@@ -76,7 +76,6 @@
 // long.
 void Exchange::PromiseReturn(const Placement& placement, const Demand& demand, Duration due_in,
                              Time now) {
-  due_in = std::max(due_in, UsualRetryAfter(this->admission.route));
   if (due_in > (this->admission.caller_deadline - now) / kRespectedDivisor) return;
   LogLine line = this->Line("return_early");
   if (this->return_match != ReturnMatch::kEarly) {
