--- a/src/soak/main.cc
+++ b/src/soak/main.cc
@@ -18,6 +18,7 @@
 DEFINE_int32(gateways, 2, "number of gateways");
 DEFINE_int32(callers, 12, "number of callers");
 DEFINE_bool(returns, false, "restore the store from older copies during the run");
+DEFINE_bool(overload, false, "switch on the decisions under load and send long prompts");
 DEFINE_bool(deadly, false, "let the first caller send a request that crashes engines");
 
 int main(int argc, char** argv) {
@@ -38,6 +39,7 @@
     options.callers = FLAGS_callers;
     options.crashing = FLAGS_deadly;
     options.store_returns = FLAGS_returns;
+    options.overload = FLAGS_overload;
     Soak soak(options);
     std::vector<std::string> violations = soak.Run();
     std::printf("seed %lu: %lu sent, %lu served, %zu broken\n", seed, soak.sent(), soak.served(),
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -32,6 +32,8 @@
 constexpr char kApp[] = "app";
 constexpr char kModels[] = "models";
 constexpr char kPlainBody[] = "the whole answer";
+// Tokens of the prompt and of the answer of a prompt that several engines read.
+constexpr char kLongPrompt[] = "200000,80";
 // The body of the request that crashes engines, and the shortest pause between two of them.
 constexpr char kCrashingBody[] = "deadly";
 constexpr Duration kCrashingPause = milliseconds(100);
@@ -188,12 +190,19 @@
   gateway.last_fault = Now();
   gateway.is_stopping = false;
   std::string file = this->processes.PathOf(gateway.name + ".toml");
-  std::ofstream(file) << "box = \"" << gateway.name << "\"\ndata_centre = \"hall\"\n"
-                      << "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
-                      << "peers = \"127.0.0.1:0\"\n"
-                      << "store = \"" << gateway.store_proxy->address().ToString() << "\"\n"
-                      << "key_trust_ms = " << kKeyTrustMs << "\n"
-                      << "stop_grace_seconds = " << kStopGraceSeconds << "\n";
+  std::ofstream settings(file);
+  settings << "box = \"" << gateway.name << "\"\ndata_centre = \"hall\"\n"
+           << "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+           << "peers = \"127.0.0.1:0\"\n"
+           << "store = \"" << gateway.store_proxy->address().ToString() << "\"\n"
+           << "key_trust_ms = " << kKeyTrustMs << "\n"
+           << "stop_grace_seconds = " << kStopGraceSeconds << "\n";
+  if (this->options.overload) {
+    for (const char* name : {"kept_returns", "learned_price", "engine_pace", "start_retry_after"}) {
+      settings << "use_" << name << " = true\n";
+    }
+  }
+  settings.close();
   this->processes.Start(gateway.name, "gullward-gateway", {"--settings=" + file});
 }
 
@@ -245,6 +254,10 @@
   config.routes = {RouteTo(kModels, "/chat/", Repeat::kResumeStream),
                    RouteTo(kApp, "/app/look/", Repeat::kAllowed),
                    RouteTo(kApp, "/app/order/", Repeat::kNever)};
+  if (this->options.overload) {
+    config.routes.push_back(RouteTo(kModels, "/read/", Repeat::kResumeStream));
+    config.routes.back().priority = config.routes.front().priority + 1;
+  }
   config.services = {{kModels, "", 0, true, SpeedOfModels()}, {kApp, "", 0, false, {}}};
   config.accounts = {{"shop", {this->keys.begin(), this->keys.end()}, -1}};
   std::string text = platform::ConfigDocument(config).dump();
@@ -411,13 +424,23 @@
   if (caller.kind == Kind::kOnce) this->once_ids.push_back(caller.id);
 
   const char* paths[] = {"POST /chat/x", "GET /app/look/x", "POST /app/order/x"};
-  std::string request = absl::StrCat(paths[static_cast<int>(caller.kind)], " HTTP/1.1\r\n");
+  std::string path = paths[static_cast<int>(caller.kind)];
+  std::string token_count = "1000,80";
+  std::string body = crashing ? kCrashingBody : "";
+  bool is_long = this->options.overload && caller.kind == Kind::kStream && !crashing &&
+                 this->RandomBelow(2) == 0;
+  if (is_long) {
+    path = "POST /read/x";
+    token_count = kLongPrompt;
+    // The content of a caller's long prompts is the same, so the next one is a return.
+    body = absl::StrCat("long-", index);
+  }
+  std::string request = absl::StrCat(path, " HTTP/1.1\r\n");
   AppendHeader(&request, "Host", "soak.example");
   AppendHeader(&request, platform::kAttemptId, caller.id);
   AppendHeader(&request, platform::kDeadlineMs, absl::StrCat(kDeadlineMs));
   AppendHeader(&request, platform::kApiKey, caller.key);
-  AppendHeader(&request, platform::kTokenCount, "1000,80");
-  std::string body = crashing ? kCrashingBody : "";
+  AppendHeader(&request, platform::kTokenCount, token_count);
   AppendHeader(&request, "Content-Length", absl::StrCat(body.size()));
   request += "\r\n" + body;
   if (crashing) this->RecordCrashingRequest(caller);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -54,6 +54,9 @@
   // The store is repeatedly restored from an older copy.  The operator and the engines then
   // write the lost records again.
   bool store_returns = false;
+  // The gateways run with the decisions under load that are off by default (src/overload), and
+  // half of the streams are long prompts of a less urgent route.
+  bool overload = false;
 };
 
 class Soak {
