What an exchange decides under load is in one file; a learned price keeps other factors

The learned price set the factor on a request's value after the account's share had, so with both in force the share was lost.

Change: exchange_overload.cc holds the terms of refusal and the refusals (moved, unchanged); the learned price multiplies. The speed that four tests state is in one header.

Tests: room_price_test (its new case fails with the assignment), placement_test, ranks_test, slow_engine_test, room_forecast_test, returns_test pass.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,7 +1,7 @@
 // The functions stand in the order in which a request reaches them: admission, choice of
 // an engine, sending an attempt, forwarding its answer, and the decision when the attempt
 // ends.  Other files hold the rest of the class: exchange_log.cc the log lines,
-// exchange_returns.cc refusals for overload and the return of refused callers,
+// exchange_overload.cc what is decided under load and the return of refused callers,
 // exchange_tickets.cc the reservation of memory on readers, exchange_timeouts.cc deadlines
 // and silent engines, and exchange_crashes.cc requests that crash engines.
 
@@ -14,7 +14,6 @@
 #include "gateway/notice_receiver.h"
 #include "platform/engine_calls.h"
 #include "platform/headers.h"
-#include "serving/refusal.h"
 
 namespace gullward {
 namespace {
@@ -85,50 +84,6 @@
   return demand;
 }
 
-void Exchange::SetRank(Demand* demand, Time now) {
-  RankLosses* losses = this->Losses();
-  if (losses == nullptr) return;
-  demand->rank_steps = losses->DecidedSteps(this->rank->steps, now);
-  demand->last_rank_steps = this->rank->last_steps;
-  demand->refusal.engine_time_factor = losses->EngineTimeFactor(demand->rank_steps, now);
-  AccountShares* shares = this->Shares();
-  if (shares != nullptr) {
-    demand->refusal.value_factor *= shares->ValueFactor(this->admission.account, now);
-  }
-}
-
-// Null if all requests to the service have the same rank.
-RankLosses* Exchange::Losses() {
-  return this->rank ? &this->state->rank_losses[this->service->name] : nullptr;
-}
-
-// Null if all requests to the service have the same rank, or the route needs no account.
-AccountShares* Exchange::Shares() {
-  bool is_counted = this->rank && !this->admission.account.empty();
-  return is_counted ? &this->state->account_shares[this->service->name] : nullptr;
-}
-
-WorkKey Exchange::Work() const { return {this->service->name, this->admission.route->name}; }
-
-// Sets the terms that depend on the work of all callers.
-void Exchange::SetPrice(Demand* demand, Time now) {
-  if (!this->service->runs_models) return;
-  size_t engines = this->state->fleet.plan(now).ForService(this->service->name).engines.size();
-  this->state->room_price.SetTerms(this->Work(), engines, now, demand);
-}
-
-// Decides on a request's first placement.  Returns whether it was refused.
-bool Exchange::RefuseOrNote(const Placement& placement, const Demand& demand, Time now) {
-  GatewayState& gateway = *this->state;
-  WorkKey work = this->Work();
-  bool has_price = this->service->runs_models;
-  bool is_refused = gateway.fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
-  if (is_refused) this->RefuseForOverload(placement, demand, now);
-  if (has_price) gateway.room_price.Note(work, demand, placement, is_refused, now);
-  if (!is_refused) this->KeepReturn(now);
-  return is_refused;
-}
-
 void Exchange::StartAttempt(Time now) {
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
--- a/src/gateway/exchange_returns.cc
+++ b/src/gateway/exchange_overload.cc
@@ -1,6 +1,7 @@
-// Refusals for overload.  A caller is told when there will be room, if it can wait that long, and
-// the room is kept for it (overload/return_book.h).  Without `kept_returns` it is told a share of
-// the route's objective, and returns like any other.
+// What depends on the load of a service: the terms on which a request may be refused, refusals, and
+// the return of refused callers.  A caller is told when there will be room, if it can wait that
+// long, and the room is kept for it (overload/return_book.h).  Without `kept_returns` it is told a
+// share of the route's objective, and returns like any other.
 //
 // A request's content is computed on a refusal and while there are promises, since bodies are long.
 
@@ -18,6 +19,50 @@
 
 }  // namespace
 
+void Exchange::SetRank(Demand* demand, Time now) {
+  RankLosses* losses = this->Losses();
+  if (losses == nullptr) return;
+  demand->rank_steps = losses->DecidedSteps(this->rank->steps, now);
+  demand->last_rank_steps = this->rank->last_steps;
+  demand->refusal.engine_time_factor = losses->EngineTimeFactor(demand->rank_steps, now);
+  AccountShares* shares = this->Shares();
+  if (shares != nullptr) {
+    demand->refusal.value_factor *= shares->ValueFactor(this->admission.account, now);
+  }
+}
+
+// Null if all requests to the service have the same rank.
+RankLosses* Exchange::Losses() {
+  return this->rank ? &this->state->rank_losses[this->service->name] : nullptr;
+}
+
+// Null if all requests to the service have the same rank, or the route needs no account.
+AccountShares* Exchange::Shares() {
+  bool is_counted = this->rank && !this->admission.account.empty();
+  return is_counted ? &this->state->account_shares[this->service->name] : nullptr;
+}
+
+WorkKey Exchange::Work() const { return {this->service->name, this->admission.route->name}; }
+
+// Sets the terms that depend on the work of all callers.
+void Exchange::SetPrice(Demand* demand, Time now) {
+  if (!this->service->runs_models) return;
+  size_t engines = this->state->fleet.plan(now).ForService(this->service->name).engines.size();
+  this->state->room_price.SetTerms(this->Work(), engines, now, demand);
+}
+
+// Decides on a request's first placement.  Returns whether it was refused.
+bool Exchange::RefuseOrNote(const Placement& placement, const Demand& demand, Time now) {
+  GatewayState& gateway = *this->state;
+  WorkKey work = this->Work();
+  bool has_price = this->service->runs_models;
+  bool is_refused = gateway.fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
+  if (is_refused) this->RefuseForOverload(placement, demand, now);
+  if (has_price) gateway.room_price.Note(work, demand, placement, is_refused, now);
+  if (!is_refused) this->KeepReturn(now);
+  return is_refused;
+}
+
 // Finds the promise to this caller, and fills in the terms that depend on promises and on the
 // caller's time.
 void Exchange::SetRefusalTerms(Demand* demand, Time now) {
--- a/src/gateway/room_price.cc
+++ b/src/gateway/room_price.cc
@@ -46,7 +46,7 @@
   }
   RouteTerms terms = this->work_prices.TermsOf(key.service, key.route);
   demand->refusal.value_per_engine_second = terms.value_per_engine_second;
-  demand->refusal.value_factor = terms.value_factor;
+  demand->refusal.value_factor *= terms.value_factor;
 }
 
 void RoomPrice::Note(const WorkKey& key, const Demand& demand, const Placement& placement,
--- a/src/gateway/testing/room_price_test.cc
+++ b/src/gateway/testing/room_price_test.cc
@@ -115,6 +115,15 @@
   BOOST_TEST(vast.share() > all - 0.1);
 }
 
+// Guards against the price overwriting what an account's share of the engine time has set.
+BOOST_AUTO_TEST_CASE(TheFactorOfAnotherPartIsKept) {
+  Site site(/*keeps_shares=*/true);
+  Demand demand;
+  demand.refusal.value_factor = 0.5;
+  site.room_price.SetTerms(kVast, kEngines, site.now, &demand);
+  BOOST_TEST(demand.refusal.value_factor == 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(SwitchedOffNothingIsCountedOrChanged) {
   EventLog log(open("/dev/null", O_WRONLY));
   RoomPrice room_price(false, &log);
--- a/src/overload/testing/ranks_test.cc
+++ b/src/overload/testing/ranks_test.cc
@@ -14,6 +14,7 @@
 #include "serving/config_index.h"
 #include "serving/load_digest.h"
 #include "serving/refusal.h"
+#include "serving/testing/published_speed.h"
 #include "wire/gullward_generated.h"
 
 namespace gullward {
@@ -21,20 +22,6 @@
 
 constexpr Time kStart = Time(seconds(100));
 
-EngineSpeed Speed() {
-  EngineSpeed speed;
-  speed.slots = 16;
-  speed.memory_tokens = 450'000;
-  speed.step_ms = 0.925;
-  speed.step_ms_per_request = 0.00483;
-  speed.step_ms_per_thousand_context = 0.00254;
-  speed.prefill_tokens_per_ms = 256;
-  speed.prefill_ms_per_million_pairs = 0.0917;
-  speed.steps_per_pass = 46;
-  speed.usual_answer_tokens = 1540;
-  return speed;
-}
-
 // Engines with a random load of short streams of ranks 0 to 2, up to `max_streams` on each.
 std::vector<Candidate> RandomEngines(std::mt19937_64* random, int max_streams) {
   std::vector<Candidate> engines(2 + (*random)() % 6);
@@ -63,7 +50,7 @@
 }
 
 bool IsRefused(const std::vector<Candidate>& engines, const Demand& demand) {
-  return ShouldRefuse(ChooseByRank(engines, Speed(), demand), demand);
+  return ShouldRefuse(ChooseByRank(engines, PublishedSpeed(), demand), demand);
 }
 
 BOOST_AUTO_TEST_CASE(EachRankCountsHalfOfTheOneBefore) {
@@ -150,7 +137,7 @@
     double tokens = round % 2 == 0 ? 5000 : 100'000 + static_cast<double>(random() % 700'000);
     Demand last = DemandOf(tokens, 2);
     last.refusal.engine_time_factor = 4;
-    if (Choose(engines, Speed(), last).utilization > 0.5) continue;
+    if (Choose(engines, PublishedSpeed(), last).utilization > 0.5) continue;
     compared += 1;
     BOOST_TEST_REQUIRE(IsRefused(engines, last) == IsRefused(engines, DemandOf(tokens, 0)));
   }
@@ -173,9 +160,9 @@
         for (PauseClass& streams : engine.load.streams) streams.rank_steps = steps;
       }
     }
-    Placement expected = Choose(engines, Speed(), without);
-    BOOST_TEST_REQUIRE((Choose(of_rank, Speed(), equal) == expected));
-    BOOST_TEST_REQUIRE((ChooseByRank(engines, Speed(), without) == expected));
+    Placement expected = Choose(engines, PublishedSpeed(), without);
+    BOOST_TEST_REQUIRE((Choose(of_rank, PublishedSpeed(), equal) == expected));
+    BOOST_TEST_REQUIRE((ChooseByRank(engines, PublishedSpeed(), without) == expected));
     BOOST_TEST_REQUIRE(ShouldRefuse(expected, equal) == ShouldRefuse(expected, without));
   }
 }
--- a/src/serving/testing/placement_test.cc
+++ b/src/serving/testing/placement_test.cc
@@ -7,25 +7,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include "serving/refusal.h"
+#include "serving/testing/published_speed.h"
 
 namespace gullward {
 namespace {
 
-// Values as one user's operator publishes them.
-EngineSpeed Speed() {
-  EngineSpeed speed;
-  speed.slots = 16;
-  speed.memory_tokens = 450'000;
-  speed.step_ms = 0.925;
-  speed.step_ms_per_request = 0.00483;
-  speed.step_ms_per_thousand_context = 0.00254;
-  speed.prefill_tokens_per_ms = 256;
-  speed.prefill_ms_per_million_pairs = 0.0917;
-  speed.steps_per_pass = 46;
-  speed.usual_answer_tokens = 1540;
-  return speed;
-}
-
 std::vector<Candidate> Engines(int count) {
   std::vector<Candidate> engines;
   for (int i = 0; i < count; ++i) {
@@ -52,7 +38,7 @@
 // In measurements of single prompts on idle engines, two engines read 207,491 tokens in 1,452 ms,
 // and one engine read 148,422 tokens in 1,663 ms.
 BOOST_AUTO_TEST_CASE(ReadingTimeMatchesMeasurements) {
-  EngineSpeed speed = Speed();
+  EngineSpeed speed = PublishedSpeed();
   BOOST_TEST(ReadingMs(speed, 148'422) + 46 * 0.925 == 1663, boost::test_tools::tolerance(0.03));
   BOOST_TEST(ReadingMs(speed, 207'491) / 2 + 46 * 0.925 == 1452,
              boost::test_tools::tolerance(0.03));
@@ -61,20 +47,20 @@
 BOOST_AUTO_TEST_CASE(ShortRequestsArePackedOnOneEngineUntilItIsNearlyFull) {
   std::vector<Candidate> engines = Engines(6);
   for (int i = 0; i < 12; ++i) {
-    Placement placement = Choose(engines, Speed(), Short());
+    Placement placement = Choose(engines, PublishedSpeed(), Short());
     BOOST_TEST(placement.engines.size() == 1u);
     BOOST_TEST(placement.engines.front() == 0u);
     AddStreams(&engines[0], 1);
   }
   AddStreams(&engines[0], 4);
-  BOOST_TEST(Choose(engines, Speed(), Short()).engines.front() == 1u);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), Short()).engines.front() == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(VeryLongPromptsAreReadAwayFromStreams) {
   std::vector<Candidate> engines = Engines(8);
   AddStreams(&engines[0], 10);
   AddStreams(&engines[1], 10);
-  Placement placement = Choose(engines, Speed(), VeryLong(210'000));
+  Placement placement = Choose(engines, PublishedSpeed(), VeryLong(210'000));
   BOOST_TEST(placement.engines.size() > 1u);
   for (size_t engine : placement.engines) BOOST_TEST(engine > 1u);
   BOOST_TEST(placement.first_event_ms < 3000);
@@ -93,8 +79,8 @@
   PlacementOptions by_cost;
   by_cost.gather_streams = false;
   Demand prompt = VeryLong(110'000);
-  BOOST_TEST(Choose(engines, Speed(), prompt, by_cost).engines.front() == 7u);
-  Placement placement = Choose(engines, Speed(), prompt);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), prompt, by_cost).engines.front() == 7u);
+  Placement placement = Choose(engines, PublishedSpeed(), prompt);
   BOOST_TEST(placement.engines.front() == 5u);
   BOOST_TEST_REQUIRE(placement.engines.size() > 1u);
   BOOST_TEST_REQUIRE(placement.engines.size() < 7u);
@@ -106,60 +92,60 @@
   AddStreams(&engines[0], 12);
   engines[1].load.requests = 1;
   engines[1].load.reading_ms = 2500;
-  Placement placement = Choose(engines, Speed(), VeryLong(400'000));
+  Placement placement = Choose(engines, PublishedSpeed(), VeryLong(400'000));
   BOOST_TEST(placement.engines.size() == 1u);
   BOOST_TEST(placement.engines.front() == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(MemoryIsSpreadOverReadersAndNotAssignedTwice) {
   std::vector<Candidate> engines = Engines(4);
-  Placement placement = Choose(engines, Speed(), VeryLong(900'000));
+  Placement placement = Choose(engines, PublishedSpeed(), VeryLong(900'000));
   BOOST_TEST(placement.spreads_memory);
   double total = placement.memory_tokens * static_cast<double>(placement.engines.size());
   BOOST_TEST(total >= 900'800);
   BOOST_TEST(placement.memory_tokens <= 450'000);
   // One engine alone has too little memory.
-  BOOST_TEST(Choose(Engines(1), Speed(), VeryLong(900'000)).engines.empty());
+  BOOST_TEST(Choose(Engines(1), PublishedSpeed(), VeryLong(900'000)).engines.empty());
   // An engine whose memory is in use is avoided.
   engines[3].load.context_tokens = 440'000;
-  Placement other = Choose(engines, Speed(), VeryLong(250'000));
+  Placement other = Choose(engines, PublishedSpeed(), VeryLong(250'000));
   BOOST_TEST(other.engines.front() != 3u);
 }
 
 BOOST_AUTO_TEST_CASE(WithoutSpreadingAPromptIsReadByOneEngine) {
   std::vector<Candidate> engines = Engines(4);
-  BOOST_TEST(Choose(engines, Speed(), VeryLong(250'000)).engines.size() > 1u);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), VeryLong(250'000)).engines.size() > 1u);
   PlacementOptions alone;
   alone.spread_reading = false;
-  BOOST_TEST(Choose(engines, Speed(), VeryLong(250'000), alone).engines.size() == 1u);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), VeryLong(250'000), alone).engines.size() == 1u);
   // A prompt that exceeds the memory of one engine finds no engine.
-  BOOST_TEST(Choose(engines, Speed(), VeryLong(900'000), alone).engines.empty());
+  BOOST_TEST(Choose(engines, PublishedSpeed(), VeryLong(900'000), alone).engines.empty());
 }
 
 BOOST_AUTO_TEST_CASE(AFailingEngineIsAvoided) {
   std::vector<Candidate> engines = Engines(3);
   engines[0].failure_rate = 0.6;
-  BOOST_TEST(Choose(engines, Speed(), Short()).engines.front() != 0u);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), Short()).engines.front() != 0u);
   BOOST_TEST(ChooseLeastLoaded(engines).engines.front() != 0u);
 }
 
 BOOST_AUTO_TEST_CASE(ShortRequestsAreRefusedOnlyIfAllSlotsAreInUse) {
   std::vector<Candidate> engines = Engines(3);
   for (Candidate& engine : engines) AddStreams(&engine, 15);
-  BOOST_TEST(!ShouldRefuse(Choose(engines, Speed(), Short()), Short()));
+  BOOST_TEST(!ShouldRefuse(Choose(engines, PublishedSpeed(), Short()), Short()));
   for (Candidate& engine : engines) AddStreams(&engine, 10);
-  BOOST_TEST(ShouldRefuse(Choose(engines, Speed(), Short()), Short()));
+  BOOST_TEST(ShouldRefuse(Choose(engines, PublishedSpeed(), Short()), Short()));
 }
 
 BOOST_AUTO_TEST_CASE(AVeryLongPromptIsRefusedIfItsCostToOthersExceedsItsValue) {
   std::vector<Candidate> busy = Engines(3);
   for (Candidate& engine : busy) AddStreams(&engine, 12);
   Demand first = VeryLong(560'000);
-  BOOST_TEST(ShouldRefuse(Choose(busy, Speed(), first), first));
+  BOOST_TEST(ShouldRefuse(Choose(busy, PublishedSpeed(), first), first));
   // Idle engines never cause a refusal, even if the answer is late.
   for (int count : {2, 4, 12}) {
     std::vector<Candidate> idle = Engines(count);
-    BOOST_TEST(!ShouldRefuse(Choose(idle, Speed(), first), first));
+    BOOST_TEST(!ShouldRefuse(Choose(idle, PublishedSpeed(), first), first));
   }
 }
 
--- a/src/serving/testing/room_forecast_test.cc
+++ b/src/serving/testing/room_forecast_test.cc
@@ -12,25 +12,13 @@
 #include "serving/engine_costs.h"
 #include "serving/load_digest.h"
 #include "serving/refusal.h"
+#include "serving/testing/published_speed.h"
 
 namespace gullward {
 namespace {
 
 constexpr Duration kHorizon = seconds(8);
 
-EngineSpeed Speed() {
-  EngineSpeed speed;
-  speed.slots = 16;
-  speed.memory_tokens = 450'000;
-  speed.step_ms = 0.925;
-  speed.step_ms_per_request = 0.00483;
-  speed.step_ms_per_thousand_context = 0.00254;
-  speed.prefill_ms_per_million_pairs = 0.0917;
-  speed.steps_per_pass = 46;
-  speed.usual_answer_tokens = 1540;
-  return speed;
-}
-
 Demand VeryLong(double tokens) {
   Demand demand;
   demand.prompt_tokens = tokens;
@@ -60,21 +48,22 @@
                                            const Demand& demand, double promised) {
   for (int step = 0; step <= kForecastSteps; ++step) {
     Duration later = kHorizon * step / kForecastSteps;
-    if (HasRoomAfter(engines, Speed(), demand, {}, promised, ToSeconds(later) * 1000)) return later;
+    if (HasRoomAfter(engines, PublishedSpeed(), demand, {}, promised, ToSeconds(later) * 1000))
+      return later;
   }
   return std::nullopt;
 }
 
 BOOST_AUTO_TEST_CASE(LoadsDrainAsEnginesWork) {
   Candidate engine = Engines(1, 8, 1000).front();
-  BOOST_TEST((LoadAfter(Speed(), engine, 0) == engine.load));
-  BOOST_TEST(LoadAfter(Speed(), engine, 400).RemainingReadingMs() == 600);
+  BOOST_TEST((LoadAfter(PublishedSpeed(), engine, 0) == engine.load));
+  BOOST_TEST(LoadAfter(PublishedSpeed(), engine, 400).RemainingReadingMs() == 600);
   // An answer takes 1540 steps, so half of the eight end in about 0.86 s.
-  EngineLoad half = LoadAfter(Speed(), engine, 870);
+  EngineLoad half = LoadAfter(PublishedSpeed(), engine, 870);
   BOOST_TEST(half.requests == 4);
   BOOST_TEST(half.writers == 4);
   BOOST_TEST((half.streams == std::vector<PauseClass>{{200, 4, 6500.0 * 4}}));
-  EngineLoad end = LoadAfter(Speed(), engine, 60'000);
+  EngineLoad end = LoadAfter(PublishedSpeed(), engine, 60'000);
   BOOST_TEST(end.requests == 0);
   BOOST_TEST(end.RemainingReadingMs() == 0);
   BOOST_TEST(end.streams.empty());
@@ -99,7 +88,7 @@
                                          {8, 0, 60'000, 210'000, false}}) {
     std::vector<Candidate> engines = Engines(row.engines, row.streams, row.reading_ms);
     Demand demand = VeryLong(row.tokens);
-    std::optional<Duration> room = ForecastRoom(engines, Speed(), demand, {}, 0, kHorizon);
+    std::optional<Duration> room = ForecastRoom(engines, PublishedSpeed(), demand, {}, 0, kHorizon);
     BOOST_TEST(room.has_value() == row.has_room, row.engines << " engines, " << row.tokens);
     BOOST_TEST((room == FirstRoomByWalking(engines, demand, 0)), row.tokens);
   }
@@ -120,15 +109,18 @@
     }
     Demand demand = VeryLong(pick(100, 700) * 1000.0);
     double promised = pick(0, 10) / 10.0;
-    std::optional<Duration> room = ForecastRoom(engines, Speed(), demand, {}, promised, kHorizon);
+    std::optional<Duration> room =
+        ForecastRoom(engines, PublishedSpeed(), demand, {}, promised, kHorizon);
     std::optional<Duration> walked = FirstRoomByWalking(engines, demand, promised);
     if (!room) continue;
     found += 1;
-    BOOST_TEST(HasRoomAfter(engines, Speed(), demand, {}, promised, ToSeconds(*room) * 1000));
+    BOOST_TEST(
+        HasRoomAfter(engines, PublishedSpeed(), demand, {}, promised, ToSeconds(*room) * 1000));
     BOOST_TEST((walked && *walked <= *room), run);
     bool has_gap = false;
     for (Duration later = *walked; later < *room; later += kHorizon / kForecastSteps) {
-      has_gap |= !HasRoomAfter(engines, Speed(), demand, {}, promised, ToSeconds(later) * 1000);
+      has_gap |=
+          !HasRoomAfter(engines, PublishedSpeed(), demand, {}, promised, ToSeconds(later) * 1000);
     }
     BOOST_TEST((room == walked || has_gap), run);
   }
@@ -138,16 +130,16 @@
 BOOST_AUTO_TEST_CASE(EachFurtherPromiseIsLater) {
   std::vector<Candidate> engines = Engines(8, 0, 3000);
   Demand demand = VeryLong(560'000);
-  BOOST_TEST_REQUIRE(ShouldRefuse(Choose(engines, Speed(), demand), demand));
+  BOOST_TEST_REQUIRE(ShouldRefuse(Choose(engines, PublishedSpeed(), demand), demand));
   double promised = 0;
   Duration last{-1};
   for (int caller = 0; caller < 3; ++caller) {
     std::optional<Duration> room =
-        ForecastRoom(engines, Speed(), demand, {}, promised, seconds(30));
+        ForecastRoom(engines, PublishedSpeed(), demand, {}, promised, seconds(30));
     BOOST_TEST_REQUIRE(room.has_value());
     BOOST_TEST((*room > last));
     last = *room;
-    promised += Choose(engines, Speed(), demand).engine_seconds / 8;
+    promised += Choose(engines, PublishedSpeed(), demand).engine_seconds / 8;
   }
 }
 
@@ -177,7 +169,7 @@
     placement.slot_wait_ms = pick(placement.first_event_ms);
     placement.cost_to_streams = pick(30);
     placement.utilization = pick(1);
-    placement.engine_seconds = EngineSeconds(Speed(), demand);
+    placement.engine_seconds = EngineSeconds(PublishedSpeed(), demand);
     bool is_refused = ShouldRefuse(placement, demand);
     BOOST_TEST(is_refused == IsRefusedByCost(placement, demand));
     refused += is_refused ? 1 : 0;
@@ -189,7 +181,7 @@
 BOOST_AUTO_TEST_CASE(NewcomersSeeWhatIsKeptAsUsedAndTheCallerDoesNot) {
   Demand demand = VeryLong(210'000);
   std::vector<Candidate> engines = Engines(8, 0, 400);
-  Placement placement = Choose(engines, Speed(), demand);
+  Placement placement = Choose(engines, PublishedSpeed(), demand);
   BOOST_TEST(!ShouldRefuse(placement, demand));
   demand.refusal.reserved_seconds_per_engine = 5;
   BOOST_TEST(ShouldRefuse(placement, demand));
--- a/src/serving/testing/slow_engine_test.cc
+++ b/src/serving/testing/slow_engine_test.cc
@@ -10,6 +10,7 @@
 
 #include "serving/fleet.h"
 #include "serving/load_digest.h"
+#include "serving/testing/published_speed.h"
 
 namespace gullward {
 namespace {
@@ -17,21 +18,7 @@
 const Time kStart = Time{} + seconds(1000);
 constexpr double kSlowPace = 4;
 
-EngineSpeed Speed() {
-  EngineSpeed speed;
-  speed.slots = 16;
-  speed.memory_tokens = 450'000;
-  speed.step_ms = 0.925;
-  speed.step_ms_per_request = 0.00483;
-  speed.step_ms_per_thousand_context = 0.00254;
-  speed.prefill_tokens_per_ms = 256;
-  speed.prefill_ms_per_million_pairs = 0.0917;
-  speed.steps_per_pass = 46;
-  speed.usual_answer_tokens = 1540;
-  return speed;
-}
-
-const Service kPool{"pool", "/healthz", 100, true, Speed()};
+const Service kPool{"pool", "/healthz", 100, true, PublishedSpeed()};
 
 Demand Short() { return {5000, 1600, 300, 200, false, std::nullopt}; }
 Demand VeryLong(double tokens) { return {tokens, 800, 3000, 800, false, std::nullopt}; }
@@ -59,12 +46,12 @@
   const std::set<size_t> slow = {0, 1, 6, 17};
   std::vector<Candidate> engines = Engines(18, slow);
   for (int i = 0; i < 60; ++i) {
-    size_t chosen = Choose(engines, Speed(), Short()).engines.front();
+    size_t chosen = Choose(engines, PublishedSpeed(), Short()).engines.front();
     BOOST_TEST(slow.count(chosen) == 0u);
     AddStream(&engines[chosen]);
   }
   for (double tokens : {110'000.0, 210'000.0, 400'000.0}) {
-    Placement placement = Choose(engines, Speed(), VeryLong(tokens));
+    Placement placement = Choose(engines, PublishedSpeed(), VeryLong(tokens));
     BOOST_REQUIRE(!placement.engines.empty());
     for (size_t engine : placement.engines) BOOST_TEST(slow.count(engine) == 0u);
   }
@@ -74,8 +61,8 @@
 // needs both engines.
 BOOST_AUTO_TEST_CASE(ThePartOfASlowReaderDeterminesTheFirstEvent) {
   Demand prompt = VeryLong(800'000);
-  Placement quick = Choose(Engines(2, {}), Speed(), prompt);
-  Placement mixed = Choose(Engines(2, {0}), Speed(), prompt);
+  Placement quick = Choose(Engines(2, {}), PublishedSpeed(), prompt);
+  Placement mixed = Choose(Engines(2, {0}), PublishedSpeed(), prompt);
   BOOST_REQUIRE(quick.engines.size() == 2u);
   BOOST_REQUIRE(mixed.engines.size() == 2u);
   BOOST_TEST(mixed.part_reading_ms == quick.part_reading_ms);
@@ -84,8 +71,8 @@
 
 BOOST_AUTO_TEST_CASE(SlowEnginesAreUsedWhereNoOthersAreLeft) {
   std::vector<Candidate> engines = Engines(3, {0, 1, 2});
-  BOOST_TEST(!Choose(engines, Speed(), Short()).engines.empty());
-  Placement placement = Choose(engines, Speed(), VeryLong(210'000));
+  BOOST_TEST(!Choose(engines, PublishedSpeed(), Short()).engines.empty());
+  Placement placement = Choose(engines, PublishedSpeed(), VeryLong(210'000));
   BOOST_TEST(!placement.engines.empty());
   double at_least_ms = kSlowPace * placement.part_reading_ms;
   BOOST_TEST(placement.first_event_ms > at_least_ms);
@@ -98,7 +85,7 @@
     AddStream(&engines[0]);
     AddStream(&engines[2]);
   }
-  BOOST_TEST(Choose(engines, Speed(), Short()).engines.front() == 1u);
+  BOOST_TEST(Choose(engines, PublishedSpeed(), Short()).engines.front() == 1u);
 }
 
 EngineRecord Engine(int number, int64_t started = 5) {
@@ -120,7 +107,7 @@
   GapSpan span;
   for (int i = 0; i < 12; ++i) {
     Time at = from + FromSeconds(0.043 * pace * i);
-    fleet->NoteEvents(engine, Speed(), 1, &span, at);
+    fleet->NoteEvents(engine, PublishedSpeed(), 1, &span, at);
   }
   fleet->loads().End(1);
 }
@@ -144,7 +131,7 @@
       FleetChoice choice = *fleet.Choose(kPool, Short(), {}, kStart);
       choice.load.requests = is_idle ? 0 : 1;
       Time sent = kStart + i * milliseconds(500);
-      fleet.NoteFirstEvent(choice, Speed(), sent, sent + milliseconds(450));
+      fleet.NoteFirstEvent(choice, PublishedSpeed(), sent, sent + milliseconds(450));
     }
     BOOST_TEST(fleet.paces().slow(kStart + seconds(2)) == (is_idle ? 1u : 0u));
   }
