Revert "Merge crash records of small fleets, as a try"

What is known of one or two crashes dies with the process; the try keeps it in the store in fleets of fewer than three gateways.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -18,14 +18,12 @@
 
 CrashWatch::CrashWatch(EventLoop* event_loop, const Options& watch_options,
                        StoreRecovery* store_recovery, EventLog* event_log, Hooks watch_hooks)
-    : loop(event_loop),
-      options(watch_options),
+    : options(watch_options),
       log(event_log),
       hooks(std::move(watch_hooks)),
       check(event_loop),
       shared(watch_options.box, watch_options.quarantine_duration, this->EventHooks()),
-      quarantine_store(event_loop, watch_options.store, store_recovery, watch_options.seed),
-      crash_store(event_loop, watch_options.store, store_recovery, watch_options.box) {}
+      quarantine_store(event_loop, watch_options.store, store_recovery, watch_options.seed) {}
 
 // Log lines that let operators follow a content from its first crashes to the end of its
 // quarantine.
@@ -71,7 +69,6 @@
 // the crash.  If an entry is still in the store, the topic shows it before this wait ends.
 void CrashWatch::OnStoreReturn(Time now) {
   this->quarantine_store.OnStoreReturn();
-  this->crash_store.OnStoreReturn();
   for (ContentId content : this->quarantine().Quarantined(now)) {
     std::optional<Duration> left = this->quarantine().QuarantinedFor(content, now);
     if (left) this->StoreEntry({content, *left}, this->options.box, /*is_witness=*/false, now);
@@ -94,29 +91,9 @@
     if (!crashed) return;
     this->witnessed.insert(content);
     this->shared.NoteCrash({content, EngineKeyOf(engine.Incarnation())}, Now(), sent);
-    this->loop->RunAfter(CrashStore::kSettleTime, [this] { this->StoreCrashes(Now()); });
   });
 }
 
-void CrashWatch::StoreCrashes(Time now) {
-  std::optional<size_t> peers = this->hooks.peers ? this->hooks.peers() : std::nullopt;
-  if (!peers || !this->options.is_enabled) return;
-  bool must_keep = *peers < kPeersThatRemember;
-  this->crash_store.Keep(must_keep ? this->quarantine().UnexplainedCrashHistory() : CrashHistory{},
-                         now, UnixMillis());
-}
-
-void CrashWatch::RestoreCrashes(const std::string& box, const std::string& value, Time now) {
-  std::optional<CrashHistory> history = DecodeCrashes(value, now, UnixMillis());
-  if (box == this->options.box && !value.empty()) this->crash_store.OnOwnRecord(history);
-  if (!history || !this->options.is_enabled) return;
-  size_t restored = this->shared.Restore(*history, now);
-  if (restored == 0) return;
-  this->log->Write(LogLine("crashes_restored")
-                       .Text("kept_by", box)
-                       .Number("engines", static_cast<double>(restored)));
-}
-
 void CrashWatch::NoteAnswered(ContentId content, Time now) {
   if (this->options.is_enabled) this->shared.NoteAnswered(content, now);
 }
@@ -142,7 +119,6 @@
   std::erase_if(this->witnessed,
                 [this](ContentId content) { return !this->quarantine().HasRecordOf(content); });
   this->quarantine_store.Tick(now, UnixMillis());
-  this->StoreCrashes(now);
 }
 
 }  // namespace gullward
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -7,8 +7,7 @@
 // and was in use, the crash counts against the request's content, and all gateways receive a
 // report of it by gossip (serving/shared_quarantine.h).  Every gateway refuses a content that
 // is in quarantine, and the store holds the quarantine for gateways that start later
-// (quarantine_store.h).  Where too few gateways run to remember the crashes for each other, it
-// holds the crashes too (crash_store.h).
+// (quarantine_store.h).
 //
 //   if (std::optional<Duration> wait = watch.RefusedFor(content, now)) ...   // refuse
 //   watch.NoteBrokenAttempt(engine, content, sent, line);
@@ -25,7 +24,6 @@
 #include <unordered_set>
 #include <vector>
 
-#include "gateway/crash_store.h"
 #include "gateway/lost_engine_check.h"
 #include "gateway/quarantine_store.h"
 #include "process/event_log.h"
@@ -35,10 +33,6 @@
 
 class CrashWatch {
  public:
-  // With this many other gateways crashes are not kept in the store: one gateway may restart while
-  // another is lost, and a third still knows them.
-  static constexpr size_t kPeersThatRemember = 2;
-
   struct Options {
     // If false, no crash is recorded, reported or acted on, and no content is refused.
     bool is_enabled = true;
@@ -53,8 +47,6 @@
     // Whether an engine was listed and had not announced that it would leave.  The end of an
     // engine that was leaving is planned, so no request is the cause.
     std::function<bool(const EngineRecord&)> was_in_use;
-    // The number of other gateways; nullopt until it is known.
-    std::function<std::optional<size_t>()> peers;
   };
 
   CrashWatch(EventLoop* event_loop, const Options& watch_options, StoreRecovery* store_recovery,
@@ -96,10 +88,6 @@
   // Takes in an entry of the store topic that holds the quarantine.
   void OnRecord(ContentId content, const std::string& value, Time now);
 
-  // Takes in the crashes that the gateway on `box` keeps in the store topic, when this gateway
-  // starts.
-  void RestoreCrashes(const std::string& box, const std::string& value, Time now);
-
   // To be called when the store has returned without its latest writes.  Writes every content
   // that is in quarantine again.
   void OnStoreReturn(Time now);
@@ -114,12 +102,8 @@
   const std::map<EngineFinding, uint64_t>& broken_attempts() const { return this->broken_count; }
   // Connections opened to test engines.
   uint64_t connections() const { return this->check.connections(); }
-  // Calls to the store for quarantine entries and crashes.
-  uint64_t store_calls() const {
-    return this->quarantine_store.store_calls() + this->crash_store.store_calls();
-  }
-  // Crashed engines that this gateway keeps in the store.
-  size_t stored_crashes() const { return this->crash_store.stored_engines(); }
+  // Calls to the store for quarantine entries.
+  uint64_t store_calls() const { return this->quarantine_store.store_calls(); }
   // Items of gossip that were dropped because the queue was full.
   uint64_t gossip_dropped() const { return this->shared.gossip_dropped(); }
   // Quarantine entries for which the store topic had no room.
@@ -129,17 +113,14 @@
  private:
   SharedQuarantine::Hooks EventHooks();
   void OnQuarantined(const QuarantineReport& report, const std::string& by);
-  void StoreCrashes(Time now);
   void StoreEntry(const QuarantineReport& report, const std::string& by, bool is_witness, Time now);
 
-  EventLoop* loop;
   Options options;
   EventLog* log;
   Hooks hooks;
   LostEngineCheck check;
   SharedQuarantine shared;
   QuarantineStore quarantine_store;
-  CrashStore crash_store;
   // Contents whose requests from this process were on an engine when it crashed.
   std::unordered_set<ContentId> witnessed;
   std::map<EngineFinding, uint64_t> broken_count;
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -88,13 +88,6 @@
   hooks.quarantine_record = [this](ContentId content, const std::string& value) {
     this->crash_watch.OnRecord(content, value, Now());
   };
-  hooks.crash_records = [this](const std::string& box, const std::string& value) {
-    // Later changes arrive by gossip, before the topic shows them.
-    if (this->load_exchange.has_read_gateways()) return;
-    this->crash_watch.RestoreCrashes(box, value, Now());
-  };
-  // A request that is sent before the next tick would not wait for a decision that is due.
-  hooks.on_topic_read = [this] { this->crash_watch.Tick(Now()); };
   return hooks;
 }
 
@@ -119,10 +112,6 @@
     return is_listed && !known->draining &&
            !this->state.fleet.notices().IsLeaving(engine.Incarnation());
   };
-  hooks.peers = [this]() -> std::optional<size_t> {
-    if (!this->load_exchange.has_read_gateways()) return std::nullopt;
-    return this->load_exchange.peers();
-  };
   return hooks;
 }
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "serving/crash_records.h"
 #include "serving/gateway_entry.h"
 #include "serving/quarantine_entry.h"
 #include "serving/settled_epoch.h"
@@ -142,8 +141,6 @@
   bool has_own_entry = std::find(records.begin(), records.end(), own) != records.end();
   for (const platform::KeyedRecord& record : records) this->OnPeerRecord(record);
   if (!has_own_entry) this->RegisterOnce();
-  this->is_topic_read = true;
-  this->hooks.on_topic_read();
   this->topic_changed = true;
   // Set even for an empty list, which shows that this gateway has no peers.
   this->peers_changed = true;
@@ -154,10 +151,6 @@
     this->hooks.quarantine_record(*content, record.value);
     return;
   }
-  if (std::optional<std::string> owner = BoxOfCrashesKey(record.key)) {
-    this->hooks.crash_records(*owner, record.value);
-    return;
-  }
   if (record.key == kSettledEpochKey) {
     this->hooks.settled_epoch_record(record.value);
     return;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -101,10 +101,6 @@
     std::function<void(const ReturnPromise& promise)> on_promise;
     // Called with an entry of the peers' topic about a quarantined request content.
     std::function<void(ContentId content, const std::string& value)> quarantine_record;
-    // Called with the crashes that the gateway on `box` keeps in the peers' topic.
-    std::function<void(const std::string& box, const std::string& value)> crash_records;
-    // Called after all records of the peers' topic were handed on.
-    std::function<void()> on_topic_read;
     // Called when gateways are first known, and after each change of them.  Not complete: other
     // gateways may just be writing their entries.
     std::function<void(bool are_complete)> on_gateways_changed;
@@ -154,9 +150,6 @@
   // The address of the gateway on this box; empty if it is unknown.
   std::optional<SocketAddress> AddressOf(const std::string& box) const;
 
-  // Whether the peers' topic was read completely.  Gateways that start for the first time at the
-  // same moment may still be missing.
-  bool has_read_gateways() const { return this->is_topic_read; }
   // The number of known gateways, without this one.
   size_t peers() const { return this->directory.size(); }
   // The number of home cell members that the last round addressed, without this gateway.
@@ -217,7 +210,6 @@
   // Whether this process has waited for the entries of gateways that started at the same time.
   bool has_waited_for_others = false;
   bool gateways_reported = false;
-  bool is_topic_read = false;
   Duration registration_pause;
   TopicFollower follower;
   PeerDirectory directory;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -101,8 +101,6 @@
         watch.unstored_entries());
   text->Gauge("gullward_suspects", "Contents under which an engine has ended", {},
               static_cast<double>(watch.quarantine().suspects()));
-  text->Gauge("gullward_stored_crashes", "Ended engines that this gateway keeps in the store", {},
-              static_cast<double>(watch.stored_crashes()));
   text->Gauge("gullward_quarantined", "Contents in quarantine", {},
               static_cast<double>(watch.quarantine().quarantined()));
 }
--- a/src/gateway/testing/crashing_request_test.cc
+++ b/src/gateway/testing/crashing_request_test.cc
@@ -22,12 +22,10 @@
 #include "platform/headers.h"
 #include "serving/gateway_entry.h"
 #include "serving/load_digest.h"
-#include "serving/quarantine_entry.h"
 
 namespace gullward {
 namespace {
 
-constexpr char kTopic[] = "keyed.gullward-entries";
 constexpr char kCrashing[] = "crashing";
 // Three crashes identify a request.  An exchange that is under way may add two, and one more may be
 // needed to distinguish the request from the requests that ran beside it.
@@ -46,16 +44,9 @@
   return fixture;
 }
 
-ContentId ContentOfStream(const std::string& body) {
-  return ContentOf({"shop", "POST", "/chat/x", body});
-}
-
 // The pause between two tries: callers send about twenty a second.
 constexpr Duration kPause = milliseconds(50);
 
-// Longer than an engine needs to restart and a gateway to write what it knows to the store.
-constexpr Duration kRestartPause = milliseconds(500);
-
 bool IsQuarantined(const Reply& reply) {
   return reply.head.status == 503 && absl::StrContains(reply.body, "\"code\":2016");
 }
@@ -104,53 +95,14 @@
   auto fixture = StartedWithCrashes();
   BOOST_TEST(SendUntilRefused(fixture.get(), kCrashing, 12) < 12);
   BOOST_REQUIRE(fixture->RunUntil([&] { return fixture->gateway->quarantined() == 1; }));
-  const std::string key = QuarantineKey(ContentOfStream(kCrashing));
-  BOOST_REQUIRE(fixture->RunUntil([&] { return !fixture->store.Newest(kTopic, key).empty(); }));
+  BOOST_REQUIRE(
+      fixture->RunUntil([&] { return fixture->store.appended("keyed.gullward-entries") == 2; }));
   fixture->AddGateway();
   Reply refused = fixture->Call(fixture->StreamRequest("later", "", kCrashing), 1);
   BOOST_TEST(IsQuarantined(refused));
   BOOST_TEST(fixture->RunsOf("later") == 0);
 }
 
-// In the smallest fleet each gateway process ends after it has seen one crash.  Earlier processes
-// are kept until the test ends, since the loop still runs their tasks; they get no requests, and
-// ignore what a gateway of their own box tells.
-BOOST_AUTO_TEST_CASE(CrashesAreCountedAcrossRestartsOfTheOnlyGateway) {
-  GatewayFixtureOptions options{.engines = 1};
-  options.engine.crashes_engine = CrashesEngines;
-  auto fixture = StartedFixture(options);
-  fixture->RestartEnginesAfter(milliseconds(300));
-  std::vector<std::unique_ptr<GatewayServer>> ended;
-  bool is_refused = false;
-  for (int i = 0; i < kMaxEngineCrashes && !is_refused; ++i) {
-    std::string id = absl::StrCat("crashing-", i);
-    is_refused = IsQuarantined(fixture->Call(fixture->StreamRequest(id, "", kCrashing)));
-    if (is_refused) break;
-    Time next = Now() + kRestartPause;
-    fixture->RunUntil([&] { return Now() >= next && fixture->engines[0]->is_up(); });
-    ended.push_back(std::move(fixture->gateway));
-    fixture->StartGateway();
-  }
-  BOOST_TEST(is_refused);
-  BOOST_TEST(fixture->engine_crashes() == static_cast<int>(Quarantine::kMinCrashes));
-}
-
-// Where a peer surely keeps what it is told, crashes are not written to the store.
-BOOST_AUTO_TEST_CASE(GatewaysKeepCrashesInTheStoreOnlyInVerySmallFleets) {
-  for (size_t gateways : {1, 2, 3}) {
-    GatewayFixtureOptions options{.engines = 12};
-    options.engine.crashes_engine = CrashesEngines;
-    auto fixture = StartedFixture(options, gateways);
-    uint64_t written = fixture->store.appended(kTopic);
-    SendUntilRefused(fixture.get(), kCrashing, /*max_tries=*/1);
-    BOOST_REQUIRE(fixture->RunUntil([&] { return fixture->gateway->suspects() == 1; }));
-    Time next = Now() + kRestartPause;
-    fixture->RunUntil([next] { return Now() >= next; });
-    BOOST_TEST((fixture->store.appended(kTopic) > written) == (gateways < 3));
-    BOOST_TEST(fixture->store.Newest(kTopic, "crashes/box-1").empty() == (gateways == 3));
-  }
-}
-
 // Harmless requests that run on each engine that crashes are never refused and are served in the
 // end.
 BOOST_AUTO_TEST_CASE(RequestsBesideItAreServed) {
@@ -230,6 +182,10 @@
   SocketAddress gateway;
 };
 
+ContentId ContentOfStream(const std::string& body) {
+  return ContentOf({"shop", "POST", "/chat/x", body});
+}
+
 // Guards against refusing a harmless request that nobody has answered yet while the gateways decide
 // which of the contents on the crashed engines is the cause.
 BOOST_AUTO_TEST_CASE(ARequestWaitsForTheDecisionWhetherItCrashesEngines) {
--- a/src/serving/quarantine.cc
+++ b/src/serving/quarantine.cc
@@ -4,7 +4,6 @@
 #include "serving/quarantine.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace gullward {
@@ -29,10 +28,8 @@
   if (record.crashes.size() == kMaxEnginesKept) record.crashes.erase(record.crashes.begin());
   bool is_resend = sent && !record.crashes.empty() && *sent > record.crashes.front().received_at;
   record.was_resent = record.was_resent || is_resend;
-  auto is_later = [now](const Crash& crash) { return crash.received_at > now; };
-  auto position = std::find_if(record.crashes.begin(), record.crashes.end(), is_later);
-  record.crashes.insert(position, {report.engine, now});
-  record.last_report_at = std::max(record.last_report_at, now);
+  record.crashes.push_back({report.engine, now});
+  record.last_report_at = now;
   if (record.quarantined_until) {
     this->explained.insert(report.engine);
   } else if (this->NeedsDecision(record)) {
@@ -220,53 +217,6 @@
   return found == this->records.end() ? 0 : this->UnexplainedCrashes(found->second).size();
 }
 
-std::vector<EngineCrash> Quarantine::UnexplainedEngineCrashes() const {
-  std::map<EngineKey, EngineCrash> by_engine;
-  for (const auto& [content, record] : this->records) {
-    if (record.quarantined_until) continue;
-    for (const Crash& crash : this->UnexplainedCrashes(record)) {
-      EngineCrash& found =
-          by_engine.try_emplace(crash.engine, EngineCrash{crash.engine, crash.received_at, {}})
-              .first->second;
-      found.at = std::min(found.at, crash.received_at);
-      found.contents.push_back(content);
-    }
-  }
-  std::vector<EngineCrash> crashes;
-  for (auto& [engine, crash] : by_engine) {
-    std::sort(crash.contents.begin(), crash.contents.end());
-    crashes.push_back(std::move(crash));
-  }
-  std::stable_sort(crashes.begin(), crashes.end(),
-                   [](const EngineCrash& a, const EngineCrash& b) { return a.at < b.at; });
-  return crashes;
-}
-
-CrashHistory Quarantine::UnexplainedCrashHistory() const {
-  CrashHistory history{this->UnexplainedEngineCrashes(), {}};
-  for (const auto& [content, record] : this->records) {
-    if (record.was_answered) history.answered.push_back(content);
-  }
-  std::sort(history.answered.begin(), history.answered.end());
-  return history;
-}
-
-size_t Quarantine::Restore(const CrashHistory& history, Time now) {
-  for (ContentId content : history.answered) {
-    this->answered.Add(content, now);
-    this->NoteAnsweredByPeer(content);
-  }
-  size_t restored = 0;
-  for (const EngineCrash& crash : history.crashes) {
-    if (now - crash.at >= kSuspicionLifetime) continue;
-    bool is_new = false;
-    for (ContentId content : crash.contents)
-      is_new = this->NoteCrash({content, crash.engine}, crash.at) || is_new;
-    restored += is_new ? 1 : 0;
-  }
-  return restored;
-}
-
 void Quarantine::Erase(Records::iterator where) {
   this->undecided.erase(where->first);
   if (where->second.quarantined_until) this->quarantined_count -= 1;
--- a/src/serving/quarantine.h
+++ b/src/serving/quarantine.h
@@ -72,26 +72,6 @@
   auto operator<=>(const CrashReport&) const = default;
 };
 
-// A crashed engine, when its crash was known, and the contents that were running on it.
-struct EngineCrash {
-  EngineKey engine = 0;
-  Time at{};
-  // In ascending order.
-  std::vector<ContentId> contents;
-
-  bool operator==(const EngineCrash&) const = default;
-};
-
-// What a process that ends leaves to the next one.
-struct CrashHistory {
-  // In the order in which they were known.
-  std::vector<EngineCrash> crashes;
-  // Contents that are trusted more than others, in ascending order.
-  std::vector<ContentId> answered;
-
-  bool operator==(const CrashHistory&) const = default;
-};
-
 class Quarantine {
  public:
   // Crashes before a content is refused.  Two may be a coincidence: a request from an engine that
@@ -126,9 +106,8 @@
   explicit Quarantine(Duration quarantine_duration) : duration(quarantine_duration) {}
 
   // Records a crash that was seen here or reported by a peer.  `sent` is the time at which the
-  // engine received the request; it is set only for crashes seen here.  `now` is earlier than the
-  // clock for a crash that an earlier process recorded.  Returns false if the crash is already
-  // recorded or the content was cleared less than kClearedFor before it, or after it.
+  // engine received the request; it is set only for crashes seen here.  Returns false if the
+  // crash is already recorded or the content was cleared less than kClearedFor ago.
   bool NoteCrash(const CrashReport& report, Time now, std::optional<Time> sent = std::nullopt);
 
   // Clears a content that was answered completely.  To be called for each such answer, also of
@@ -176,13 +155,6 @@
   size_t CrashCount(ContentId content) const;
   size_t UnexplainedCrashCount(ContentId content) const;
 
-  // The crashes that count against contents not in quarantine and are not explained by a content
-  // that is, and the contents with or without crashes that are known to have been answered.
-  CrashHistory UnexplainedCrashHistory() const;
-  // Takes in what an earlier process has left.
-  // Returns the number of crashed engines that were new.
-  size_t Restore(const CrashHistory& history, Time now);
-
   // Removes expired quarantines and expired suspects.
   void Tick(Time now);
 
@@ -200,7 +172,7 @@
     Time received_at;
   };
   struct Record {
-    // In the order of received_at.
+    // In the order in which the reports arrived.
     std::vector<Crash> crashes;
     Time last_report_at{};
     // Whether an engine received the request after another had crashed under it.
@@ -214,7 +186,6 @@
   };
   using Records = std::unordered_map<ContentId, Record>;
 
-  std::vector<EngineCrash> UnexplainedEngineCrashes() const;
   std::vector<Crash> UnexplainedCrashes(const Record& record) const;
   bool NeedsDecision(const Record& record) const;
   void QueueDecisions();
--- a/src/serving/shared_quarantine.h
+++ b/src/serving/shared_quarantine.h
@@ -45,12 +45,6 @@
   // crash was new.
   bool NoteCrash(const CrashReport& report, Time now, std::optional<Time> sent = std::nullopt);
 
-  // Takes in what an earlier process has left.  It is not passed on: a peer has learned of the
-  // crashes when they happened and may have cleared contents since.
-  size_t Restore(const CrashHistory& history, Time now) {
-    return this->quarantine.Restore(history, now);
-  }
-
   // A request with this content was answered completely here.
   void NoteAnswered(ContentId content, Time now) { this->Clear(content, this->box, now); }
 
--- a/src/serving/testing/quarantine_test.cc
+++ b/src/serving/testing/quarantine_test.cc
@@ -12,7 +12,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "serving/crash_gossip.h"
-#include "serving/crash_records.h"
 #include "serving/load_digest.h"
 #include "serving/quarantine_entry.h"
 #include "serving/shared_quarantine.h"
@@ -116,81 +115,6 @@
   }
 }
 
-// The crashes of a table's row, where the process that has seen the first `cut` of them ends and
-// the next one reads what it has left.
-Quarantine PlayWithRestart(const std::vector<CrashEvent>& crashes, size_t cut) {
-  constexpr int64_t kUnixMillis = 1'764'720'000'000;
-  Quarantine before(kQuarantineDuration);
-  Quarantine after(kQuarantineDuration);
-  for (size_t i = 0; i < cut; ++i)
-    before.NoteCrash({crashes[i].content, crashes[i].engine}, At(crashes[i].at_ms));
-  Time now = At(crashes.back().at_ms);
-  std::string kept = EncodeCrashes(before.UnexplainedCrashHistory(), now, kUnixMillis);
-  // The rest comes first, as if the store were read late.
-  for (size_t i = cut; i < crashes.size(); ++i)
-    after.NoteCrash({crashes[i].content, crashes[i].engine}, At(crashes[i].at_ms));
-  after.Restore(*DecodeCrashes(kept, now, kUnixMillis), now);
-  return after;
-}
-
-BOOST_AUTO_TEST_CASE(DecisionsAreTheSameWhereverTheProcessEnds) {
-  for (const DecisionCase& test_case : kDecisionCases) {
-    for (size_t cut = 0; cut <= test_case.crashes.size(); ++cut) {
-      BOOST_TEST_CONTEXT(test_case.what << ", after " << cut << " crashes") {
-        Quarantine quarantine = PlayWithRestart(test_case.crashes, cut);
-        Time decided_at = At(test_case.crashes.back().at_ms) + Quarantine::kDecisionDelay;
-        quarantine.Evaluate(decided_at);
-        std::vector<ContentId> quarantined = quarantine.Quarantined(decided_at);
-        std::sort(quarantined.begin(), quarantined.end());
-        BOOST_TEST(quarantined == test_case.quarantined, boost::test_tools::per_element());
-      }
-    }
-  }
-}
-
-BOOST_AUTO_TEST_CASE(OnlyCrashesThatCountAreKept) {
-  Quarantine quarantine(kQuarantineDuration);
-  for (EngineKey engine : {1, 2}) {
-    quarantine.NoteCrash({kCrashing, engine}, At(static_cast<int>(engine) * 1000));
-    quarantine.NoteCrash({kHarmless, engine}, At(static_cast<int>(engine) * 1000));
-  }
-  CrashHistory both{{{1, At(1000), {kCrashing, kHarmless}}, {2, At(2000), {kCrashing, kHarmless}}},
-                    {}};
-  BOOST_TEST((quarantine.UnexplainedCrashHistory() == both));
-  quarantine.NoteAnswered(kHarmless, At(2500));
-  CrashHistory one{{{1, At(1000), {kCrashing}}, {2, At(2000), {kCrashing}}}, {kHarmless}};
-  BOOST_TEST((quarantine.UnexplainedCrashHistory() == one));
-  // A crash from before the answer, read late, does not count.
-  BOOST_TEST(quarantine.Restore(both, At(2600)) == 0);
-  BOOST_TEST((quarantine.UnexplainedCrashHistory() == one));
-  quarantine.AdoptFromPeer(kCrashing, seconds(60), At(3000));
-  BOOST_TEST(quarantine.UnexplainedCrashHistory().crashes.empty());
-  // What is older than the lifetime of a suspicion counts no more.
-  Quarantine late(kQuarantineDuration);
-  BOOST_TEST(late.Restore(both, At(1000) + Quarantine::kSuspicionLifetime) == 1);
-}
-
-// The next process must not take a content that was answered for the one that crashes engines, also
-// where both have been on all of them.
-BOOST_AUTO_TEST_CASE(AnAnsweredContentIsTrustedByTheNextProcess) {
-  for (bool was_answered : {false, true}) {
-    Quarantine before(kQuarantineDuration);
-    if (was_answered) before.NoteAnswered(kHarmless, At(0));
-    for (EngineKey engine : {1, 2}) {
-      before.NoteCrash({kCrashing, engine}, At(static_cast<int>(engine) * 1000));
-      before.NoteCrash({kHarmless, engine}, At(static_cast<int>(engine) * 1000));
-    }
-    Quarantine after(kQuarantineDuration);
-    after.Restore(before.UnexplainedCrashHistory(), At(3000));
-    after.NoteCrash({kCrashing, 3}, At(4000));
-    after.NoteCrash({kHarmless, 3}, At(4000));
-    std::vector<ContentId> expected;
-    if (was_answered) expected = {kCrashing};
-    BOOST_TEST(after.Evaluate(At(4000) + Quarantine::kDecisionDelay) == expected,
-               boost::test_tools::per_element());
-  }
-}
-
 // A content that many callers send runs on every engine that a crashing one takes down, and on some
 // that crash for other reasons.  Its answers show that it is not the cause.
 BOOST_AUTO_TEST_CASE(AContentThatWasAnsweredIsNotTakenForTheCause) {
@@ -599,30 +523,6 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(CrashRecordsAreReadAsWrittenAndInvalidOnesDropped) {
-  const CrashHistory crashes{{{1, At(0), {7, 8}}, {2, At(1500), {7}}}, {8, 9}};
-  const std::string value = EncodeCrashes(crashes, At(2000), 1'764'720'000'000);
-  BOOST_TEST((DecodeCrashes(value, At(2000), 1'764'720'000'000) == crashes));
-  // Another box, whose clock is a second behind, three seconds later by it.
-  std::optional<CrashHistory> later = DecodeCrashes(value, At(9000), 1'764'720'002'000);
-  BOOST_TEST((later->crashes.front().at == At(5000)));
-  // A time that is still to come.
-  BOOST_TEST((DecodeCrashes(value, At(2000), 1'764'719'000'000)->crashes[0].at == At(2000)));
-  const std::vector<ContentId> many(kMaxContentsPerCrash + 1, 7);
-  const std::vector<ContentId> answered(kMaxStoredAnswered + 1, 7);
-  const std::vector<EngineCrash> too_many(kMaxStoredCrashes + 1, {1, At(0), {7}});
-  const CrashHistory invalid[] = {
-      {{{1, At(0), {}}}, {}}, {{{1, At(0), many}}, {}}, {too_many, {}}, {{}, answered}};
-  for (const CrashHistory& history : invalid)
-    BOOST_TEST(!DecodeCrashes(EncodeCrashes(history, At(0), 1000), At(0), 1000).has_value());
-  const std::string before_1970 = EncodeCrashes({{{1, At(0), {7}}}, {}}, At(0), -1);
-  for (const std::string& bytes :
-       {std::string(), std::string("no record"), value.substr(0, value.size() / 2), before_1970})
-    BOOST_TEST(!DecodeCrashes(bytes, At(0), 1000).has_value());
-  BOOST_TEST((BoxOfCrashesKey(CrashesKey("box-1")) == "box-1"));
-  BOOST_TEST(!BoxOfCrashesKey("box-1").has_value());
-}
-
 BOOST_AUTO_TEST_CASE(EveryPartOfARequestChangesItsContentId) {
   RequestContent request{"shop", "POST", "/chat/x", "hello"};
   std::set<ContentId> seen{ContentOf(request)};
