One decay by a half-life, one utilization from which engines are short of room

Cause: read again, the change wrote the decay of a figure that halves in a fixed time three times more (account shares, losses of ranks, paces) beside the one of engine health, and the utilization up to which nobody gives way twice.

Ruled out: the sums of work, which decay by e and not by halves, stay as they are; a class that holds a decaying figure, since each of the four keeps other state beside it.

Change: base/half_life.h, called by all four; kRoomyUtilization stands with the ranks. No behaviour changes: ages are never negative for engine health.

--- a/src/overload/account_share.cc
+++ b/src/overload/account_share.cc
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/half_life.h"
+#include "overload/ranks.h"
+
 namespace gullward {
 namespace {
 
 constexpr Duration kHalfLife = seconds(10);
-// Above this utilization engines count as short of room.
-constexpr double kRoomyUtilization = 0.5;
 // Uneven accounts are normal; only one with more than this many equal shares gives way.
 constexpr double kMaxEqualShares = 2;
 // An account that gives way counts as much as one of the next rank.
@@ -19,8 +20,7 @@
 }  // namespace
 
 double AccountShares::Held(const Entry& entry, Time now) {
-  double age = std::max(ToSeconds(now - entry.counted), 0.0);
-  return entry.engine_seconds * std::exp2(-age / ToSeconds(kHalfLife));
+  return entry.engine_seconds * HalfLifeDecay(now - entry.counted, kHalfLife);
 }
 
 AccountShares::Entry& AccountShares::EntryOf(const std::string& account, Time now) {
--- a/src/overload/engine_pace.cc
+++ b/src/overload/engine_pace.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "base/half_life.h"
+
 namespace gullward {
 namespace {
 
@@ -45,8 +47,7 @@
 }
 
 double EnginePaces::Decayed(const Measured& measured, Time now) {
-  double half_lives = std::max(ToSeconds(now - measured.at), 0.0) / ToSeconds(kHalfLife);
-  return kMinPace + (measured.pace - kMinPace) * std::exp2(-half_lives);
+  return kMinPace + (measured.pace - kMinPace) * HalfLifeDecay(now - measured.at, kHalfLife);
 }
 
 EnginePaces::Entry* EnginePaces::FindOrAdd(const std::string& engine, Time now) {
--- a/src/overload/ranks.cc
+++ b/src/overload/ranks.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/half_life.h"
+
 namespace gullward {
 namespace {
 
@@ -18,11 +20,6 @@
 
 size_t IndexOf(int steps) { return static_cast<size_t>(std::clamp(steps, 0, kLastRank)); }
 
-double Decay(Duration age) {
-  if (age <= Duration::zero()) return 1;
-  return std::exp2(-ToSeconds(age) / ToSeconds(kHalfLife));
-}
-
 }  // namespace
 
 double RankWeight(int steps) { return std::exp2(-std::clamp(steps, 0, kLastRank)); }
@@ -43,14 +40,14 @@
 }
 
 void RankLosses::Count(RankState* state, bool lost, Time now) {
-  double decay = Decay(now - state->counted);
+  double decay = HalfLifeDecay(now - state->counted, kHalfLife);
   state->ended = state->ended * decay + 1;
   state->lost = state->lost * decay + (lost ? 1 : 0);
   state->counted = now;
 }
 
 double RankLosses::LostShare(const RankState& state, Time now) {
-  double decay = Decay(now - state.counted);
+  double decay = HalfLifeDecay(now - state.counted, kHalfLife);
   return state.lost * decay / (state.ended * decay + kPriorInTime);
 }
 
--- a/src/overload/ranks.h
+++ b/src/overload/ranks.h
@@ -30,6 +30,10 @@
 // The least urgent rank.
 inline constexpr int kLastRank = 9;
 
+// Up to this mean utilization of the engines, 0 to 1, they have room: no request is refused for its
+// rank or for its account's share.
+inline constexpr double kRoomyUtilization = 0.5;
+
 inline bool IsRank(int number) { return number >= 0 && number <= kLastRank; }
 
 // The weight of a request that is `steps` ranks behind the most urgent one: 2^-steps, and at least
--- a/src/serving/engine_health.h
+++ b/src/serving/engine_health.h
@@ -17,6 +17,7 @@
 #include <cmath>
 
 #include "base/clock.h"
+#include "base/half_life.h"
 
 namespace gullward {
 
@@ -74,8 +75,7 @@
   // well as with successes: otherwise an engine that gets no work because of its rate could never
   // show that it works again.
   double FailureRate(Time now) const {
-    double half_lives = ToSeconds(now - this->rated_at) / ToSeconds(kHalfLife);
-    return this->failure_rate * std::exp2(-half_lives);
+    return this->failure_rate * HalfLifeDecay(now - this->rated_at, kHalfLife);
   }
 
  private:
--- a/src/serving/refusal.cc
+++ b/src/serving/refusal.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "overload/ranks.h"
 #include "serving/engine_costs.h"
 
 namespace gullward {
@@ -22,9 +23,6 @@
 // objective.
 constexpr double kMaxSlotWaitShare = 0.8;
 
-// No request is refused for its rank up to this utilization.
-constexpr double kRoomyUtilization = 0.5;
-
 // The factor on engine time, which rises from 1 at kRoomyUtilization to
 // RefusalTerms::engine_time_factor at full utilization.
 double EngineTimeFactor(const Placement& placement, const RefusalTerms& terms) {
