--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -27,8 +27,8 @@
   const Route* route = nullptr;
   // The name of the client account; empty if the route needs none.
   std::string account;
-  // The account's rank; -1 if there is none.
-  int account_priority = -1;
+  // The account's rank.
+  int account_priority = kUnstatedRank;
   // Whether the request is authorized by an API key.  The key must be vouched for at every
   // attempt, since it may be revoked meanwhile (serving/freshness.h).
   bool needs_key = false;
--- a/src/serving/config_index.cc
+++ b/src/serving/config_index.cc
@@ -16,9 +16,6 @@
   return absl::AsciiStrToLower(AbslView(host.substr(0, host.find(':'))));
 }
 
-// The default of ClientAccount::priority.
-constexpr int kUnstatedRank = -1;
-
 int EffectiveRank(const Route& route, int account_rank) {
   return account_rank == kUnstatedRank ? route.priority : account_rank;
 }
--- a/src/serving/config_index.h
+++ b/src/serving/config_index.h
@@ -48,7 +48,7 @@
   const Service* FindService(const std::string& name) const;
 
   // The rank of a request; empty if all requests to the service have the same.  The rank is that of
-  // the account, or that of the route if `account_priority` is -1.
+  // the account, or that of the route if `account_priority` is kUnstatedRank.
   std::optional<RequestRank> RankOf(const Route& route, int account_priority,
                                     const std::string& service) const;
 
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -110,12 +110,15 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
+// The rank of an account that states none: its requests have their route's.
+inline constexpr int kUnstatedRank = -1;
+
 // The account that a request is charged to, identified by the request's API key.
 struct ClientAccount {
   std::string name;
   std::vector<std::string> api_keys;
-  // Overrides the route's priority; -1 if not stated.
-  int priority = -1;
+  // Overrides the route's priority.
+  int priority = kUnstatedRank;
 
   bool operator==(const ClientAccount&) const = default;
 };
