The time of a decode step is computed in one place

Cause: the forecast of room wrote the formula of a step a third time, after the writing pass and the wait for a slot.

Change: StepMs in engine_costs, called by the three. The same terms in the same order, so the results are the same.

--- a/src/serving/engine_costs.cc
+++ b/src/serving/engine_costs.cc
@@ -87,11 +87,14 @@
          speed.prefill_ms_per_million_pairs * million_pairs;
 }
 
+double StepMs(const EngineSpeed& speed, int requests, double context_tokens) {
+  return speed.step_ms + speed.step_ms_per_request * requests +
+         speed.step_ms_per_thousand_context * context_tokens / 1000;
+}
+
 double WritingPassMs(const EngineSpeed& speed, const EngineLoad& load) {
   if (load.writers == 0) return 0;
-  double step = speed.step_ms + speed.step_ms_per_request * load.writers +
-                speed.step_ms_per_thousand_context * load.context_tokens / 1000;
-  return step * speed.steps_per_pass;
+  return StepMs(speed, load.writers, load.context_tokens) * speed.steps_per_pass;
 }
 
 double RemainingReadingMs(const Candidate& candidate) {
@@ -125,9 +128,8 @@
 double SlotWaitMs(const EngineSpeed& speed, const Candidate& candidate) {
   int excess = candidate.load.requests + 1 - candidate.slots;
   if (excess <= 0) return 0;
-  double step = speed.step_ms + speed.step_ms_per_request * candidate.slots +
-                speed.step_ms_per_thousand_context * candidate.load.context_tokens / 1000;
-  double answer_ms = candidate.pace * speed.usual_answer_tokens * step;
+  double step_ms = StepMs(speed, candidate.slots, candidate.load.context_tokens);
+  double answer_ms = candidate.pace * speed.usual_answer_tokens * step_ms;
   return excess * answer_ms / candidate.slots;
 }
 
--- a/src/serving/engine_costs.h
+++ b/src/serving/engine_costs.h
@@ -1,9 +1,9 @@
 // The cost model of placement.h: what a request costs on an engine.
 //
 // A cost is a loss of value, and its unit is the value of a short request of the same rank; streams
-// of other ranks weigh more or less (overload/ranks.h).  Each function below
-// prices one cause of loss: the request waits, its own stream pauses, other streams pause, memory
-// or slots are short, or the engine fails.  placement.cc adds the costs up and compares them.
+// of other ranks weigh more or less (overload/ranks.h).  Each function below prices one cause of
+// loss: the request waits, its own stream pauses, other streams pause, memory or slots are short,
+// or the engine fails.  placement.cc adds the costs up and compares them.
 
 #ifndef GULLWARD_SERVING_ENGINE_COSTS_H_
 #define GULLWARD_SERVING_ENGINE_COSTS_H_
@@ -27,6 +27,9 @@
 // An engine with this much reading left counts as fully used.
 inline constexpr double kFullUseReadingMs = 1000;
 
+// Milliseconds of one decode step with so many running requests and tokens of context.
+double StepMs(const EngineSpeed& speed, int requests, double context_tokens);
+
 // Time in milliseconds that the engine still reads, at its pace.  The load counts the time that has
 // passed, of which a slow engine needs more than the published reading time.
 double RemainingReadingMs(const Candidate& candidate);
--- a/src/serving/room_forecast.cc
+++ b/src/serving/room_forecast.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "serving/engine_costs.h"
 #include "serving/refusal.h"
 
 namespace gullward {
@@ -14,8 +15,7 @@
 // Requests that end within `later_ms`.  Their ends are spread evenly over the time of one answer.
 int RequestsEnded(const EngineSpeed& speed, const Candidate& candidate, double later_ms) {
   int running = std::min(candidate.load.requests, std::max(candidate.slots, 1));
-  double step_ms = speed.step_ms + speed.step_ms_per_request * running +
-                   speed.step_ms_per_thousand_context * candidate.load.context_tokens / 1000;
+  double step_ms = StepMs(speed, running, candidate.load.context_tokens);
   double answer_ms = std::max(speed.usual_answer_tokens * step_ms, 1.0);
   double ended = std::floor(later_ms * running / answer_ms);
   return static_cast<int>(std::min<double>(ended, candidate.load.requests));
