Promises that go first, home members and times to return: one piece each

Cause: two sums over promises repeated the condition of which go first; two functions of the load exchange looked up the members of the home cell by the same lines; times to return were converted to seconds and back.

Change: ReturnBook::GoesFirst, LoadExchange::HomeMembers; failure_answer computes in Duration and converts once, when the field is written.

Ruled out: one loop for promises and for maps of entries that are sent in parts: the two differ in container and in receivers, and a template over both would be longer.

--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -15,19 +15,13 @@
 constexpr double kRetryAfterShare = 0.3;
 
 // The same while a gateway starts, as long as no route is known: other gateways may serve by then.
-constexpr double kMaxStartRetryAfterSeconds = 1;
-
-double RetryAfterSeconds(const Route* route, std::optional<Duration> retry_after) {
-  const double min_seconds = ToSeconds(kMinRetryAfter);
-  if (retry_after) return std::max(min_seconds, ToSeconds(*retry_after));
-  if (route == nullptr) return min_seconds;
-  return std::max(min_seconds, kRetryAfterShare * ToSeconds(route->objective));
-}
+constexpr Duration kMaxStartRetryAfter = seconds(1);
 
 }  // namespace
 
 Duration UsualRetryAfter(const Route* route) {
-  return FromSeconds(RetryAfterSeconds(route, std::nullopt));
+  if (route == nullptr) return kMinRetryAfter;
+  return std::max(kMinRetryAfter, FromSeconds(kRetryAfterShare * ToSeconds(route->objective)));
 }
 
 AnswerHead FailureHead(ResultCode code, const std::string& attempt_id, const Route* route,
@@ -40,16 +34,15 @@
   head.headers.emplace_back("Content-Type", "application/json");
   bool is_temporary = info.http_status == 503 || info.http_status == 429;
   if (is_temporary) {
-    head.headers.emplace_back(platform::kRetryAfter,
-                              absl::StrCat(RetryAfterSeconds(route, retry_after)));
+    Duration told = retry_after ? std::max(kMinRetryAfter, *retry_after) : UsualRetryAfter(route);
+    head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(ToSeconds(told)));
   }
   return head;
 }
 
 Duration RetryAfterDuringStart(const Route* route, Duration since_start) {
-  double longest =
-      route != nullptr ? RetryAfterSeconds(route, std::nullopt) : kMaxStartRetryAfterSeconds;
-  return FromSeconds(std::clamp(ToSeconds(since_start), ToSeconds(kMinRetryAfter), longest));
+  Duration longest = route != nullptr ? UsualRetryAfter(route) : kMaxStartRetryAfter;
+  return std::clamp(since_start, kMinRetryAfter, longest);
 }
 
 std::string FailureBody(ResultCode code) {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -332,6 +332,13 @@
   return neighbours;
 }
 
+// All members of the home cell of the main service.
+const std::vector<const Peer*>& LoadExchange::HomeMembers(Time now) {
+  const WorkPlan& plan = this->fleet->plan(now);
+  const ServicePlan& main = plan.ForService(plan.main_service());
+  return this->directory.MembersOf(plan.main_service(), main.cells, main.home, plan.revision());
+}
+
 // Returns no gateways for an engine that is no longer listed, since no gateway chooses it.
 std::vector<const Peer*> LoadExchange::GatewaysOfEngine(const std::string& engine, Time now) {
   const EngineRecord* record = this->fleet->directory().FindIncarnation(engine);
@@ -408,10 +415,7 @@
 void LoadExchange::SendPromises(Time now) {
   std::vector<ReturnPromise> promises = this->hooks.take_promises();
   if (promises.empty()) return;
-  const WorkPlan& plan = this->fleet->plan(now);
-  const ServicePlan& main = plan.ForService(plan.main_service());
-  const std::vector<const Peer*>& members =
-      this->directory.MembersOf(plan.main_service(), main.cells, main.home, plan.revision());
+  const std::vector<const Peer*>& members = this->HomeMembers(now);
   LoadDigest digest = this->NewDigest(now);
   for (size_t begin = 0; begin < promises.size(); begin += kEntriesPerDatagram) {
     size_t end = std::min(begin + kEntriesPerDatagram, promises.size());
@@ -439,13 +443,8 @@
 // Members of the home cell send each other a datagram in every round, so a silent member has
 // failed or is unreachable.
 void LoadExchange::UpdateSilentPeers(Time now) {
-  const WorkPlan& plan = this->fleet->plan(now);
-  const ServicePlan& main = plan.ForService(plan.main_service());
   std::vector<std::string> boxes;
-  for (const Peer* peer :
-       this->directory.MembersOf(plan.main_service(), main.cells, main.home, plan.revision())) {
-    boxes.push_back(peer->box);
-  }
+  for (const Peer* peer : this->HomeMembers(now)) boxes.push_back(peer->box);
   this->fleet->SetSilentGateways(this->liveness.SilentPeers(boxes, now));
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -181,6 +181,7 @@
   LoadDigest NewDigest(Time now);
   std::map<std::string, EngineLoad> TakeUnsent(bool all, Time now);
   std::vector<const Peer*> Neighbours(Time now);
+  const std::vector<const Peer*>& HomeMembers(Time now);
   std::vector<const Peer*> ReceiversOfFreshness(Time now);
   std::vector<const Peer*> GatewaysOfEngine(const std::string& engine, Time now);
   template <typename Entry>
--- a/src/overload/return_book.cc
+++ b/src/overload/return_book.cc
@@ -63,11 +63,15 @@
   entry.is_unsent = true;
 }
 
+bool ReturnBook::GoesFirst(const Entry& entry, const std::string& service, int rank_steps,
+                           Time now) {
+  return entry.rank_steps <= rank_steps && entry.service == service && IsOpen(entry, now);
+}
+
 double ReturnBook::PromisedSeconds(const std::string& service, int rank_steps, Time now) const {
   double promised = 0;
   for (const auto& [content, entry] : this->entries) {
-    bool goes_first = entry.rank_steps <= rank_steps && entry.service == service;
-    if (goes_first && IsOpen(entry, now)) promised += entry.engine_seconds;
+    if (GoesFirst(entry, service, rank_steps, now)) promised += entry.engine_seconds;
   }
   return promised;
 }
@@ -81,8 +85,8 @@
 double ReturnBook::SecondsKept(const std::string& service, int rank_steps, Time now) const {
   double kept = 0;
   for (const auto& [content, entry] : this->entries) {
-    bool goes_first = entry.rank_steps <= rank_steps && entry.service == service;
-    if (goes_first && IsOpen(entry, now)) kept += ShareKept(entry, now) * entry.engine_seconds;
+    if (!GoesFirst(entry, service, rank_steps, now)) continue;
+    kept += ShareKept(entry, now) * entry.engine_seconds;
   }
   return kept;
 }
--- a/src/overload/return_book.h
+++ b/src/overload/return_book.h
@@ -125,6 +125,7 @@
   };
 
   static bool IsOpen(const Entry& entry, Time now);
+  static bool GoesFirst(const Entry& entry, const std::string& service, int rank_steps, Time now);
   static double ShareKept(const Entry& entry, Time now);
 
   const Entry* FindOpen(uint64_t content, Time now) const;
