An attempt holds its choice once; parts that are off do no work for a request

Cause: an attempt kept the engine, the readers and the expected first event beside a copy of the choice that has all three. With use_learned_price off each request still built the key of its work twice and looked up the engines of its cell, and with use_engine_pace off each event formatted the engine's name.

Change: the attempt keeps the choice alone; the price is asked for only where it is learned; the fleet names the engine after it has looked at the switch; one function counts the engines that a cell shares. A comment that told how a figure was found says what the code does instead. slow_engine_test passes the engine's record where it passed its name; its checks are as they were.

Figures: none measured; the work left out is per request and per event.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -125,12 +125,9 @@
   // connection just as the request is sent, and then it is unknown whether the request ran.
   bool fresh = this->admission.route->repeat == Repeat::kNever;
   this->attempt = Attempt{};
-  this->attempt->engine = choice.engine;
-  this->attempt->readers = choice.readers;
+  this->attempt->choice = choice;
   this->attempt->sent = now;
   this->attempt->last_progress = now;
-  this->attempt->expected_first_ms = choice.placement.first_event_ms;
-  this->attempt->choice = choice;
   this->state->fleet.NoteSent(choice.engine, now);
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   this->LogAttempt(choice, now);
@@ -200,7 +197,7 @@
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
   this->attempt->head = head;
-  ReceiveNotice(this->state, this->attempt->engine, head, this->attempt->sent);
+  ReceiveNotice(this->state, this->attempt->choice.engine, head, this->attempt->sent);
   AnswerFacts answer;
   answer.status = head.status;
   answer.sealed = FindHeader(head.headers, platform::kSeal).has_value();
@@ -216,7 +213,7 @@
   if (!this->state->fleet.mechanisms().blame_named_reader) return std::nullopt;
   std::optional<SocketAddress> named = platform::EngineCausingRefusal(head.headers);
   if (!named) return std::nullopt;
-  for (const EngineRecord& reader : this->attempt->readers) {
+  for (const EngineRecord& reader : this->attempt->choice.readers) {
     if (reader.address == *named) return reader.Incarnation();
   }
   return std::nullopt;
@@ -250,19 +247,16 @@
 }
 
 // Marks the stream as late in the load figures once it has missed an aim of its route.  A
-// further pause then costs the stream nothing.  While late streams still counted, engines that were
-// practically free seemed too expensive to read very long prompts.  Leaving late streams out,
-// together with sending the start of each reading to peers at once, gained 0.009 of the value of
-// all requests.
+// further pause then costs the stream nothing, so the engine is free to read very long prompts.
 void Exchange::NoteEvent(int events) {
   Time now = Now();
   if (this->service->runs_models) {
-    this->state->fleet.NoteEvents(this->attempt->engine.Incarnation(), this->service->speed, events,
+    this->state->fleet.NoteEvents(this->attempt->choice.engine, this->service->speed, events,
                                   &this->attempt->gaps, now);
   }
   this->times.NoteEvent(now);
   const Route& route = *this->admission.route;
-  bool late = this->times.IsLate(route, this->times.FirstAfter(route, Now()));
+  bool late = this->times.IsLate(route, this->times.FirstAfter(route, now));
   if (!late || !this->state->fleet.mechanisms().spare_late_streams) return;
   this->state->fleet.loads().MarkAnswerLate(this->id);
 }
@@ -333,16 +327,16 @@
 void Exchange::NoteReaderFailure(Time now) {
   const std::string& reader = *this->attempt->reader_at_fault;
   this->state->log->Write(this->Line("reader_refused")
-                              .Text("engine", this->attempt->engine.Incarnation())
+                              .Text("engine", this->attempt->choice.engine.Incarnation())
                               .Text("reader", reader));
   this->state->fleet.NoteFailure(reader, /*unreachable=*/true, now);
   this->tried.insert(reader);
-  this->tried.erase(this->attempt->engine.Incarnation());
+  this->tried.erase(this->attempt->choice.engine.Incarnation());
 }
 
 void Exchange::NoteHealth(AttemptResult result, ChannelResult channel_result) {
   Fleet& fleet = this->state->fleet;
-  std::string engine = this->attempt->engine.Incarnation();
+  std::string engine = this->attempt->choice.engine.Incarnation();
   Time now = Now();
   if (this->attempt->reader_at_fault) {
     this->NoteReaderFailure(now);
@@ -353,7 +347,7 @@
     fleet.HealthOf(engine).AddSuccess(now);
   } else if (result == AttemptResult::kWrongEngine) {
     this->state->log->Write(this->Line("engine_replaced").Text("engine", engine));
-    fleet.directory().RemoveIncarnation(this->attempt->engine);
+    fleet.directory().RemoveIncarnation(this->attempt->choice.engine);
   } else {
     // Answers that report a failure count too: an engine that fails each request at once is
     // always idle and would be chosen first for every request.
@@ -394,7 +388,7 @@
     if (this->state->fleet.RetryBucketOf(this->service->name).TakeRetry(now)) {
       this->state->counters.retries += 1;
       this->state->log->Write(this->Line("retry")
-                                  .Text("engine", this->attempt->engine.Incarnation())
+                                  .Text("engine", this->attempt->choice.engine.Incarnation())
                                   .Number("result", static_cast<double>(result))
                                   .Number("status", this->attempt->head.status));
       this->attempt.reset();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,9 +60,8 @@
  private:
   // The attempt under way.
   struct Attempt {
-    EngineRecord engine;
-    // Engines that read parts of the prompt for `engine`.
-    std::vector<EngineRecord> readers;
+    // The engine, the engines that read parts of the prompt for it, and what was expected of them.
+    FleetChoice choice;
     // Incarnation of the reader that the engine's answer names as the cause of a refusal.
     std::optional<std::string> reader_at_fault;
     std::shared_ptr<RequestChannel> channel;
@@ -78,10 +77,7 @@
     std::string body;
     EventSplitter events;
     bool any_event = false;
-    // Expected time from sending to the first event, in milliseconds.
-    double expected_first_ms = 0;
-    // What the engine's pace is judged by: the choice, and the last events.
-    FleetChoice choice;
+    // The last events, by which the engine's pace is judged.
     GapSpan gaps;
   };
 
@@ -90,6 +86,8 @@
   RankLosses* Losses();
   AccountShares* Shares();
   WorkKey Work() const;
+  bool LearnsPrice() const;
+  size_t SharedEngines(Time now);
   void SetPrice(Demand* demand, Time now);
   bool RefuseOrNote(const Placement& placement, const Demand& demand, Time now);
   void StartAttempt(Time now);
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -21,16 +21,16 @@
 void Exchange::NoteBrokenOff() {
   LogLine line = this->Line("attempt_broken");
   line.Text("content", ContentName(this->Content()))
-      .Text("engine", this->attempt->engine.Incarnation())
+      .Text("engine", this->attempt->choice.engine.Incarnation())
       .Number("worked_ms", ToSeconds(Now() - this->attempt->sent) * 1000);
-  this->state->crash_watch->NoteBrokenAttempt(this->attempt->engine, this->Content(),
+  this->state->crash_watch->NoteBrokenAttempt(this->attempt->choice.engine, this->Content(),
                                               this->attempt->sent, line);
 }
 
 // Returns the connection to the pool.  Only a successful answer shows that an engine survives
 // the request: an engine that fails some of its requests does not run those requests.
 void Exchange::NoteWholeAnswer(AttemptResult result) {
-  this->state->pool.Give(this->attempt->engine, this->attempt->channel, Now());
+  this->state->pool.Give(this->attempt->choice.engine, this->attempt->channel, Now());
   CrashWatch& watch = *this->state->crash_watch;
   bool must_note = result == AttemptResult::kSuccess && watch.is_enabled();
   if (must_note) watch.NoteAnswered(this->Content(), Now());
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -92,11 +92,11 @@
   if (RankLosses* losses = this->Losses()) losses->NoteAnswered(this->rank->steps, late, Now());
   if (!late && !this->state->log->Sample()) return;
   LogLine line = this->Line(late ? "answered_late" : "answered");
-  line.Text("engine", this->attempt->engine.Incarnation())
+  line.Text("engine", this->attempt->choice.engine.Incarnation())
       .Number("status", this->attempt->head.status)
       .Number("attempts", this->attempts)
       .Number("prompt_tokens", this->facts.prompt_tokens)
-      .Number("expected_first_ms", this->attempt->expected_first_ms);
+      .Number("expected_first_ms", this->attempt->choice.placement.first_event_ms);
   this->times.AddToLine(route, first, &line);
   this->state->log->Write(line);
 }
@@ -110,7 +110,7 @@
       .Number("status", info.http_status)
       .Number("attempts", this->attempts);
   if (this->attempt) {
-    line.Text("engine", this->attempt->engine.Incarnation())
+    line.Text("engine", this->attempt->choice.engine.Incarnation())
         .Number("engine_status", this->attempt->head.status)
         .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
         .Text("connection", NameOf(this->attempt->ended));
--- a/src/gateway/exchange_overload.cc
+++ b/src/gateway/exchange_overload.cc
@@ -44,22 +44,33 @@
 
 WorkKey Exchange::Work() const { return {this->service->name, this->admission.route->name}; }
 
+bool Exchange::LearnsPrice() const {
+  return this->service->runs_models && this->state->fleet.mechanisms().learned_price;
+}
+
+// The number of engines of the service that the gateways of the cell share.
+size_t Exchange::SharedEngines(Time now) {
+  return this->state->fleet.plan(now).ForService(this->service->name).engines.size();
+}
+
 // Sets the terms that depend on the work of all callers.
 void Exchange::SetPrice(Demand* demand, Time now) {
-  if (!this->service->runs_models) return;
-  size_t engines = this->state->fleet.plan(now).ForService(this->service->name).engines.size();
-  this->state->room_price.SetTerms(this->Work(), engines, now, demand);
+  if (!this->LearnsPrice()) return;
+  this->state->room_price.SetTerms(this->Work(), this->SharedEngines(now), now, demand);
 }
 
 // Decides on a request's first placement.  Returns whether it was refused.
 bool Exchange::RefuseOrNote(const Placement& placement, const Demand& demand, Time now) {
-  GatewayState& gateway = *this->state;
-  WorkKey work = this->Work();
-  bool has_price = this->service->runs_models;
-  bool is_refused = gateway.fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
-  if (is_refused) this->RefuseForOverload(placement, demand, now);
-  if (has_price) gateway.room_price.Note(work, demand, placement, is_refused, now);
-  if (!is_refused) this->KeepReturn(now);
+  bool is_refused =
+      this->state->fleet.mechanisms().refusal_by_cost && ShouldRefuse(placement, demand);
+  if (this->LearnsPrice()) {
+    this->state->room_price.Note(this->Work(), demand, placement, is_refused, now);
+  }
+  if (is_refused) {
+    this->RefuseForOverload(placement, demand, now);
+  } else {
+    this->KeepReturn(now);
+  }
   return is_refused;
 }
 
@@ -75,10 +86,9 @@
   this->return_match = book.Match(this->Content(), now);
   terms.is_promised = this->return_match == ReturnMatch::kOnTime;
   if (terms.is_promised) return;
-  size_t engines = fleet.plan(now).ForService(this->service->name).engines.size();
   terms.reserved_seconds_per_engine =
       book.SecondsKept(this->service->name, demand->rank_steps, now) /
-      static_cast<double>(std::max<size_t>(engines, 1));
+      static_cast<double>(std::max<size_t>(this->SharedEngines(now), 1));
 }
 
 // Refuses a request that is not worth its cost to others.
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -18,7 +18,7 @@
   const Route& route = *this->admission.route;
   if (!this->service->runs_models) return ToSeconds(route.objective) * 1000;
   if (this->attempt->any_event) return ToSeconds(route.longest_pause) * 1000;
-  return this->attempt->expected_first_ms;
+  return this->attempt->choice.placement.first_event_ms;
 }
 
 void Exchange::Tick(Time now) {
@@ -52,7 +52,7 @@
 bool Exchange::IsTooSilent(Time now) const {
   Duration silent = now - this->attempt->last_progress;
   if (silent < this->AttemptSilenceTimeout()) return false;
-  const EngineRecord& engine = this->attempt->engine;
+  const EngineRecord& engine = this->attempt->choice.engine;
   EngineLoad load = this->state->fleet.loads().LoadOn(engine.Incarnation(), now);
   return !LoadExplainsSilence(load, engine.slots, silent);
 }
@@ -70,9 +70,10 @@
 void Exchange::LeaveSilentEngine(Time now) {
   Duration silent = now - this->attempt->last_progress;
   this->state->log->Write(this->Line("engine_silent")
-                              .Text("engine", this->attempt->engine.Incarnation())
+                              .Text("engine", this->attempt->choice.engine.Incarnation())
                               .Number("silent_ms", ToSeconds(silent) * 1000));
-  this->state->fleet.NoteFailure(this->attempt->engine.Incarnation(), /*unreachable=*/false, now);
+  this->state->fleet.NoteFailure(this->attempt->choice.engine.Incarnation(), /*unreachable=*/false,
+                                 now);
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kUnknown);
 }
@@ -80,13 +81,13 @@
 // Whether the attempt still waits for a connection to an engine that takes no more requests.
 bool Exchange::ShouldWithdraw(Time now) const {
   return this->attempt->channel->is_connecting() &&
-         !this->state->fleet.ShouldKeepWaiting(this->attempt->engine, now);
+         !this->state->fleet.ShouldKeepWaiting(this->attempt->choice.engine, now);
 }
 
 // Ends the attempt before anything was sent, so the request counts as not run.
 void Exchange::Withdraw(Time now) {
   this->state->log->Write(this->Line("withdrawn")
-                              .Text("engine", this->attempt->engine.Incarnation())
+                              .Text("engine", this->attempt->choice.engine.Incarnation())
                               .Number("waited_ms", ToSeconds(now - this->attempt->sent) * 1000));
   this->attempt->channel->Close();
   this->AfterAttempt(AttemptResult::kNotRun);
--- a/src/serving/fleet.cc
+++ b/src/serving/fleet.cc
@@ -81,14 +81,15 @@
   this->suspicion.ReceiveSetAside(peer, set_aside, this->plan(now).engines(), now);
 }
 
-void Fleet::NoteEvents(const std::string& engine, const EngineSpeed& speed, int events,
+void Fleet::NoteEvents(const EngineRecord& engine, const EngineSpeed& speed, int events,
                        GapSpan* span, Time now) {
   if (!this->switches.engine_pace) return;
-  EngineLoad load = this->load_tracker.LoadOn(engine, now);
+  std::string incarnation = engine.Incarnation();
+  EngineLoad load = this->load_tracker.LoadOn(incarnation, now);
   EventArrival arrival{now, events, WritingPassMs(speed, load),
                        speed.remote_step_ms * speed.steps_per_pass, load.reading_ms};
   if (std::optional<PaceObservation> seen = span->Add(arrival)) {
-    this->engine_paces.Observe(engine, *seen);
+    this->engine_paces.Observe(incarnation, *seen);
   }
 }
 
--- a/src/serving/fleet.h
+++ b/src/serving/fleet.h
@@ -92,7 +92,7 @@
   // so many that the fault is more likely this gateway's own (PeerSuspicion::IsInTrouble).
   std::set<std::string> SetAsideEngines(Time now) const;
   // Records the events of a stream that have just arrived together from an engine.
-  void NoteEvents(const std::string& engine, const EngineSpeed& speed, int events, GapSpan* span,
+  void NoteEvents(const EngineRecord& engine, const EngineSpeed& speed, int events, GapSpan* span,
                   Time now);
   // Records the first event of a request that was sent to `choice` at `sent`.
   void NoteFirstEvent(const FleetChoice& choice, const EngineSpeed& speed, Time sent, Time now);
--- a/src/serving/testing/slow_engine_test.cc
+++ b/src/serving/testing/slow_engine_test.cc
@@ -107,7 +107,7 @@
   GapSpan span;
   for (int i = 0; i < 12; ++i) {
     Time at = from + FromSeconds(0.043 * pace * i);
-    fleet->NoteEvents(engine, PublishedSpeed(), 1, &span, at);
+    fleet->NoteEvents(*fleet->directory().FindIncarnation(engine), PublishedSpeed(), 1, &span, at);
   }
   fleet->loads().End(1);
 }
