Broken attempts are logged with the parts of their prompt

Cause: the logs of the incident cannot tell whether the requests under which engines crash share something smaller than their content. Nothing decides by them yet.

--- a/src/gateway/engine_request.cc
+++ b/src/gateway/engine_request.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "platform/headers.h"
+#include "platform/prompt_parts.h"
 
 namespace gullward {
 namespace {
@@ -43,6 +44,10 @@
   }
   std::optional<std::string_view> tokens = FindHeader(head.headers, platform::kTokenCount);
   if (tokens && !ReadTokenCount(*tokens, &facts)) facts.valid = false;
+  std::string_view parts = FindHeader(head.headers, platform::kPromptParts).value_or("");
+  for (std::string_view id : platform::SharedParts(parts)) {
+    facts.shared_parts.push_back(PartIdOf(id));
+  }
   return facts;
 }
 
--- a/src/gateway/engine_request.h
+++ b/src/gateway/engine_request.h
@@ -16,6 +16,7 @@
 #include "gateway/caller_channel.h"
 #include "serving/engine_directory.h"
 #include "serving/placement.h"
+#include "serving/request_content.h"
 
 namespace gullward {
 
@@ -28,6 +29,8 @@
   // Lengths in tokens as stated by the caller; 0 if not stated.
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  // The parts of the prompt that other requests may share.
+  std::vector<PartId> shared_parts;
   // Whether all fields could be decoded.
   bool valid = true;
 
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -3,10 +3,21 @@
 // content is in quarantine, and lets those wait on which the decision is pending.
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
+#include "absl/strings/str_join.h"
 #include "gateway/exchange.h"
 
 namespace gullward {
+namespace {
+
+std::string PartNames(const std::vector<PartId>& parts) {
+  auto append_name = [](std::string* out, PartId part) { out->append(PartName(part)); };
+  return absl::StrJoin(parts, ",", append_name);
+}
+
+}  // namespace
 
 ContentId Exchange::Content() {
   if (!this->content) {
@@ -21,6 +32,7 @@
 void Exchange::NoteBrokenOff() {
   LogLine line = this->Line("attempt_broken");
   line.Text("content", ContentName(this->Content()))
+      .Text("parts", PartNames(this->facts.shared_parts))
       .Text("engine", this->attempt->choice.engine.Incarnation())
       .Number("worked_ms", ToSeconds(Now() - this->attempt->sent) * 1000);
   this->state->crash_watch->NoteBrokenAttempt(this->attempt->choice.engine, this->Content(),
--- a/src/serving/request_content.h
+++ b/src/serving/request_content.h
@@ -47,6 +47,14 @@
   return absl::StrCat(absl::Hex(content, absl::kZeroPad16));
 }
 
+// A hash of the id of one part of a prompt.  Requests of different contents may share parts.
+using PartId = uint64_t;
+
+inline PartId PartIdOf(std::string_view id) { return XXH3_64bits(id.data(), id.size()); }
+
+// The part as 16 hexadecimal digits, as in log lines and store keys.
+inline std::string PartName(PartId part) { return ContentName(part); }
+
 }  // namespace gullward
 
 #endif  // GULLWARD_SERVING_REQUEST_CONTENT_H_
