An engine that ends a stream inside an event is checked like one that resets it

What callers saw: nothing by itself, since the stream was resumed. But an engine that crashes may close its connections in order, and a stream without a length then ends without an error of the transport. The engine was not checked, so a request that crashes engines in this way was never counted: unframed_answer_test saw 12 engines crash under 12 requests with none refused; with this change it is refused after three.

Cause: whether an attempt broke off was read from the connection alone, not from the stream.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -297,13 +297,17 @@
   return head;
 }
 
+// Whether the answer is a stream that ended inside an event or without any.
+bool Exchange::IsIncompleteStream() const {
+  return this->attempt->head_result == AttemptResult::kSuccess &&
+         this->admission.route->streaming &&
+         (this->attempt->events.has_partial_event() || !this->answer_begun);
+}
+
 AttemptResult Exchange::ResultOf(ChannelResult result) const {
   if (result == ChannelResult::kNotSent) return AttemptResult::kNotRun;
-  if (result != ChannelResult::kWholeAnswer) return AttemptResult::kUnknown;
-  bool is_incomplete = this->attempt->head_result == AttemptResult::kSuccess &&
-                       this->admission.route->streaming &&
-                       (this->attempt->events.has_partial_event() || !this->answer_begun);
-  return is_incomplete ? AttemptResult::kUnknown : this->attempt->head_result;
+  bool is_whole = result == ChannelResult::kWholeAnswer && !this->IsIncompleteStream();
+  return is_whole ? this->attempt->head_result : AttemptResult::kUnknown;
 }
 
 void Exchange::OnDone(ChannelResult channel_result) {
@@ -311,7 +315,10 @@
   this->attempt->ended = channel_result;
   AttemptResult result = this->ResultOf(channel_result);
   this->NoteHealth(result, channel_result);
-  this->broke_off = channel_result == ChannelResult::kBroken ||
+  // A stream without a length ends with its connection, which an engine that crashes may close in
+  // order.
+  bool is_torn = channel_result == ChannelResult::kWholeAnswer && this->IsIncompleteStream();
+  this->broke_off = is_torn || channel_result == ChannelResult::kBroken ||
                     channel_result == ChannelResult::kClosedUnanswered;
   if (this->broke_off) this->NoteBrokenOff();
   if (channel_result == ChannelResult::kWholeAnswer) this->NoteWholeAnswer(result);
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -37,7 +37,7 @@
       EngineFault::kFailed,       EngineFault::kResetUnanswered, EngineFault::kSilent,
       EngineFault::kTornEvent,    EngineFault::kUnsealed,        EngineFault::kEncoded,
       EngineFault::kForeignFirst, EngineFault::kExtraAfter,      EngineFault::kUnframed,
-      EngineFault::kShortBody};
+      EngineFault::kUnframedTorn, EngineFault::kUnframedEmpty,   EngineFault::kShortBody};
   return *all;
 }
 
@@ -75,12 +75,26 @@
 void EngineStandin::Crash() {
   this->is_listening = false;
   this->listener.Close();
-  for (const auto& connection : this->connections) connection->channel->BreakOff();
+  for (const auto& connection : this->connections) {
+    bool closes = this->options.crash_closes && connection->request;
+    if (closes) {
+      this->EndInsideEvent(connection->channel.get(), this->requests[*connection->request].request);
+    } else {
+      connection->channel->BreakOff();
+    }
+  }
   this->connections.clear();
   this->reserved.clear();
   if (this->options.on_crash) this->options.on_crash();
 }
 
+// Begins an answer without a length if none has begun, and closes the connection within an event.
+void EngineStandin::EndInsideEvent(CallerChannel* channel, const CallerRequest& request) {
+  channel->BeginAnswer(this->SealedHead(request, 200), std::nullopt, /*unframed=*/true);
+  channel->WritePart("id: 1\nda");
+  channel->EndAnswer();
+}
+
 void EngineStandin::Restart(const std::string& new_id) {
   this->options.id = new_id;
   this->Listen();
@@ -197,7 +211,10 @@
   }
   AnswerHead head = this->SealedHead(request, 200);
   PlayHeadFault(fault, channel, &head);
-  channel->BeginAnswer(head, std::nullopt, fault == EngineFault::kUnframed);
+  bool unframed = fault == EngineFault::kUnframed || fault == EngineFault::kUnframedTorn ||
+                  fault == EngineFault::kUnframedEmpty;
+  channel->BeginAnswer(head, std::nullopt, unframed);
+  if (fault == EngineFault::kUnframedEmpty) return channel->EndAnswer();
   std::optional<std::string_view> after = FindHeader(request.head.headers, platform::kLastEventId);
   int done = static_cast<int>(after ? ParseCount(*after).value_or(0) : 0);
   this->Stream(connection, done + 1, fault);
@@ -213,6 +230,11 @@
     channel->BreakOff();
     return;
   }
+  if (next == 2 && fault == EngineFault::kUnframedTorn) {
+    channel->WritePart("id: 2\nda");
+    channel->EndAnswer();
+    return;
+  }
   if (next > this->options.events) {
     connection->request.reset();
     channel->EndAnswer();
@@ -238,10 +260,11 @@
     channel->BreakOff();
     return;
   }
-  if (fault == EngineFault::kUnframed) {
+  if (fault == EngineFault::kUnframed || fault == EngineFault::kUnframedTorn) {
+    bool is_torn = fault == EngineFault::kUnframedTorn;
     channel->BeginAnswer(head, std::nullopt, /*unframed=*/true);
-    channel->WritePart(kBody);
-    channel->EndAnswer();
+    channel->WritePart(is_torn ? std::string(kBody).substr(0, 5) : kBody);
+    is_torn ? channel->BreakOff() : channel->EndAnswer();
     return;
   }
   channel->Answer(head, kBody);
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -50,6 +50,11 @@
   kExtraAfter,
   // An answer without a length, which ends when the connection closes.
   kUnframed,
+  // The same, but the connection closes within the second event, or within a plain body it is
+  // reset.
+  kUnframedTorn,
+  // The same, but the connection closes after the head.
+  kUnframedEmpty,
   // The body ends before its stated length.
   kShortBody,
 };
@@ -69,6 +74,9 @@
     uint64_t memory_tokens = 450'000;
     // Whether the engine crashes on a request, after `work_duration`.  Optional.
     std::function<bool(const CallerRequest&)> crashes_engine = {};
+    // Whether a crash closes the connections in order, after a part of an event, instead of
+    // resetting them.  The kernel does so where a process ends that has read everything.
+    bool crash_closes = false;
     // Called after a crash.  Optional.
     std::function<void()> on_crash = {};
   };
@@ -78,7 +86,7 @@
   SocketAddress address() const { return {"127.0.0.1", this->listener.port()}; }
   const std::string& id() const { return this->options.id; }
 
-  // Behaves like a process that crashes: resets every connection and closes the listening socket.
+  // Behaves like a process that crashes: ends every connection and closes the listening socket.
   void Crash();
   bool is_up() const { return this->is_listening; }
   // Starts a new engine without the earlier state, with this id and at another address.
@@ -122,6 +130,7 @@
   };
 
   void Listen();
+  void EndInsideEvent(CallerChannel* channel, const CallerRequest& request);
   void OnRequest(const std::shared_ptr<Connection>& connection, const CallerRequest& request);
   void OnOrder(CallerChannel* channel, const CallerRequest& request);
   void Run(const std::shared_ptr<Connection>& connection, const CallerRequest& request,
