A resumed stream that ends without an event is not taken for complete

The first engine broke off within an event; the second, which was to resume it, sent a head without a length and closed the connection, as an engine does that crashes before it writes. The end of the connection ended the answer, nothing was left over inside an event, and the gateway passed it on as complete.

Cause: only the first attempt was required to bring an event. A resumed stream may indeed have none left, but then its framing says that it is over. Change: an answer that just the end of its connection ends must bring an event in each attempt, or the attempt counts as broken off. unframed_answer_test: AResumedStreamWithoutAnEventIsNotTakenForComplete failed before (200 and whole) and passes; gateway_test passes.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -297,11 +297,15 @@
   return head;
 }
 
-// Whether the answer is a stream that ended inside an event or without any.
+// Whether the answer is a stream that ended inside an event or without any.  Only a resumed stream
+// may have no event left, and where just the end of the connection ends it, that end proves
+// nothing.
 bool Exchange::IsIncompleteStream() const {
-  return this->attempt->head_result == AttemptResult::kSuccess &&
-         this->admission.route->streaming &&
-         (this->attempt->events.has_partial_event() || !this->answer_begun);
+  bool is_stream =
+      this->attempt->head_result == AttemptResult::kSuccess && this->admission.route->streaming;
+  if (!is_stream || this->attempt->events.has_partial_event()) return is_stream;
+  bool may_be_empty = this->answer_begun && !this->attempt->head.ends_with_connection;
+  return !this->attempt->any_event && !may_be_empty;
 }
 
 AttemptResult Exchange::ResultOf(ChannelResult result) const {
--- a/src/gateway/testing/unframed_answer_test.cc
+++ b/src/gateway/testing/unframed_answer_test.cc
@@ -64,6 +64,18 @@
   }
 }
 
+// Guards against passing a stream on as complete when the engine that was to resume it has sent
+// nothing but a head.
+BOOST_AUTO_TEST_CASE(AResumedStreamWithoutAnEventIsNotTakenForComplete) {
+  for (size_t torn : {0, 1}) {
+    auto fixture = StartedFixture({.engines = 2});
+    fixture->engines[torn]->FailNext(EngineFault::kUnframedTorn);
+    fixture->engines[1 - torn]->FailNext(EngineFault::kUnframedEmpty);
+    Reply reply = fixture->Call(fixture->StreamRequest("a"));
+    BOOST_TEST(!(reply.head.status == 200 && reply.whole()));
+  }
+}
+
 // Guards against taking an engine for sound that crashed while it wrote such a stream.
 BOOST_AUTO_TEST_CASE(AnEngineThatEndsAStreamInsideAnEventIsChecked) {
   constexpr char kCrashing[] = "crashing";
