A gateway that cannot keep up with a surge of connections hands some off unread

A gateway of 0.09 cores that gets the connections of all others cannot read them in time: each request waits in the event loop behind all others, up to its deadline.

Change: while the event loop has not been idle for half a second and connections arrive at 1.5 times the usual rate, new ones are closed unread, but for five a second; callers try again at once, and the balancer sends those tries to other gateways. Weighed: a bound on open connections (says nothing of the processor), and readiness (the balancer reacts after two seconds, and takes the gateway from those whom it serves well).

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -16,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/absl_view.h"
 #include "gateway/failure_answer.h"
+#include "transport/tcp_stream.h"
 
 namespace gullward {
 namespace {
@@ -182,7 +183,17 @@
   return absl::OkStatus();
 }
 
+bool GatewayServer::HandsOff(Time now) {
+  bool is_on = this->state.fleet.mechanisms().caller_handoff && this->load_exchange.peers() > 0;
+  return is_on && this->caller_handoff.ShouldHandOff(this->loop->last_idle_at(), now);
+}
+
 void GatewayServer::OnCaller(int fd) {
+  if (this->HandsOff(Now())) {
+    this->state.counters.callers_handed_off += 1;
+    TcpStream::Adopt(this->loop, fd)->Reset();
+    return;
+  }
   uint64_t id = this->next_id++;
   CallerLimits limits;
   if (this->state.config) limits = this->state.config->config().limits;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -22,6 +22,7 @@
 #include "absl/status/status.h"
 #include "gateway/config_from_peers.h"
 #include "gateway/config_revalidator.h"
+#include "gateway/caller_handoff.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_list_copy.h"
 #include "gateway/exchange.h"
@@ -118,6 +119,7 @@
     std::shared_ptr<Exchange> exchange;
   };
 
+  bool HandsOff(Time now);
   void OnCaller(int fd);
   void OnRequest(uint64_t caller_id, CallerRequest request);
   void OnMalformed(uint64_t caller_id, ResultCode code);
@@ -181,6 +183,7 @@
   GatewayState state;
   StoreRecovery store_recovery;
   CrashWatch crash_watch;
+  CallerHandoff caller_handoff;
   TopicFollower config_follower;
   TopicFollower engine_follower;
   EngineListCopy engine_list_copy;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -38,6 +38,8 @@
   uint64_t answers_whole = 0;
   uint64_t answers_broken = 0;
   uint64_t callers_gone = 0;
+  // Connections that were closed unread for other gateways to read (caller_handoff.h).
+  uint64_t callers_handed_off = 0;
   uint64_t events_forwarded = 0;
   // Orders to engines for memory (ticket_set.h).
   uint64_t orders = 0;
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -27,6 +27,8 @@
   count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
   count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
+  count("gullward_callers_handed_off_total",
+        "Connections closed unread, for other gateways to read", counters.callers_handed_off);
   count("gullward_events_total", "Stream events passed on", counters.events_forwarded);
   count("gullward_spilled_total", "Attempts at engines of other cells", counters.spilled);
   for (const auto& [outcome, callers] :
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -81,6 +81,9 @@
   // A request that crashes engines is not sent to further ones (quarantine.h).  Off: it is retried
   // like any other, and the users' bound on the crashes by one request is exceeded.
   bool quarantine = true;
+  // A gateway that cannot keep up with a surge of connections closes some unread
+  // (gateway/caller_handoff.h).  Off: each request waits behind all others.
+  bool caller_handoff = true;
   // Crashes count against the parts of prompts, not only against whole contents (quarantine.h).
   // Off: requests that differ in content are each sent to engines until three have crashed.
   bool part_quarantine = true;
@@ -139,6 +142,7 @@
     {"config_from_peers", &Mechanisms::config_from_peers},
     {"topic_relay", &Mechanisms::topic_relay},
     {"quarantine", &Mechanisms::quarantine},
+    {"caller_handoff", &Mechanisms::caller_handoff},
     {"part_quarantine", &Mechanisms::part_quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
