--- a/src/soak/main.cc
+++ b/src/soak/main.cc
@@ -20,6 +20,10 @@
 DEFINE_bool(returns, false, "restore the store from older copies during the run");
 DEFINE_bool(overload, false, "switch on the decisions under load and send long prompts");
 DEFINE_bool(deadly, false, "let the first caller send a request that crashes engines");
+DEFINE_bool(deadly_part, false,
+            "let the first caller send requests that share a part that crashes engines");
+DEFINE_bool(unframed, false, "let engines send answers without a length");
+DEFINE_bool(herd, false, "at times send most new connections to one gateway");
 
 int main(int argc, char** argv) {
   using namespace gullward;
@@ -38,6 +42,9 @@
     options.gateways = FLAGS_gateways;
     options.callers = FLAGS_callers;
     options.crashing = FLAGS_deadly;
+    options.crashing_part = FLAGS_deadly_part;
+    options.unframed = FLAGS_unframed;
+    options.herd = FLAGS_herd;
     options.store_returns = FLAGS_returns;
     options.overload = FLAGS_overload;
     Soak soak(options);
--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -37,6 +37,12 @@
 // The body of the request that crashes engines, and the shortest pause between two of them.
 constexpr char kCrashingBody[] = "deadly";
 constexpr Duration kCrashingPause = milliseconds(100);
+constexpr char kCrashingPart[] = "deadly-part";
+// One in so many answers of an engine has no length.
+constexpr int kUnframedEvery = 4;
+// Of each period, the second half is the time in which most new connections go to one gateway.
+constexpr Duration kHerdPeriod = seconds(8);
+constexpr size_t kHerdGateway = 0;
 
 std::string WholeStream() {
   std::string text;
@@ -107,6 +113,7 @@
 std::vector<std::string> Soak::Run() {
   this->StartAll();
   if (!this->violations.empty()) return this->violations;
+  this->began = Now();
   for (size_t i = 0; i < this->callers.size(); ++i) this->SendNext(i);
   Time end = Now() + this->options.duration;
   Time next_fault = Now() + milliseconds(500);
@@ -170,6 +177,8 @@
   this->engine_outputs.push_back(engine.name);
   std::vector<std::string> flags = {"--id=" + engine.name, absl::StrCat("--events=", kEvents)};
   if (this->options.crashing) flags.push_back(absl::StrCat("--ends_on=", kCrashingBody));
+  if (this->options.crashing_part) flags.push_back(absl::StrCat("--ends_on_part=", kCrashingPart));
+  if (this->options.unframed) flags.push_back(absl::StrCat("--unframed_every=", kUnframedEvery));
   this->processes.Start(engine.name, "standin-model-engine", flags);
   std::string name = engine.name;
   this->RunUntil([&] { return !this->processes.ReadyAddress(name).empty(); }, kStartTimeout);
@@ -180,7 +189,7 @@
   } else {
     engine.proxy = std::make_unique<LoopbackProxy>(&this->loop, *address);
   }
-  SocketAddress listed = this->options.crashing ? *address : engine.proxy->address();
+  SocketAddress listed = this->HasCrashes() ? *address : engine.proxy->address();
   EngineRecord record{name, engine.service, listed, "hall", kSlots, false};
   this->PutRecord(platform::kEnginesTopic, name, platform::EngineDocument(record));
 }
@@ -333,6 +342,8 @@
 }
 
 void Soak::InjectStoreFault() {
+  // `recover` holds for gateways that reach the store.
+  if (this->options.herd) return this->Publish();
   LoopbackProxy* proxy = this->gateways[this->RandomBelow(this->gateways.size())].store_proxy.get();
   Duration span = milliseconds(100 + this->RandomBelow(4000));
   switch (this->RandomBelow(5)) {
@@ -391,9 +402,12 @@
 void Soak::SendNext(size_t index) {
   if (this->is_ending) return;
   Caller& caller = this->callers[index];
-  bool can_reuse = caller.channel && caller.channel->reusable() && this->RandomBelow(4) != 0;
+  bool is_herd = this->IsHerdTime(Now());
+  bool can_reuse =
+      !is_herd && caller.channel && caller.channel->reusable() && this->RandomBelow(4) != 0;
   if (!can_reuse) {
     caller.gateway = this->RandomBelow(this->gateways.size());
+    if (is_herd && this->RandomBelow(10) != 0) caller.gateway = kHerdGateway;
     const std::string& name = this->gateways[caller.gateway].name;
     absl::StatusOr<SocketAddress> address =
         SocketAddress::Parse(this->processes.ReadyAddress(name));
@@ -427,6 +441,7 @@
   std::string path = paths[static_cast<int>(caller.kind)];
   std::string token_count = "1000,80";
   std::string body = crashing ? kCrashingBody : "";
+  if (this->options.crashing_part) body = caller.id;
   bool is_long = this->options.overload && caller.kind == Kind::kStream && !crashing &&
                  this->RandomBelow(2) == 0;
   if (is_long) {
@@ -441,9 +456,14 @@
   AppendHeader(&request, platform::kDeadlineMs, absl::StrCat(kDeadlineMs));
   AppendHeader(&request, platform::kApiKey, caller.key);
   AppendHeader(&request, platform::kTokenCount, token_count);
+  if (this->options.crashing_part) {
+    AppendHeader(&request, platform::kPromptParts, this->PromptParts(index));
+  }
   AppendHeader(&request, "Content-Length", absl::StrCat(body.size()));
   request += "\r\n" + body;
   if (crashing) this->RecordCrashingRequest(caller);
+  bool is_beside = this->options.crashing_part && !crashing && caller.kind == Kind::kStream;
+  if (is_beside) this->streams_beside.push_back({caller.id, caller.sent, !use_revoked});
   RequestChannel::Hooks hooks;
   hooks.head = [this, index](const ResponseHead& head) { this->callers[index].head = head; };
   hooks.body = [this, index](std::string_view bytes) { this->callers[index].body.append(bytes); };
@@ -482,6 +502,13 @@
     this->ReportViolation("own: " + caller.id + " has an unexpected body");
   }
   if (is_success && is_whole) this->served_count += 1;
+  bool counts = this->options.herd && !this->revoked.contains(caller.key) &&
+                Now() - this->gateways[caller.gateway].last_fault > kGraceAfterFault;
+  if (counts) {
+    ServedCount& count = this->IsHerdTime(caller.sent) ? this->in_herd : this->outside_herd;
+    count.read += caller.head.status != 0 ? 1 : 0;
+    count.served += is_success && is_whole ? 1 : 0;
+  }
   if (is_whole && caller.kind == Kind::kOnce && StatesNotRun(caller.head.status)) {
     this->must_not_run[caller.id] = absl::StrCat("it was refused with status ", caller.head.status);
   }
@@ -522,7 +549,46 @@
     if (runs[id] > 0)
       this->ReportViolation(absl::StrCat("refused: ", id, " ran although ", reason));
   }
-  if (this->options.crashing) this->CheckCrashingRequests(runs);
+  if (this->HasCrashes()) this->CheckCrashingRequests(runs);
+  if (this->options.herd) this->CheckHerd();
+}
+
+bool Soak::IsHerdTime(Time at) const {
+  return this->options.herd && (at - this->began) % kHerdPeriod >= kHerdPeriod / 2;
+}
+
+// The requests that crash engines share their first part with all others.
+std::string Soak::PromptParts(size_t index) const {
+  const std::string& id = this->callers[index].id;
+  std::string second = this->IsCrashingCaller(index) ? kCrashingPart : "other-part";
+  return absl::StrCat("first-part:40,", second, ":60,", id, ":900");
+}
+
+void Soak::CheckHerd() {
+  constexpr uint64_t kMinRequests = 20;
+  bool is_enough = this->in_herd.read >= kMinRequests && this->outside_herd.read >= kMinRequests;
+  auto share = [](const ServedCount& count) {
+    return static_cast<double>(count.served) / static_cast<double>(count.read);
+  };
+  if (!is_enough || share(this->in_herd) >= 0.75 * share(this->outside_herd)) return;
+  this->ReportViolation(absl::StrCat("recover: served ", this->in_herd.served, " of ",
+                                     this->in_herd.read, " read, at other times ",
+                                     this->outside_herd.served, " of ", this->outside_herd.read));
+}
+
+void Soak::CheckStreamsBesideCrashes(std::map<std::string, int>& runs, Time fifth_crash) {
+  constexpr uint64_t kMinRequests = 20;
+  if (fifth_crash == Time::max()) return;
+  uint64_t count = 0;
+  uint64_t begun = 0;
+  for (const CrashingRequest& stream : this->streams_beside) {
+    bool counts = stream.is_gateway_healthy && stream.sent - fifth_crash > 2 * kGraceAfterFault;
+    if (!counts) continue;
+    count += 1;
+    begun += runs[stream.id] > 0 ? 1 : 0;
+  }
+  if (count < kMinRequests || 2 * begun >= count) return;
+  this->ReportViolation(absl::StrCat("lost: ", begun, " of ", count, " other streams begun"));
 }
 
 void Soak::RecordCrashingRequest(const Caller& caller) {
@@ -531,26 +597,26 @@
       {caller.id, caller.sent, caller.sent - last_fault > kGraceAfterFault});
 }
 
-// Each run of the request crashes an engine.  After the third crash and the time in which
-// gateways receive the crash reports, gateways without a recent fault may send it to at most
-// three more engines in total.
+// Each run of such a request crashes an engine.  After the third crash, or the fifth where only a
+// part is common, and the time in which gateways receive the crash reports, gateways without a
+// recent fault may send such requests to at most three more engines in total.
 void Soak::CheckCrashingRequests(std::map<std::string, int>& runs) {
-  constexpr int kCrashesToDetect = 3;
+  const int kCrashesToDetect = this->options.crashing_part ? 5 : 3;
   constexpr int kMaxRunsAfter = 3;
   int ran = 0;
   int ran_after = 0;
-  Time third_crash = Time::max();
+  Time detectable = Time::max();
   for (const CrashingRequest& request : this->crashing_requests) {
-    bool later = third_crash != Time::max() && request.sent - third_crash > kGraceAfterFault;
+    bool later = detectable != Time::max() && request.sent - detectable > kGraceAfterFault;
     if (later && request.is_gateway_healthy) ran_after += runs[request.id];
     ran += runs[request.id];
-    if (ran >= kCrashesToDetect && third_crash == Time::max()) third_crash = request.sent;
+    if (ran >= kCrashesToDetect && detectable == Time::max()) detectable = request.sent;
   }
   if (ran_after > kMaxRunsAfter) {
-    this->ReportViolation(absl::StrCat("deadly: ran ", ran_after,
-                                       " times after the third crash was known, ", ran,
-                                       " times in all"));
+    this->ReportViolation(absl::StrCat(
+        "deadly: ran ", ran_after, " times after the crashes were known, ", ran, " times in all"));
   }
+  if (this->options.crashing_part) this->CheckStreamsBesideCrashes(runs, detectable);
   if (this->crashing_refused == 0)
     this->ReportViolation("deadly: the crashing request was never refused");
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -13,8 +13,13 @@
 //   once     a request that may not be repeated runs at most once
 //   refused  a request that was refused as not run did not run and does not run later
 //   on time  a gateway without a recent fault gives a final answer by the deadline
-//   deadly   a request that crashes engines reaches few engines and is refused with result
-//            code 2016; no other request is refused with this code
+//   deadly   requests that crash engines, by their content or by a part of their prompt, reach few
+//            engines and are refused with result code 2016; no other request is refused with this
+//            code
+//   lost     while requests come that share a part that crashes engines, at least half of the other
+//            streams are begun by an engine
+//   recover  while most new connections go to one gateway, the requests that are read are served at
+//            least three quarters as often as at other times
 //   revoked  no request runs with a key that was revoked longer ago than the key trust time
 //
 //   Soak soak({.seed = 7, .duration = seconds(10), .folder = "/tmp/soak"});
@@ -51,6 +56,14 @@
   // Gateways then connect to engines directly: a proxy would still accept connections after its
   // engine has crashed.
   bool crashing = false;
+  // The first caller sends requests that differ in content and share a part that crashes every
+  // engine that runs it.  All streams share their first part with them.
+  bool crashing_part = false;
+  // Engines send some answers without a length, and end some of these inside an event.
+  bool unframed = false;
+  // For some seconds at a time most new connections go to one gateway, and callers use each
+  // connection once.
+  bool herd = false;
   // The store is repeatedly restored from an older copy.  The operator and the engines then
   // write the lost records again.
   bool store_returns = false;
@@ -99,7 +112,12 @@
     ResponseHead head;
     std::string body;
   };
-  // One request that crashes engines.
+  // The requests that were read and that were served.
+  struct ServedCount {
+    uint64_t read = 0;
+    uint64_t served = 0;
+  };
+  // A request that crashes engines, or another stream beside such requests.
   struct CrashingRequest {
     std::string id;
     Time sent;
@@ -132,7 +150,12 @@
   void CheckRuns();
   void RecordCrashingRequest(const Caller& caller);
   void CheckCrashingRequests(std::map<std::string, int>& runs);
-  bool IsCrashingCaller(size_t caller) const { return this->options.crashing && caller == 0; }
+  void CheckStreamsBesideCrashes(std::map<std::string, int>& runs, Time fifth_crash);
+  void CheckHerd();
+  bool HasCrashes() const { return this->options.crashing || this->options.crashing_part; }
+  bool IsCrashingCaller(size_t caller) const { return this->HasCrashes() && caller == 0; }
+  bool IsHerdTime(Time at) const;
+  std::string PromptParts(size_t caller) const;
   void ReportViolation(const std::string& what);
   uint64_t RandomBelow(uint64_t below) { return this->random() % below; }
 
@@ -162,6 +185,10 @@
   std::map<std::string, std::string> must_not_run;
   std::vector<std::string> once_ids;
   std::vector<CrashingRequest> crashing_requests;
+  std::vector<CrashingRequest> streams_beside;
+  Time began{};
+  ServedCount in_herd;
+  ServedCount outside_herd;
   uint64_t crashing_refused = 0;
   std::vector<std::string> violations;
   uint64_t sent_count = 0;
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -77,6 +77,8 @@
     // Whether a crash closes the connections in order, after a part of an event, instead of
     // resetting them.  The kernel does so where a process ends that has read everything.
     bool crash_closes = false;
+    // The fault of the next request, if FailNext gives none.  Optional.
+    std::function<EngineFault()> next_fault = {};
     // Called after a crash.  Optional.
     std::function<void()> on_crash = {};
   };
