A stream that just the end of its connection ends is complete only if its engine is still there

What callers saw: a stream cut between two events and ended as if it were whole (ORDER). An engine that is killed closes its connections in order, and without a length or chunks that looks like the end of the answer.

Change: before such a stream is ended, the engine's address is asked for a connection, as after a broken attempt. If it refuses, the stream is resumed at another engine, which ends it at once if it was complete; nothing else is delayed. Ruled out: deciding by the tokens that were asked for, which are only the most.

--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "gateway/lost_engine_check.h"
@@ -79,6 +80,12 @@
   void NoteBrokenAttempt(const EngineRecord& engine, const std::vector<Suspect>& suspects,
                          Time sent, const LogLine& line);
 
+  // Tests whether the engine still accepts connections, and calls `done` once, after this call
+  // returns.
+  void CheckEngine(const EngineRecord& engine, LostEngineCheck::Done done) {
+    this->check.Start(engine, std::move(done));
+  }
+
   // Records that a request was answered whole, which clears its suspects.
   void NoteAnswered(const std::vector<Suspect>& suspects, Time now);
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -317,6 +317,14 @@
 void Exchange::OnDone(ChannelResult channel_result) {
   if (!this->attempt) return;
   this->attempt->ended = channel_result;
+  if (channel_result == ChannelResult::kWholeAnswer && this->MustConfirmEnd()) {
+    this->ConfirmEnd();
+  } else {
+    this->ConcludeAttempt(channel_result);
+  }
+}
+
+void Exchange::ConcludeAttempt(ChannelResult channel_result) {
   AttemptResult result = this->ResultOf(channel_result);
   this->NoteHealth(result, channel_result);
   // A stream without a length ends with its connection, which an engine that crashes may close in
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -115,6 +115,9 @@
   void LogAnswered();
   void ForwardBody(std::string_view bytes);
   void OnDone(ChannelResult result);
+  void ConcludeAttempt(ChannelResult result);
+  bool MustConfirmEnd() const;
+  void ConfirmEnd();
   bool IsIncompleteStream() const;
   AttemptResult ResultOf(ChannelResult result) const;
   std::optional<std::string> ReaderAtFault(const ResponseHead& head) const;
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -43,6 +43,29 @@
                                               this->attempt->sent, line);
 }
 
+// Whether only the end of the connection shows that a stream is complete.  The kernel closes the
+// connections of an engine that crashes in the same way.
+bool Exchange::MustConfirmEnd() const {
+  return this->state->fleet.mechanisms().confirm_stream_end &&
+         this->admission.route->repeat == Repeat::kResumeStream &&
+         this->attempt->head.ends_with_connection &&
+         this->attempt->head_result == AttemptResult::kSuccess && !this->IsIncompleteStream();
+}
+
+// Asks whether the engine is still there.  If it is gone, the stream is resumed at another engine,
+// which ends it at once if it was complete.
+void Exchange::ConfirmEnd() {
+  std::weak_ptr<Exchange> weak = this->weak_from_this();
+  auto done = [weak, number = this->attempts](EngineFinding finding) {
+    auto self = weak.lock();
+    bool is_waiting = self && self->attempt && self->attempts == number && !self->is_finished;
+    if (!is_waiting) return;
+    bool is_gone = finding == EngineFinding::kGone;
+    self->ConcludeAttempt(is_gone ? ChannelResult::kBroken : ChannelResult::kWholeAnswer);
+  };
+  this->state->crash_watch->CheckEngine(this->attempt->choice.engine, done);
+}
+
 // Returns the connection to the pool.  Only a successful answer shows that an engine survives
 // the request: an engine that fails some of its requests does not run those requests.
 void Exchange::NoteWholeAnswer(AttemptResult result) {
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -33,6 +33,8 @@
     this->GiveUp();
     return;
   }
+  bool awaits_check = this->attempt->ended.has_value();
+  if (awaits_check) return;
   if (this->ShouldWithdraw(now)) {
     this->Withdraw(now);
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -20,9 +20,9 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "gateway/caller_handoff.h"
 #include "gateway/config_from_peers.h"
 #include "gateway/config_revalidator.h"
-#include "gateway/caller_handoff.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_list_copy.h"
 #include "gateway/exchange.h"
--- a/src/gateway/testing/unframed_answer_test.cc
+++ b/src/gateway/testing/unframed_answer_test.cc
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -76,6 +77,24 @@
   }
 }
 
+// Guards against passing a stream on as complete whose engine crashed between two events: the end
+// of the connection looks the same.
+BOOST_AUTO_TEST_CASE(AStreamWhoseEngineCrashedBetweenEventsIsResumed) {
+  GatewayFixtureOptions options{.engines = 12};
+  options.engine.crash_closes = true;
+  options.engine.crash_part = false;
+  options.engine.events_before_crash = 2;
+  auto has_crashed = std::make_shared<bool>(false);
+  options.engine.crashes_engine = [has_crashed](const CallerRequest&) {
+    return !std::exchange(*has_crashed, true);
+  };
+  auto fixture = StartedFixture(options);
+  Reply reply = fixture->Call(fixture->StreamRequest("a"));
+  BOOST_TEST(fixture->engine_crashes() == 1);
+  BOOST_TEST(reply.whole());
+  BOOST_TEST(reply.body == kWholeStream);
+}
+
 // Guards against taking an engine for sound that crashed while it wrote such a stream.
 BOOST_AUTO_TEST_CASE(AnEngineThatEndsAStreamInsideAnEventIsChecked) {
   constexpr char kCrashing[] = "crashing";
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -81,6 +81,10 @@
   // A request that crashes engines is not sent to further ones (quarantine.h).  Off: it is retried
   // like any other, and the users' bound on the crashes by one request is exceeded.
   bool quarantine = true;
+  // A stream that only the end of its connection ends counts as complete if its engine still
+  // accepts connections (gateway/exchange_crashes.cc).  Off: the stream of an engine that crashes
+  // between two events may look complete.
+  bool confirm_stream_end = true;
   // A gateway that cannot keep up with a surge of connections closes some unread
   // (gateway/caller_handoff.h).  Off: each request waits behind all others.
   bool caller_handoff = true;
@@ -142,6 +146,7 @@
     {"config_from_peers", &Mechanisms::config_from_peers},
     {"topic_relay", &Mechanisms::topic_relay},
     {"quarantine", &Mechanisms::quarantine},
+    {"confirm_stream_end", &Mechanisms::confirm_stream_end},
     {"caller_handoff", &Mechanisms::caller_handoff},
     {"part_quarantine", &Mechanisms::part_quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -91,7 +91,9 @@
 // Begins an answer without a length if none has begun, and closes the connection within an event.
 void EngineStandin::EndInsideEvent(CallerChannel* channel, const CallerRequest& request) {
   channel->BeginAnswer(this->SealedHead(request, 200), std::nullopt, /*unframed=*/true);
-  channel->WritePart("id: 1\nda");
+  int next = 1;
+  while (next <= this->options.events_before_crash) channel->WritePart(Event(next++));
+  if (this->options.crash_part) channel->WritePart(absl::StrCat("id: ", next, "\nda"));
   channel->EndAnswer();
 }
 
--- a/src/standins/engine_standin.h
+++ b/src/standins/engine_standin.h
@@ -77,6 +77,10 @@
     // Whether a crash closes the connections in order, after a part of an event, instead of
     // resetting them.  The kernel does so where a process ends that has read everything.
     bool crash_closes = false;
+    // The number of whole events before that part.  Without `crash_part` the connection closes
+    // after them.
+    int events_before_crash = 0;
+    bool crash_part = true;
     // The fault of the next request, if FailNext gives none.  Optional.
     std::function<EngineFault()> next_fault = {};
     // Called after a crash.  Optional.
