--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -463,7 +463,10 @@
   request += "\r\n" + body;
   if (crashing) this->RecordCrashingRequest(caller);
   bool is_beside = this->options.crashing_part && !crashing && caller.kind == Kind::kStream;
-  if (is_beside) this->streams_beside.push_back({caller.id, caller.sent, !use_revoked});
+  bool is_healthy = caller.sent - this->gateways[caller.gateway].last_fault > kGraceAfterFault;
+  if (is_beside) {
+    this->streams_beside.push_back({caller.id, caller.sent, is_healthy && !use_revoked});
+  }
   RequestChannel::Hooks hooks;
   hooks.head = [this, index](const ResponseHead& head) { this->callers[index].head = head; };
   hooks.body = [this, index](std::string_view bytes) { this->callers[index].body.append(bytes); };
