Refusals of requests that crash engines are logged with the parts of their prompt

An operator who sees part_quarantined finds the requests it refuses by the same hash in their lines.

--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -3,21 +3,11 @@
 // content or prompt is in quarantine, and lets those wait on which the decision is pending.
 
 #include <algorithm>
-#include <string>
 #include <vector>
 
-#include "absl/strings/str_join.h"
 #include "gateway/exchange.h"
 
 namespace gullward {
-namespace {
-
-std::string PartNames(const std::vector<PartId>& parts) {
-  auto append_name = [](std::string* out, PartId part) { out->append(PartName(part)); };
-  return absl::StrJoin(parts, ",", append_name);
-}
-
-}  // namespace
 
 ContentId Exchange::Content() {
   if (!this->content) {
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -115,7 +115,10 @@
         .Number("silent_ms", ToSeconds(Now() - this->attempt->last_progress) * 1000)
         .Text("connection", NameOf(this->attempt->ended));
   }
-  if (this->content) line.Text("content", ContentName(*this->content));
+  if (this->content) {
+    line.Text("content", ContentName(*this->content))
+        .Text("parts", PartNames(this->facts.shared_parts));
+  }
   this->state->log->Write(line);
 }
 
--- a/src/serving/request_content.h
+++ b/src/serving/request_content.h
@@ -15,8 +15,10 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace gullward {
 
@@ -52,8 +54,11 @@
 
 inline PartId PartIdOf(std::string_view id) { return XXH3_64bits(id.data(), id.size()); }
 
-// The part as 16 hexadecimal digits, as in log lines and store keys.
-inline std::string PartName(PartId part) { return ContentName(part); }
+// The parts as in log lines: 16 hexadecimal digits each, commas between them.
+inline std::string PartNames(const std::vector<PartId>& parts) {
+  return absl::StrJoin(parts, ",",
+                       [](std::string* out, PartId part) { out->append(ContentName(part)); });
+}
 
 }  // namespace gullward
 
