--- a/src/gateway/testing/caller_handoff_test.cc
+++ b/src/gateway/testing/caller_handoff_test.cc
@@ -103,7 +103,9 @@
     BOOST_REQUIRE(
         fixture->RunUntil([&] { return std::all_of(replies.begin(), replies.end(), is_done); }));
     auto is_served = [](const auto& reply) { return reply->head.status == 200 && reply->whole(); };
-    auto is_read = [is_served](const auto& reply) { return reply->head.status != 0 || is_served(reply); };
+    auto is_read = [is_served](const auto& reply) {
+      return reply->head.status != 0 || is_served(reply);
+    };
     auto read = std::count_if(replies.begin(), replies.end(), is_read);
     BOOST_REQUIRE(read > 0);
     return static_cast<double>(std::count_if(replies.begin(), replies.end(), is_served)) /
