A read that is given up is logged with how long it had waited

config_read_hangs and config_behind say that a read was sent again, not how old it was, so a read that the store lost in an outage and one that a revalidation found late look the same.

--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -22,6 +22,12 @@
                         .Number("read_to", static_cast<double>(read_to))
                         .Number("log_end", static_cast<double>(log_end)));
   };
+  hooks.given_up = [this, topic](Duration waited, const std::string& peer) {
+    this->log.Write(LogLine("read_given_up")
+                        .Text("topic", topic)
+                        .Number("waited_ms", ToSeconds(waited) * 1000)
+                        .Text("peer", peer));
+  };
   return hooks;
 }
 
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -84,6 +84,10 @@
   return this->pending ? now - this->last_progress : Duration(0);
 }
 
+Duration StoreClient::TimeSinceSent(Time now) const {
+  return this->pending ? now - this->sent_at : Duration(0);
+}
+
 void StoreClient::Finish(uint64_t number, const StoreAnswer& answer) {
   if (number != this->call_count || !this->pending) return;
   if (answer.status == 0) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -57,6 +57,9 @@
   // The time since bytes last arrived for the call in progress, or zero without a call.
   Duration TimeSinceProgress(Time now) const;
 
+  // The time since the call in progress was sent, or zero without a call.
+  Duration TimeSinceSent(Time now) const;
+
   // Cancels the call in progress: `done` is not called, and the next call uses a new connection.
   void Cancel();
 
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -84,19 +84,27 @@
   Duration lag = this->LagBehindPeers(now);
   if (this->peer_client.is_busy()) {
     if (lag < kMaxLagAtPeer + this->options.batch_delay) return false;
-    this->peer_client.Cancel();
+    this->GiveUpRead();
     this->sources.NotePeerStale(this->current_peer, now);
   } else {
     bool is_silent = this->client.TimeSinceProgress(now) >= this->silence_limit;
     if (!is_silent || lag < kMaxLagAtStore) return false;
     this->silence_limit = std::min(2 * this->silence_limit, kMaxSilenceLimit);
-    this->client.Cancel();
+    this->GiveUpRead();
   }
   this->behind_offset.reset();
   this->ReadOn();
   return true;
 }
 
+void TopicFollower::GiveUpRead() {
+  bool is_at_peer = this->peer_client.is_busy();
+  StoreClient& reader = is_at_peer ? this->peer_client : this->client;
+  Duration waited = reader.TimeSinceSent(Now());
+  reader.Cancel();
+  if (this->hooks.given_up) this->hooks.given_up(waited, is_at_peer ? this->current_peer : "");
+}
+
 // Returns the box of the peer to read from; empty if the store is to be read.
 std::optional<std::string> TopicFollower::NextPeer() {
   if (!this->hooks.peer_address) return std::nullopt;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -120,6 +120,9 @@
     std::function<std::optional<SocketAddress>(const std::string& box)> peer_address = {};
     // Called when state() has changed or has been proved.  Optional.
     std::function<void()> state_changed = {};
+    // Called when a read is given up for a new one after it has waited for so long.  `peer` is the
+    // box at which it waited, empty for the store.  Optional.
+    std::function<void(Duration waited, const std::string& peer)> given_up = {};
   };
 
   TopicFollower(EventLoop* loop, SocketAddress store, StoreRecovery* store_recovery,
@@ -182,6 +185,7 @@
   void BoundConnectTime(const std::string& box);
   void OnConnectTimeOver(const std::string& box, uint64_t read);
   Duration LagBehindPeers(Time now);
+  void GiveUpRead();
   void TakeNewestRecords(const std::vector<platform::KeyedRecord>& records, uint64_t end,
                          Time proved);
   void NotifyStateChanged();
