Reads that wait at the store are sent again when it answers after a silence

What callers saw: 404 for a route confirmed more than two seconds before (CONFIG), and requests at engines that had said three to twelve seconds before that they leave (DRAIN).

Cause: a read that reaches the store while it is silent is never answered, and its connection stays open, so neither keep-alive nor a reset shows it. A read of the configuration may wait 30 s, one of the engine list up to 30 s in a large fleet. Other calls of the same process had timed out and were answered again, but nobody drew the conclusion for the waiting reads. Class: evidence of a failure is kept with the call that met it, though it concerns every call that was open at the time.

Ruled out: a single gateway that lags (all five were behind together).

Change: StoreClient records unanswered and answered calls in StoreReturns, which it already shares with all clients; at the first answer after a silence each follower gives up a read that waits at the store and reads again. The pause between calls of a root that reads from peers ends as well.

--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -44,7 +44,10 @@
       registration_pause(settings.registration_pause),
       follower(
           event_loop, settings.store, store_recovery,
-          {std::string(platform::kPeersTopic), kPeersWait, kPeersBatchDelay},
+          {.topic = std::string(platform::kPeersTopic),
+           .wait = kPeersWait,
+           .batch_delay = kPeersBatchDelay,
+           .renews_reads = settings.mechanisms.renew_reads},
           {.replace =
                [this](const std::vector<platform::KeyedRecord>& records) {
                  this->OnPeerRecords(records);
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -34,12 +34,10 @@
     this->incoming.body.append(bytes);
   };
   hooks.done = [this, number](ChannelResult result) {
-    if (result != ChannelResult::kWholeAnswer) {
-      this->Finish(number, {0, "", "connection lost", std::nullopt});
-    } else if (!this->IsUsable(this->incoming)) {
-      this->Finish(number, {0, "", "answer from before the store's return", std::nullopt});
+    if (result == ChannelResult::kWholeAnswer) {
+      this->OnWholeAnswer(number);
     } else {
-      this->Finish(number, StoreAnswer(this->incoming));
+      this->FinishUnanswered(number, "connection lost");
     }
   };
   this->channel->Send(request, std::move(hooks), /*is_head=*/false);
@@ -56,7 +54,7 @@
       this->ScheduleTimeout(number, kProgressTimeout);
       return;
     }
-    this->Finish(number, {0, "", "overdue", std::nullopt});
+    this->FinishUnanswered(number, "overdue");
   });
 }
 
@@ -88,6 +86,22 @@
   return this->pending ? now - this->sent_at : Duration(0);
 }
 
+void StoreClient::OnWholeAnswer(uint64_t number) {
+  bool is_current = number == this->call_count && this->pending;
+  if (this->returns != nullptr && is_current) this->returns->RecordAnswer();
+  if (this->IsUsable(this->incoming)) {
+    this->Finish(number, StoreAnswer(this->incoming));
+  } else {
+    this->Finish(number, {0, "", "answer from before the store's return", std::nullopt});
+  }
+}
+
+void StoreClient::FinishUnanswered(uint64_t number, const char* reason) {
+  bool is_current = number == this->call_count && this->pending;
+  if (this->returns != nullptr && is_current) this->returns->RecordNoAnswer();
+  this->Finish(number, {0, "", reason, std::nullopt});
+}
+
 void StoreClient::Finish(uint64_t number, const StoreAnswer& answer) {
   if (number != this->call_count || !this->pending) return;
   if (answer.status == 0) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -77,6 +77,8 @@
  private:
   void ScheduleTimeout(uint64_t number, Duration after);
   bool IsUsable(const StoreAnswer& answer);
+  void OnWholeAnswer(uint64_t number);
+  void FinishUnanswered(uint64_t number, const char* reason);
   void Finish(uint64_t number, const StoreAnswer& answer);
 
   EventLoop* loop;
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -28,6 +28,9 @@
       options(std::move(follower_options)),
       hooks(std::move(follower_hooks)) {
   this->recovery->returns().OnReturn([this] { this->OnReturn(); });
+  if (!this->options.renews_reads) return;
+  this->recovery->returns().OnAnswersAgain(
+      [this](Time answered) { this->OnStoreAnswersAgain(answered); });
 }
 
 void TopicFollower::Start() {
@@ -58,6 +61,15 @@
   this->ReadOnAfter(has_pause ? this->hooks.pause_after_return() : Duration(0));
 }
 
+// Pages are not read again: each call for one has a short timeout of its own.
+void TopicFollower::OnStoreAnswersAgain(Time answered) {
+  this->sources.NoteStoreAnswered();
+  bool may_be_lost = this->loaded && this->client.is_busy() && this->call_sent < answered;
+  if (!may_be_lost) return;
+  this->GiveUpRead();
+  this->ReadOn();
+}
+
 void TopicFollower::ReadOnAfter(Duration pause) {
   this->loop->RunAfter(pause, [this] { this->ReadNext(); });
 }
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -17,6 +17,10 @@
 // from a peer waits for kPeerWait at most, so that a peer that has stopped is noticed soon.  What
 // has been read is kept in state(), from which this gateway answers the reads of its own peers.
 //
+// A read that arrived at the store while it was silent is never answered, and nothing on its
+// connection shows that.  When the store answers any call of this process again after a silence
+// (store_returns.h), a read that waits at the store is given up for a new one.
+//
 // An offset in the log is valid only in the store epoch in which it was read.  After the store's
 // return from an older copy (store_returns.h) the pages are read again.  Pages of different
 // epochs are never combined.
@@ -93,6 +97,8 @@
     // The age from which a peer's proof is too old (serving/topic_sources.h).  A read of the store
     // that waits proves what held when it was sent, so a proof may be twice as old as the wait.
     Duration max_proof_age = seconds(70);
+    // Whether a read that waits at the store is sent again after a silence of the store.
+    bool renews_reads = true;
   };
   struct Hooks {
     // Called with all records, after all pages have been read.
@@ -170,6 +176,7 @@
   void ReadNext();
   void ReadOnAfter(Duration pause);
   void OnReturn();
+  void OnStoreAnswersAgain(Time answered);
   void ReadPages();
   void ReadPage();
   void ReadTail(Duration wait, size_t max_kb);
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -64,6 +64,10 @@
   // A pending read of the list of engines is sent again if a peer has read further.  Off: the
   // gateway waits until the store answers the first read.
   bool catch_up_with_peers = true;
+  // A read that waits at the store is sent again when the store answers after a silence
+  // (gateway/topic_follower.h).  Off: it waits until its own time is over, and changes are seen
+  // only then.
+  bool renew_reads = true;
   // A large fleet is divided into cells (cell_map.h).  Off: every gateway chooses among all
   // engines and reports to all gateways.
   bool cells = true;
@@ -141,6 +145,7 @@
     {"gather_streams", &Mechanisms::gather_streams},
     {"copy_engine_list", &Mechanisms::copy_engine_list},
     {"catch_up_with_peers", &Mechanisms::catch_up_with_peers},
+    {"renew_reads", &Mechanisms::renew_reads},
     {"cells", &Mechanisms::cells},
     {"spill", &Mechanisms::spill},
     {"config_from_peers", &Mechanisms::config_from_peers},
