One revalidation is enough to replace a lost read

Cause: when a revalidation found newer records, the follower was told 0.4 s later, and that report only started the clock by which a read counts as lost. The read was replaced after a second revalidation: 0.4 + 0.5 + 0.4 s on the path of a change.

Change: the report is made at once, which starts the clock, and again when a read may count as lost (0.15 s).

--- a/src/gateway/config_revalidator.cc
+++ b/src/gateway/config_revalidator.cc
@@ -70,13 +70,17 @@
   }
   if (!EndsAt(position, answer)) {
     this->schedule.NoteBehind(Now());
-    this->loop->RunAfter(TopicFollower::kMaxUpdateDelay, [this, position] {
-      if (this->hooks.position() == position) this->hooks.behind();
-    });
+    this->ReportBehind(position);
+    this->loop->RunAfter(TopicFollower::kMaxLagAtStore,
+                         [this, position] { this->ReportBehind(position); });
     return;
   }
   this->schedule.NoteValidated();
   if (!this->hooks.validated(sent)) this->schedule.NoteBehind(Now());
 }
 
+void ConfigRevalidator::ReportBehind(uint64_t position) {
+  if (this->hooks.position() == position) this->hooks.behind();
+}
+
 }  // namespace gullward
--- a/src/gateway/config_revalidator.h
+++ b/src/gateway/config_revalidator.h
@@ -42,7 +42,8 @@
     std::function<bool(Time sent)> validated;
     // Called when the store begins to answer slowly, or at its usual speed again.
     std::function<void(bool is_slow, Duration latency)> speed_changed;
-    // Called when records exist that the follower has not read in time.
+    // Called when records exist that the follower has not read, and again after
+    // TopicFollower::kMaxLagAtStore if it still has not.
     std::function<void()> behind;
   };
 
@@ -65,6 +66,7 @@
   void RecordLatency(Duration latency);
   void OnAnswer(const StoreAnswer& answer, uint64_t position, std::optional<uint64_t> epoch,
                 Time sent);
+  void ReportBehind(uint64_t position);
 
   EventLoop* loop;
   StoreClient client;
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -187,6 +187,38 @@
   BOOST_TEST(store.bytes_answered() <= 2 * kVersionBytes);
 }
 
+// What the two seconds in which a change must be in force leave after the longest time until a
+// revalidation.
+constexpr Duration kLeftForReading = milliseconds(800);
+
+// Failure guarded against: the first report only started the clock by which a read counts as lost,
+// so the read was sent again after a second revalidation.
+BOOST_AUTO_TEST_CASE(OneRevalidationIsEnoughToReplaceALostRead) {
+  FollowerFixture follower;
+  ConfigRevalidator revalidator(&follower.loop, follower.store.address(), &follower.recovery,
+                                kConfigTopic, seconds(5),
+                                /*seed=*/1,
+                                {.position = [&] { return follower.follower.position(); },
+                                 .validated = [](Time) { return true; },
+                                 .speed_changed = [](bool, Duration) {},
+                                 .behind = [&] { follower.follower.RestartStalledRead(); }});
+  follower.Publish(1);
+  follower.follower.Start();
+  BOOST_TEST_REQUIRE(follower.RunUntilCurrent());
+  while (!follower.store.IsAwaited(kConfigTopic)) follower.loop.RunOnce(milliseconds(20));
+  follower.store.SkipNextChange(kConfigTopic);
+  follower.Publish(2);
+  // A read that was sent a moment ago is not replaced.
+  Time published = Now();
+  while (Now() - published < TopicFollower::kMaxUpdateDelay) {
+    follower.loop.RunOnce(milliseconds(20));
+  }
+  Time begin = Now();
+  revalidator.Tick(Time{}, begin);
+  BOOST_TEST(follower.RunUntilCurrent());
+  BOOST_TEST(ToSeconds(Now() - begin) < ToSeconds(kLeftForReading));
+}
+
 // A peer's datagram that reports a newer version.
 std::string EncodeVersionNote(uint64_t version) {
   LoadDigest digest;
