Revalidation follows the bound on changes, not only the bound on keys

What callers saw: answers by a configuration that had been replaced more than two seconds before.

Cause: a lost read is found by a revalidation only, and its interval followed from how long keys may be trusted: 1.5 to 3 s of 5 s, where a change must be in force after 2 s. The sum of interval, report and read exceeded the bound with no outage at all. Class: an interval derived from one bound serves a second, shorter one.

Change: setting change_bound_ms, filled from the platform's bound; gateways that read from the store ask after 0.3 to 0.6 of the shorter of the two bounds. At 2 s: 1.2 s at most, then 0.15 s and the read. Where the bounds are alike (5 s and 5 s) nothing changes; gateways that read from peers ask as before.

--- a/src/gateway/config_revalidator.cc
+++ b/src/gateway/config_revalidator.cc
@@ -18,12 +18,13 @@
 
 ConfigRevalidator::ConfigRevalidator(EventLoop* event_loop, SocketAddress store,
                                      StoreRecovery* store_recovery, std::string config_topic,
-                                     Duration key_trust, uint64_t seed, Hooks revalidator_hooks)
+                                     RevalidationBounds bounds, uint64_t seed,
+                                     Hooks revalidator_hooks)
     : loop(event_loop),
       client(event_loop, std::move(store), &store_recovery->returns()),
       recovery(store_recovery),
       topic(std::move(config_topic)),
-      schedule(key_trust, seed),
+      schedule(bounds, seed),
       hooks(std::move(revalidator_hooks)) {}
 
 void ConfigRevalidator::Tick(Time validated_at, Time now) {
--- a/src/gateway/config_revalidator.h
+++ b/src/gateway/config_revalidator.h
@@ -11,7 +11,7 @@
 // Shortly after the store's return from an older copy an answer shows nothing about newer
 // versions, so no reads are sent then (store_returns.h).
 //
-//   ConfigRevalidator revalidator(&loop, store, &recovery, topic, trust, seed, hooks);
+//   ConfigRevalidator revalidator(&loop, store, &recovery, topic, bounds, seed, hooks);
 //   revalidator.Tick(validated_at, now);  // every few milliseconds
 
 #ifndef GULLWARD_GATEWAY_CONFIG_REVALIDATOR_H_
@@ -48,7 +48,7 @@
   };
 
   ConfigRevalidator(EventLoop* event_loop, SocketAddress store, StoreRecovery* store_recovery,
-                    std::string topic, Duration key_trust, uint64_t seed, Hooks hooks);
+                    std::string topic, RevalidationBounds bounds, uint64_t seed, Hooks hooks);
 
   // Sends a read if one is due, given when the configuration was last validated.
   void Tick(Time validated_at, Time now);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -28,9 +28,8 @@
 // How long the configuration follower waits for more changes after one.  A change must be in
 // force within two seconds; the wait takes a tenth of that.
 constexpr Duration kConfigBatchDelay = milliseconds(200);
-// How long one configuration read waits at the store.  A change is returned at once, so the
-// wait only bounds the delay until a silent store is detected.  ConfigRevalidator detects a
-// silent store sooner, so the read may wait as long as the store allows.
+// How long one configuration read waits at the store.  A change is returned at once.
+// ConfigRevalidator detects a lost read, so the read may wait as long as the store allows.
 constexpr Duration kConfigWait = seconds(30);
 // A balancer removes a process after two failed health checks, one per second.  Until then it
 // sends new callers, which must be served.
@@ -69,8 +68,9 @@
       load_exchange(event_loop, settings, random_seed, &this->state.fleet, &this->log,
                     &this->store_recovery, this->LoadExchangeHooks()),
       config_revalidator(event_loop, settings.store, &this->store_recovery,
-                         std::string(platform::kConfigTopic), settings.key_trust, random_seed,
-                         this->RevalidatorHooks()),
+                         std::string(platform::kConfigTopic),
+                         {.key_trust = settings.key_trust, .change = settings.change_bound},
+                         random_seed, this->RevalidatorHooks()),
       operator_pages(event_loop, OperatorPages(this->PageHooks())),
       peer_pages(event_loop,
                  [this](const std::string& path, const HttpPages::Answer& answer) {
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -47,6 +47,7 @@
   settings.store = ReadAddress(reader, "store", std::nullopt);
   settings.key_trust = FromSeconds(reader.Number("key_trust_ms", 5000, 200, 1e7) / 1000);
   settings.key_trust_mode = ReadKeyTrust(reader);
+  settings.change_bound = FromSeconds(reader.Number("change_bound_ms", 2000, 100, 1e7) / 1000);
   settings.leaving_bound = FromSeconds(reader.Number("leaving_bound_ms", 2000, 100, 1e7) / 1000);
   settings.retry.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
   settings.retry.slack = reader.Number("retry_slack", 100, 0, 1e9);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -31,6 +31,8 @@
   // whether this limit applies.
   Duration key_trust = seconds(5);
   KeyTrust key_trust_mode = KeyTrust::kBounded;
+  // The time within which a change of the configuration must be in force.
+  Duration change_bound = seconds(2);
   // How long an engine may still get new work after it was announced as leaving.
   Duration leaving_bound = seconds(2);
   RetryBounds retry;
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -167,8 +167,8 @@
   StoreStandin store(&loop);
   StoreRecovery recovery(&loop);
   bool is_behind = false;
-  ConfigRevalidator revalidator(&loop, store.address(), &recovery, kConfigTopic, seconds(5),
-                                /*seed=*/1,
+  ConfigRevalidator revalidator(&loop, store.address(), &recovery, kConfigTopic,
+                                {.key_trust = seconds(5), .change = seconds(2)}, /*seed=*/1,
                                 {.position = [] { return std::optional<uint64_t>(0); },
                                  .validated =
                                      [](Time) {
@@ -196,7 +196,7 @@
 BOOST_AUTO_TEST_CASE(OneRevalidationIsEnoughToReplaceALostRead) {
   FollowerFixture follower;
   ConfigRevalidator revalidator(&follower.loop, follower.store.address(), &follower.recovery,
-                                kConfigTopic, seconds(5),
+                                kConfigTopic, {.key_trust = seconds(5), .change = seconds(2)},
                                 /*seed=*/1,
                                 {.position = [&] { return follower.follower.position(); },
                                  .validated = [](Time) { return true; },
--- a/src/serving/revalidation_schedule.h
+++ b/src/serving/revalidation_schedule.h
@@ -1,8 +1,11 @@
 // Decides when this process revalidates its configuration, that is, asks the store whether the
 // configuration is still the newest one.
 //
-// API keys may be accepted for a bounded time after the last validation (freshness.h), and each
-// validation costs a call to the store.  A validation by one process serves all of them
+// Two bounds call for it.  API keys may be accepted for a bounded time after the last validation
+// (freshness.h).  And a change must be in force within a bounded time, although the store may lose
+// the answer to the read that waits for it, which only a validation shows.
+//
+// Each validation costs a call to the store.  A validation by one process serves all of them
 // (peer_freshness.h), so one call per interval is enough for the whole fleet, and no process is
 // assigned to make it.  Each process waits until the last validation has reached an age below
 // which none is needed, and then for a random delay.  The process with the shortest delay asks the
@@ -11,15 +14,17 @@
 //
 // In a large fleet the gateways that read the configuration from the store (reader_tree.h) are to
 // ask first, since their answers reach all others.  The others wait for longer, and ask only if no
-// answer reaches them.
+// answer reaches them.  Only the reads of the former can be lost at the store, so the bound on
+// changes applies to them alone.
 //
-//   RevalidationSchedule schedule(trust_duration, seed);
+//   RevalidationSchedule schedule({.key_trust = seconds(5), .change = seconds(2)}, seed);
 //   if (schedule.IsDue(validated_at, now)) { schedule.NoteRequested(); ... }
 //   schedule.NoteBehind(now);        // the store has a newer configuration
 
 #ifndef GULLWARD_SERVING_REVALIDATION_SCHEDULE_H_
 #define GULLWARD_SERVING_REVALIDATION_SCHEDULE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <random>
 
@@ -27,22 +32,35 @@
 
 namespace gullward {
 
+// The bounds that call for validations.
+struct RevalidationBounds {
+  // How long keys may be accepted after a validation.
+  Duration key_trust{};
+  // The time within which a change must be in force.
+  Duration change{};
+
+  bool operator==(const RevalidationBounds&) const = default;
+};
+
 class RevalidationSchedule {
  public:
-  // Shares of the time for which keys may be trusted.  No process asks during the first, and the
-  // random delays are spread over the second.  The remaining 0.4 leave time for a store that
-  // answers slowly or not at first.
+  // Shares of the shorter bound.  No process asks during the first, and the random delays are
+  // spread over the second.  The remaining 0.4 leave time for a store that answers slowly or not at
+  // first, and for reading a change.
   static constexpr double kQuietShare = 0.3;
   static constexpr double kJitterShare = 0.3;
-  // The same two shares for a process that reads the configuration from a peer.  The remaining 0.15
-  // are enough for one call.
+  // The same two shares of the bound on keys, for a process that reads the configuration from a
+  // peer.  The remaining 0.15 are enough for one call.
   static constexpr double kQuietShareOfReaders = 0.6;
   static constexpr double kJitterShareOfReaders = 0.25;
   // Pause after the store has reported a newer configuration, which is in force here by then.
   static constexpr Duration kNewerConfigPause = milliseconds(500);
+  // The shortest bound that is taken into account.  A shorter one cannot be kept anyway when a read
+  // is lost, and would cost a call in each tenth of a second.
+  static constexpr Duration kMinBound = milliseconds(500);
 
-  RevalidationSchedule(Duration trust_duration, uint64_t seed)
-      : key_trust(trust_duration), random(seed) {}
+  RevalidationSchedule(RevalidationBounds revalidation_bounds, uint64_t seed)
+      : bounds(revalidation_bounds), random(seed) {}
 
   // Whether to ask the store now.  `validated_at` is the time of the last validation.
   bool IsDue(Time validated_at, Time now) {
@@ -74,11 +92,16 @@
     double jitter_share = this->reads_store ? kJitterShare : kJitterShareOfReaders;
     std::uniform_real_distribution<double> jitter(0, jitter_share);
     this->drawn_for = validated_at;
-    this->due_at = validated_at +
-                   FromSeconds((quiet_share + jitter(this->random)) * ToSeconds(this->key_trust));
+    this->due_at =
+        validated_at + FromSeconds((quiet_share + jitter(this->random)) * ToSeconds(this->Bound()));
+  }
+
+  Duration Bound() const {
+    Duration change = std::max(this->bounds.change, kMinBound);
+    return this->reads_store ? std::min(this->bounds.key_trust, change) : this->bounds.key_trust;
   }
 
-  Duration key_trust;
+  RevalidationBounds bounds;
   std::mt19937_64 random;
   bool reads_store = true;
   Time drawn_for{};
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -576,10 +576,10 @@
 };
 
 // Runs processes that receive each other's validations after `delay`, or never if it is empty.
-RevalidationRun RunSchedules(int processes, std::optional<Duration> delay) {
-  const Duration trust = seconds(5);
+RevalidationRun RunSchedules(int processes, RevalidationBounds bounds,
+                             std::optional<Duration> delay) {
   std::vector<RevalidationSchedule> schedules;
-  for (int i = 0; i < processes; ++i) schedules.emplace_back(trust, 100 + i);
+  for (int i = 0; i < processes; ++i) schedules.emplace_back(bounds, 100 + i);
   std::vector<Time> validated_at(schedules.size(), kStart);
   std::vector<std::pair<Time, Time>> sent_validations;  // Arrival and time.
   RevalidationRun run;
@@ -612,16 +612,42 @@
                                    {28, milliseconds(5), 80},
                                    {28, milliseconds(50), 120},
                                    {28, std::nullopt, 28 * 40}};
+  const RevalidationBounds bounds{.key_trust = seconds(5), .change = seconds(5)};
   for (const Case& test_case : cases) {
-    RevalidationRun run = RunSchedules(test_case.processes, test_case.delay);
+    RevalidationRun run = RunSchedules(test_case.processes, bounds, test_case.delay);
     BOOST_TEST(run.validations >= 20);
     BOOST_TEST(run.validations <= test_case.max_validations);
     BOOST_TEST((run.max_age <= milliseconds(3010)));
   }
 }
 
+// Failure guarded against: the interval followed from the bound on keys alone, and was longer than
+// the time in which a change must be in force.
+BOOST_AUTO_TEST_CASE(ALostReadIsFoundWithinTheBoundOnChanges) {
+  const Duration changes[] = {seconds(2), seconds(3), seconds(5), seconds(9)};
+  for (Duration change : changes) {
+    for (int processes : {1, 5, 28}) {
+      RevalidationRun run =
+          RunSchedules(processes, {.key_trust = seconds(5), .change = change}, milliseconds(5));
+      double bound_s = std::min(ToSeconds(change), 5.0);
+      BOOST_TEST(ToSeconds(run.max_age) <= 0.6 * bound_s + 0.01);
+      // Several processes may ask before the first answer arrives.
+      BOOST_TEST(run.validations <= 2 * 60 / (0.3 * bound_s));
+    }
+  }
+}
+
+// A process that reads from a peer has no read that the store could lose.
+BOOST_AUTO_TEST_CASE(TheBoundOnChangesConcernsReadersOfTheStoreOnly) {
+  RevalidationSchedule schedule({.key_trust = seconds(5), .change = seconds(2)}, 1);
+  BOOST_TEST(schedule.IsDue(kStart, kStart + milliseconds(1200)));
+  schedule.SetReadsStore(false);
+  BOOST_TEST(!schedule.IsDue(kStart, kStart + milliseconds(2990)));
+  BOOST_TEST(schedule.IsDue(kStart, kStart + milliseconds(4250)));
+}
+
 BOOST_AUTO_TEST_CASE(AfterANewerConfigurationTheStoreIsAskedAgainAfterAPause) {
-  RevalidationSchedule schedule(seconds(5), 1);
+  RevalidationSchedule schedule({.key_trust = seconds(5), .change = seconds(5)}, 1);
   Time late = kStart + seconds(4);
   BOOST_TEST(schedule.IsDue(kStart, late));
   schedule.NoteRequested();
