The engine list is revalidated like the configuration

What callers saw: requests sent to engines that had said seconds before that they leave (DRAIN).

Class: the same as for the configuration, a read trusted for as long as it waits; this topic had no revalidation at all.

Change: ConfigRevalidator is TopicRevalidator, used for both topics. The times of 32 rounds of notes are kept and not 8, since each validation starts a round. Switch: use_revalidate_engines.

--- a/src/gateway/gateway_engine_list.cc
+++ b/src/gateway/gateway_engine_list.cc
@@ -12,10 +12,9 @@
 namespace gullward {
 namespace {
 
-// The engine list has no revalidation by small reads.  A gateway that finds a change instead
-// reports its read position to its neighbours, and they read again too.  It therefore suffices
-// that one read per cell ends now and then.  The wait grows with the number of neighbours, up
-// to the store's limit, and has a random jitter.
+// A lost read is found by the revalidation, and by the peers' reports of how far they have read.
+// It therefore suffices that one read per cell ends now and then.  The wait grows with the number
+// of neighbours, up to the store's limit, and has a random jitter.
 constexpr double kNeighboursPerWait = 4;
 constexpr Duration kMaxListWait = seconds(24);
 // Gateways that start together spread their reads of the list over this time for each listed
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -29,7 +29,7 @@
 // force within two seconds; the wait takes a tenth of that.
 constexpr Duration kConfigBatchDelay = milliseconds(200);
 // How long one configuration read waits at the store.  A change is returned at once.
-// ConfigRevalidator detects a lost read, so the read may wait as long as the store allows.
+// TopicRevalidator detects a lost read, so the read may wait as long as the store allows.
 constexpr Duration kConfigWait = seconds(30);
 // A balancer removes a process after two failed health checks, one per second.  Until then it
 // sends new callers, which must be served.
@@ -70,7 +70,11 @@
       config_revalidator(event_loop, settings.store, &this->store_recovery,
                          std::string(platform::kConfigTopic),
                          {.key_trust = settings.key_trust, .change = settings.change_bound},
-                         random_seed, this->RevalidatorHooks()),
+                         random_seed, this->ConfigRevalidatorHooks()),
+      engine_revalidator(event_loop, settings.store, &this->store_recovery,
+                         std::string(platform::kEnginesTopic),
+                         {.key_trust = settings.leaving_bound, .change = settings.leaving_bound},
+                         random_seed, this->EngineRevalidatorHooks()),
       operator_pages(event_loop, OperatorPages(this->PageHooks())),
       peer_pages(event_loop,
                  [this](const std::string& path, const HttpPages::Answer& answer) {
@@ -253,6 +257,7 @@
   this->load_exchange.Tick(now);
   this->topic_relay.Tick(now);
   this->config_revalidator.Tick(this->LastValidation(), now);
+  this->RevalidateEngines(now);
   this->LogKeyFreshness(now);
   this->NoteStartSteps(now);
   if (this->stopping) this->StopWhenIdle(now);
@@ -283,6 +288,14 @@
   return is_root ? std::min(confirmed_at, this->config_follower.state().proved()) : confirmed_at;
 }
 
+// Only a read that waits at the store can be lost there.
+void GatewayServer::RevalidateEngines(Time now) {
+  bool is_on = this->state.fleet.mechanisms().revalidate_engines;
+  if (!is_on || !this->engine_follower.place().reads_store) return;
+  Time validated_at = std::max(this->engines_validated_at, this->engine_follower.state().proved());
+  this->engine_revalidator.Tick(validated_at, now);
+}
+
 // Logs when keys begin or cease to be accepted.
 void GatewayServer::LogKeyFreshness(Time now) {
   bool fresh = this->state.keys.IsFresh(now);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -22,7 +22,6 @@
 #include "absl/status/status.h"
 #include "gateway/caller_handoff.h"
 #include "gateway/config_from_peers.h"
-#include "gateway/config_revalidator.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_list_copy.h"
 #include "gateway/exchange.h"
@@ -32,6 +31,7 @@
 #include "gateway/settled_epoch_writer.h"
 #include "gateway/topic_follower.h"
 #include "gateway/topic_relay.h"
+#include "gateway/topic_revalidator.h"
 #include "serving/evacuations.h"
 #include "transport/tcp_listener.h"
 
@@ -148,7 +148,8 @@
   CrashWatch::Options CrashWatchOptions() const;
   CrashWatch::Hooks CrashWatchHooks();
   ConfigFromPeers::Hooks ConfigFromPeersHooks();
-  ConfigRevalidator::Hooks RevalidatorHooks();
+  TopicRevalidator::Hooks ConfigRevalidatorHooks();
+  TopicRevalidator::Hooks EngineRevalidatorHooks();
   OperatorPageHooks PageHooks() const;
   bool OnValidated(Time sent);
   void OnStoreReturn();
@@ -164,6 +165,7 @@
   void Tick();
   void TickExchanges(Time now);
   Time LastValidation() const;
+  void RevalidateEngines(Time now);
   void LogKeyFreshness(Time now);
   void NoteStartSteps(Time now);
   void TickConnections(Time now);
@@ -189,7 +191,8 @@
   EngineListCopy engine_list_copy;
   SettledEpochWriter settled_epoch_writer;
   LoadExchange load_exchange;
-  ConfigRevalidator config_revalidator;
+  TopicRevalidator config_revalidator;
+  TopicRevalidator engine_revalidator;
   TcpListener callers_listener;
   TcpListener ready_listener;
   TcpListener metrics_listener;
@@ -206,6 +209,8 @@
   std::set<std::string> evacuated;
   bool is_reading = false;
   bool engines_known = false;
+  // When the engine list was last shown to be current, by this gateway or a peer.
+  Time engines_validated_at{};
   // Whether the engine list has changed since it was last handed to engine_list_copy.
   bool engine_list_changed = false;
   bool keys_were_fresh = false;
--- a/src/gateway/gateway_server_hooks.cc
+++ b/src/gateway/gateway_server_hooks.cc
@@ -76,6 +76,15 @@
     std::optional<uint64_t> own = this->config_follower.position();
     if (own && *own >= offset) this->config_follower.NoteProved(at);
   };
+  hooks.engines_proved_at = [this] {
+    return this->engine_follower.position() ? this->engines_validated_at : Time{};
+  };
+  hooks.on_engines_proved = [this](Time at, uint64_t offset) {
+    std::optional<uint64_t> own = this->engine_follower.position();
+    if (own && *own >= offset) {
+      this->engines_validated_at = std::max(this->engines_validated_at, at);
+    }
+  };
   hooks.on_topic_changed = [this] { this->topic_relay.OnNews(std::string(platform::kPeersTopic)); };
   hooks.take_gossip = [this] { return this->crash_watch.TakeGossip(); };
   hooks.on_gossip = [this](const std::string& box, const CrashGossip& gossip) {
@@ -131,8 +140,8 @@
   return hooks;
 }
 
-ConfigRevalidator::Hooks GatewayServer::RevalidatorHooks() {
-  ConfigRevalidator::Hooks hooks;
+TopicRevalidator::Hooks GatewayServer::ConfigRevalidatorHooks() {
+  TopicRevalidator::Hooks hooks;
   hooks.position = [this] { return this->config_follower.position(); };
   hooks.validated = [this](Time sent) {
     this->config_follower.NoteProved(sent);
@@ -150,6 +159,20 @@
   return hooks;
 }
 
+TopicRevalidator::Hooks GatewayServer::EngineRevalidatorHooks() {
+  TopicRevalidator::Hooks hooks;
+  hooks.position = [this] { return this->engine_follower.position(); };
+  hooks.validated = [this](Time sent) {
+    this->engines_validated_at = std::max(this->engines_validated_at, sent);
+    this->load_exchange.SendFreshness(Now());
+    return true;
+  };
+  hooks.behind = [this] {
+    if (this->engine_follower.RestartStalledRead()) this->log.Write(LogLine("engines_read_hangs"));
+  };
+  return hooks;
+}
+
 OperatorPageHooks GatewayServer::PageHooks() const {
   OperatorPageHooks hooks;
   hooks.metrics = [this] { return this->Metrics(); };
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -10,8 +10,8 @@
 uint64_t GatewayServer::store_calls() const {
   return this->config_follower.calls() + this->engine_follower.calls() +
          this->load_exchange.store_calls() + this->config_revalidator.calls() +
-         this->engine_list_copy.store_calls() + this->crash_watch.store_calls() +
-         this->settled_epoch_writer.store_calls();
+         this->engine_revalidator.calls() + this->engine_list_copy.store_calls() +
+         this->crash_watch.store_calls() + this->settled_epoch_writer.store_calls();
 }
 
 std::string GatewayServer::Metrics() const {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -27,6 +27,11 @@
 // 100 writes a second.
 constexpr Duration kReturnDelayPerPeer = milliseconds(10);
 
+// Empty for a time that was never set.
+std::optional<Duration> AgeOf(Time at, Time now) {
+  return at == Time{} ? std::nullopt : std::optional<Duration>(now - at);
+}
+
 }  // namespace
 
 LoadExchange::LoadExchange(EventLoop* event_loop, const GatewaySettings& settings,
@@ -214,17 +219,27 @@
   std::optional<Time> validated_at = this->freshness.ReceiveNote(
       digest.box, digest.incarnation, *digest.freshness, own_version, Now());
   if (validated_at) this->hooks.on_validated(*validated_at);
-  std::optional<Time> written_after = this->freshness.WrittenAfter(*digest.freshness);
-  if (written_after && digest.freshness->topic_proved_ago && this->IsCurrentEpoch(digest)) {
-    this->hooks.on_topic_proved(*written_after - *digest.freshness->topic_proved_ago,
-                                digest.operator_read_to);
-  }
+  this->OnProofs(digest);
   if (digest.freshness->config_version <= own_version) return;
   const Peer* peer = this->directory.Find(digest.box);
   this->hooks.on_newer_version(digest.freshness->config_version,
                                peer != nullptr ? *peer : Peer{digest.box, {}, {}});
 }
 
+// Proofs hold for the offsets in the same datagram.
+void LoadExchange::OnProofs(const LoadDigest& digest) {
+  const FreshnessNote& note = *digest.freshness;
+  std::optional<Time> written_after = this->freshness.WrittenAfter(note);
+  if (!written_after || !this->IsCurrentEpoch(digest)) return;
+  if (note.topic_proved_ago) {
+    this->hooks.on_topic_proved(*written_after - *note.topic_proved_ago, digest.operator_read_to);
+  }
+  if (note.engines_proved_ago) {
+    this->hooks.on_engines_proved(*written_after - *note.engines_proved_ago,
+                                  digest.engines_read_to);
+  }
+}
+
 void LoadExchange::OnGossip(const LoadDigest& digest) {
   CrashGossip reply = this->hooks.on_gossip(digest.box, digest.crash_gossip);
   if (reply.empty()) return;
@@ -256,8 +271,8 @@
   for (const Peer* peer : this->ReceiversOfFreshness(now)) {
     digest.sequence = ++this->sequence;
     digest.freshness = this->freshness.NoteFor(peer->box, version, this->hooks.validated_at(), now);
-    Time topic_proved_at = this->hooks.topic_proved_at();
-    if (topic_proved_at != Time{}) digest.freshness->topic_proved_ago = now - topic_proved_at;
+    digest.freshness->topic_proved_ago = AgeOf(this->hooks.topic_proved_at(), now);
+    digest.freshness->engines_proved_ago = AgeOf(this->hooks.engines_proved_at(), now);
     this->Send(*peer, EncodeDigest(digest));
   }
 }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -108,6 +108,9 @@
     // it has read, and called when a peer's note shows the same of the topic up to `offset`.
     std::function<Time()> topic_proved_at;
     std::function<void(Time at, uint64_t offset)> on_topic_proved;
+    // The same for the engine list.
+    std::function<Time()> engines_proved_at;
+    std::function<void(Time at, uint64_t offset)> on_engines_proved;
     // Called when what was read of the peers' topic has changed or has been proved.
     std::function<void()> on_topic_changed;
     // Called with the entry of the peers' topic that names the settled epoch of the store.
@@ -175,6 +178,7 @@
   bool IsCurrentEpoch(const LoadDigest& digest) const;
   void OnStoreState(const LoadDigest& digest);
   void OnFreshnessNote(const LoadDigest& digest);
+  void OnProofs(const LoadDigest& digest);
   void OnGossip(const LoadDigest& digest);
   void SendPendingGossip(Time now);
   void SendGossip(const Peer& peer, CrashGossip gossip, Time now);
--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -167,16 +167,15 @@
   StoreStandin store(&loop);
   StoreRecovery recovery(&loop);
   bool is_behind = false;
-  ConfigRevalidator revalidator(&loop, store.address(), &recovery, kConfigTopic,
-                                {.key_trust = seconds(5), .change = seconds(2)}, /*seed=*/1,
-                                {.position = [] { return std::optional<uint64_t>(0); },
-                                 .validated =
-                                     [](Time) {
-                                       BOOST_ERROR("validated although newer records exist");
-                                       return true;
-                                     },
-                                 .speed_changed = [](bool, Duration) {},
-                                 .behind = [&] { is_behind = true; }});
+  TopicRevalidator revalidator(&loop, store.address(), &recovery, kConfigTopic,
+                               {.key_trust = seconds(5), .change = seconds(2)}, /*seed=*/1,
+                               {.position = [] { return std::optional<uint64_t>(0); },
+                                .validated =
+                                    [](Time) {
+                                      BOOST_ERROR("validated although newer records exist");
+                                      return true;
+                                    },
+                                .behind = [&] { is_behind = true; }});
   for (int version = 0; version < kMissedVersions; ++version) {
     store.Put(kConfigTopic, kConfigKey, std::string(kVersionBytes, 'x'));
   }
@@ -195,13 +194,12 @@
 // so the read was sent again after a second revalidation.
 BOOST_AUTO_TEST_CASE(OneRevalidationIsEnoughToReplaceALostRead) {
   FollowerFixture follower;
-  ConfigRevalidator revalidator(&follower.loop, follower.store.address(), &follower.recovery,
-                                kConfigTopic, {.key_trust = seconds(5), .change = seconds(2)},
-                                /*seed=*/1,
-                                {.position = [&] { return follower.follower.position(); },
-                                 .validated = [](Time) { return true; },
-                                 .speed_changed = [](bool, Duration) {},
-                                 .behind = [&] { follower.follower.RestartStalledRead(); }});
+  TopicRevalidator revalidator(&follower.loop, follower.store.address(), &follower.recovery,
+                               kConfigTopic, {.key_trust = seconds(5), .change = seconds(2)},
+                               /*seed=*/1,
+                               {.position = [&] { return follower.follower.position(); },
+                                .validated = [](Time) { return true; },
+                                .behind = [&] { follower.follower.RestartStalledRead(); }});
   follower.Publish(1);
   follower.follower.Start();
   BOOST_TEST_REQUIRE(follower.RunUntilCurrent());
--- a/src/gateway/config_revalidator.cc
+++ b/src/gateway/topic_revalidator.cc
@@ -1,6 +1,6 @@
-// Implementation of config_revalidator.h.
+// Implementation of topic_revalidator.h.
 
-#include "gateway/config_revalidator.h"
+#include "gateway/topic_revalidator.h"
 
 #include <utility>
 
@@ -16,18 +16,18 @@
 
 }  // namespace
 
-ConfigRevalidator::ConfigRevalidator(EventLoop* event_loop, SocketAddress store,
-                                     StoreRecovery* store_recovery, std::string config_topic,
-                                     RevalidationBounds bounds, uint64_t seed,
-                                     Hooks revalidator_hooks)
+TopicRevalidator::TopicRevalidator(EventLoop* event_loop, SocketAddress store,
+                                   StoreRecovery* store_recovery, std::string followed_topic,
+                                   RevalidationBounds bounds, uint64_t seed,
+                                   Hooks revalidator_hooks)
     : loop(event_loop),
       client(event_loop, std::move(store), &store_recovery->returns()),
       recovery(store_recovery),
-      topic(std::move(config_topic)),
+      topic(std::move(followed_topic)),
       schedule(bounds, seed),
       hooks(std::move(revalidator_hooks)) {}
 
-void ConfigRevalidator::Tick(Time validated_at, Time now) {
+void TopicRevalidator::Tick(Time validated_at, Time now) {
   std::optional<uint64_t> position = this->hooks.position();
   if (!position) return;
   const StoreEpoch& epoch = this->recovery->returns().epoch();
@@ -37,7 +37,7 @@
   if (is_due || is_wanted_now) this->Revalidate(*position, now);
 }
 
-void ConfigRevalidator::Revalidate(uint64_t position, Time now) {
+void TopicRevalidator::Revalidate(uint64_t position, Time now) {
   this->schedule.NoteRequested();
   this->is_requested = false;
   std::optional<uint64_t> epoch = this->recovery->returns().epoch().current();
@@ -49,15 +49,15 @@
                     });
 }
 
-void ConfigRevalidator::RecordLatency(Duration latency) {
+void TopicRevalidator::RecordLatency(Duration latency) {
   bool slow = latency > kSlowAnswer;
   if (slow == this->store_is_slow) return;
   this->store_is_slow = slow;
-  this->hooks.speed_changed(slow, latency);
+  if (this->hooks.speed_changed) this->hooks.speed_changed(slow, latency);
 }
 
-void ConfigRevalidator::OnAnswer(const StoreAnswer& answer, uint64_t position,
-                                 std::optional<uint64_t> epoch, Time sent) {
+void TopicRevalidator::OnAnswer(const StoreAnswer& answer, uint64_t position,
+                                std::optional<uint64_t> epoch, Time sent) {
   if (!answer.ok() && answer.status != platform::kRecordsGone) {
     this->recovery->RetryLater([this] { this->schedule.NoteRetry(); });
     return;
@@ -80,7 +80,7 @@
   if (!this->hooks.validated(sent)) this->schedule.NoteBehind(Now());
 }
 
-void ConfigRevalidator::ReportBehind(uint64_t position) {
+void TopicRevalidator::ReportBehind(uint64_t position) {
   if (this->hooks.position() == position) this->hooks.behind();
 }
 
--- a/src/gateway/config_revalidator.h
+++ b/src/gateway/topic_revalidator.h
@@ -1,4 +1,5 @@
-// Revalidates the configuration: shows by small reads that no newer version exists.
+// Revalidates what has been read of a topic, the configuration or the engine list: shows by small
+// reads that the store has nothing newer.
 //
 // The follower's own read waits at the store for a change (topic_follower.h), so it shows
 // nothing until it returns.  The revalidator reads from the follower's offset without waiting.
@@ -8,14 +9,17 @@
 // answer: whole records, which it would discard, took half of a thin link's bandwidth from the
 // follower while it caught up.
 //
+// One validation serves the fleet: the owner tells the other gateways of it, and the schedule
+// (serving/revalidation_schedule.h) lets the first one ask.
+//
 // Shortly after the store's return from an older copy an answer shows nothing about newer
 // versions, so no reads are sent then (store_returns.h).
 //
-//   ConfigRevalidator revalidator(&loop, store, &recovery, topic, bounds, seed, hooks);
+//   TopicRevalidator revalidator(&loop, store, &recovery, topic, bounds, seed, hooks);
 //   revalidator.Tick(validated_at, now);  // every few milliseconds
 
-#ifndef GULLWARD_GATEWAY_CONFIG_REVALIDATOR_H_
-#define GULLWARD_GATEWAY_CONFIG_REVALIDATOR_H_
+#ifndef GULLWARD_GATEWAY_TOPIC_REVALIDATOR_H_
+#define GULLWARD_GATEWAY_TOPIC_REVALIDATOR_H_
 
 #include <functional>
 #include <optional>
@@ -28,7 +32,7 @@
 
 namespace gullward {
 
-class ConfigRevalidator {
+class TopicRevalidator {
  public:
   // An answer that takes longer counts as slow.  The store usually answers in 4 ms, and an
   // outage is detected after a second.
@@ -38,19 +42,19 @@
     // Returns the offset up to which all records are in force; nothing before the first read.
     std::function<std::optional<uint64_t>()> position;
     // Called when nothing newer had been written at `sent`.  Returns whether this validates
-    // the configuration: it does not if a newer version is known that the store lacks.
+    // what has been read: it does not if something newer is known that the store lacks.
     std::function<bool(Time sent)> validated;
-    // Called when the store begins to answer slowly, or at its usual speed again.
-    std::function<void(bool is_slow, Duration latency)> speed_changed;
     // Called when records exist that the follower has not read, and again after
     // TopicFollower::kMaxLagAtStore if it still has not.
     std::function<void()> behind;
+    // Called when the store begins to answer slowly, or at its usual speed again.  Optional.
+    std::function<void(bool is_slow, Duration latency)> speed_changed = {};
   };
 
-  ConfigRevalidator(EventLoop* event_loop, SocketAddress store, StoreRecovery* store_recovery,
-                    std::string topic, RevalidationBounds bounds, uint64_t seed, Hooks hooks);
+  TopicRevalidator(EventLoop* event_loop, SocketAddress store, StoreRecovery* store_recovery,
+                   std::string topic, RevalidationBounds bounds, uint64_t seed, Hooks hooks);
 
-  // Sends a read if one is due, given when the configuration was last validated.
+  // Sends a read if one is due, given when the topic was last validated.
   void Tick(Time validated_at, Time now);
   // Sends a read at the next tick.  Called when a peer reports a return of the store that this
   // gateway has not seen.
@@ -80,4 +84,4 @@
 
 }  // namespace gullward
 
-#endif  // GULLWARD_GATEWAY_CONFIG_REVALIDATOR_H_
+#endif  // GULLWARD_GATEWAY_TOPIC_REVALIDATOR_H_
--- a/src/serving/load_digest.cc
+++ b/src/serving/load_digest.cc
@@ -53,6 +53,17 @@
   return value ? flatbuffers::Optional<double>(*value) : flatbuffers::nullopt;
 }
 
+flatbuffers::Optional<uint64_t> PackAge(std::optional<Duration> age) {
+  return age ? flatbuffers::Optional<uint64_t>(static_cast<uint64_t>(age->count()))
+             : flatbuffers::nullopt;
+}
+
+// Empty if the age is too large.
+std::optional<Duration> ReadAge(std::optional<uint64_t> us) {
+  if (!us || *us > kMaxAgeUs) return std::nullopt;
+  return Duration(static_cast<int64_t>(*us));
+}
+
 using NoticeOffset =
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::EngineNoticeEntry>>>;
 
@@ -298,14 +309,10 @@
   flatbuffers::Offset<fb::FreshnessNote> freshness;
   if (digest.freshness) {
     const FreshnessNote& note = *digest.freshness;
-    std::optional<uint64_t> topic_proved_us;
-    if (note.topic_proved_ago) {
-      topic_proved_us = static_cast<uint64_t>(note.topic_proved_ago->count());
-    }
     freshness = fb::CreateFreshnessNote(
         builder, note.round, note.config_version, static_cast<uint64_t>(note.proved_ago.count()),
         note.echoed_round, static_cast<uint64_t>(note.echo_held.count()), note.echoed_incarnation,
-        ToPacked(topic_proved_us));
+        PackAge(note.topic_proved_ago), PackAge(note.engines_proved_ago));
   }
   std::vector<flatbuffers::Offset<flatbuffers::String>> set_aside;
   for (const std::string& engine : digest.set_aside) {
@@ -360,9 +367,8 @@
     received.echoed_round = note->echoed_round();
     received.echo_held = Duration(note->echo_held_us());
     received.echoed_incarnation = note->echoed_incarnation();
-    if (std::optional<uint64_t> us = note->topic_proved_ago_us(); us && *us <= kMaxAgeUs) {
-      received.topic_proved_ago = Duration(static_cast<int64_t>(*us));
-    }
+    received.topic_proved_ago = ReadAge(note->topic_proved_ago_us());
+    received.engines_proved_ago = ReadAge(note->engines_proved_ago_us());
     digest.freshness = received;
   }
   if (packed->set_aside() != nullptr) {
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -68,6 +68,10 @@
   // (gateway/topic_follower.h).  Off: it waits until its own time is over, and changes are seen
   // only then.
   bool renew_reads = true;
+  // The gateways that read the list of engines from the store also ask it now and then whether the
+  // list has changed (gateway/topic_revalidator.h).  Off: a change whose read the store has lost is
+  // seen when that read's time is over.
+  bool revalidate_engines = true;
   // A large fleet is divided into cells (cell_map.h).  Off: every gateway chooses among all
   // engines and reports to all gateways.
   bool cells = true;
@@ -146,6 +150,7 @@
     {"copy_engine_list", &Mechanisms::copy_engine_list},
     {"catch_up_with_peers", &Mechanisms::catch_up_with_peers},
     {"renew_reads", &Mechanisms::renew_reads},
+    {"revalidate_engines", &Mechanisms::revalidate_engines},
     {"cells", &Mechanisms::cells},
     {"spill", &Mechanisms::spill},
     {"config_from_peers", &Mechanisms::config_from_peers},
--- a/src/serving/peer_freshness.h
+++ b/src/serving/peer_freshness.h
@@ -51,14 +51,17 @@
   // it has read; no value if it never was.  Unlike `proved_ago`, this covers all of the operator's
   // records.
   std::optional<Duration> topic_proved_ago = std::nullopt;
+  // The same for the engine list.
+  std::optional<Duration> engines_proved_ago = std::nullopt;
 
   bool operator==(const FreshnessNote&) const = default;
 };
 
 class PeerFreshness {
  public:
-  // Rounds whose time is kept.
-  static constexpr size_t kRoundsKept = 8;
+  // Rounds whose time is kept: several seconds of them, also when each validation of two topics
+  // starts a round.
+  static constexpr size_t kRoundsKept = 32;
 
   explicit PeerFreshness(uint64_t own_incarnation) : incarnation(own_incarnation) {}
 
