--- a/src/gateway/testing/proof_test.cc
+++ b/src/gateway/testing/proof_test.cc
@@ -72,6 +72,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AgesOfProofsAreSentAsTheyAre) {
+  LoadDigest digest;
+  digest.box = "box-1";
+  digest.freshness = FreshnessNote{};
+  BOOST_TEST((DecodeDigest(EncodeDigest(digest)) == digest));
+  digest.freshness->topic_proved_ago = milliseconds(1200);
+  digest.freshness->engines_proved_ago = Duration(0);
+  BOOST_TEST((DecodeDigest(EncodeDigest(digest)) == digest));
+  // An age that is out of range counts as no proof.
+  digest.freshness->engines_proved_ago = std::chrono::hours(25);
+  BOOST_TEST(!DecodeDigest(EncodeDigest(digest))->freshness->engines_proved_ago.has_value());
+}
+
 struct ReturnCase {
   const char* topic;
   // Writes a record that the older copy lacks.
