Pages that are read anew keep the short timeout

Cause: each page read that got no answer doubled the time until the next one, up to 8 s, also in a follower that had read the topic before. A gateway whose offset was dropped from the log, or whose store had returned from an older copy, went on by what it had for that long after a silence of the store; meanwhile its revalidation does not ask, since it has no position. Found by adding up the waits on the path of a change.

Change: the timeout doubles only until the topic has been read once, which is what a start of the whole fleet needs.

--- a/src/gateway/testing/catch_up_test.cc
+++ b/src/gateway/testing/catch_up_test.cc
@@ -113,6 +113,11 @@
   std::string published;
 };
 
+// The time in which a change must be in force, and what it leaves after the longest time until a
+// revalidation.
+constexpr Duration kChangeBound = seconds(2);
+constexpr Duration kLeftForReading = milliseconds(800);
+
 // Limit for the bytes read while catching up, in versions, however many versions were missed.
 constexpr uint64_t kMaxVersionsRead = 6;
 
@@ -186,9 +191,32 @@
   BOOST_TEST(store.bytes_answered() <= 2 * kVersionBytes);
 }
 
-// What the two seconds in which a change must be in force leave after the longest time until a
-// revalidation.
-constexpr Duration kLeftForReading = milliseconds(800);
+// Failure guarded against: each page that the silent store did not answer doubled the time until
+// the next one was sent again, up to eight seconds, and what had been read before stayed in force.
+BOOST_AUTO_TEST_CASE(PagesReadAnewInASilenceAreReadSoonAfterIt) {
+  FollowerFixture follower;
+  auto run_for = [&](Duration span) {
+    Time end = Now() + span;
+    while (Now() < end) follower.loop.RunOnce(milliseconds(20));
+  };
+  follower.Publish(1);
+  follower.follower.Start();
+  BOOST_TEST_REQUIRE(follower.RunUntilCurrent());
+  // The follower's offset is no longer in the log, so that it reads the pages again.
+  follower.store.SetFault(StoreFault::kReset);
+  follower.store.DropConnections();
+  follower.Publish(2);
+  follower.store.Compact(kConfigTopic);
+  follower.store.HoldNextAnswer(kConfigTopic);
+  follower.store.SetFault(StoreFault::kNone);
+  while (!follower.store.IsHolding()) follower.loop.RunOnce(milliseconds(20));
+  follower.store.SetFault(StoreFault::kSilent);
+  run_for(milliseconds(4000));
+  follower.store.SetFault(StoreFault::kNone);
+  Time end_of_silence = Now();
+  BOOST_TEST(follower.RunUntilCurrent());
+  BOOST_TEST(ToSeconds(Now() - end_of_silence) < ToSeconds(kChangeBound));
+}
 
 // Failure guarded against: the first report only started the clock by which a read counts as lost,
 // so the read was sent again after a second revalidation.
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -150,7 +150,7 @@
 void TopicFollower::OnPage(const StoreAnswer& answer) {
   if (!answer.ok()) {
     bool timed_out = answer.status == 0;
-    if (timed_out) {
+    if (timed_out && !this->topic_state.is_loaded()) {
       this->page_timeout = std::min(2 * this->page_timeout, kMaxPageTimeout);
     }
     this->Fail(ReasonOf(answer));
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -54,9 +54,10 @@
   // The longest time that a new read may be silent before RestartStalledRead replaces it.  A
   // change must be in force within two seconds.
   static constexpr Duration kMaxSilenceLimit = milliseconds(1600);
-  // Each page read that times out doubles the timeout, up to this.  Pages come late when a
-  // whole fleet starts and all gateways read at once: with a fixed timeout of one second, 300
-  // gateways were without the list of 3,000 engines for 30 s.
+  // Until the topic has been read once, each page read that times out doubles the timeout, up to
+  // this.  Pages come late when a whole fleet starts and all gateways read at once: with a fixed
+  // timeout of one second, 300 gateways were without the list of 3,000 engines for 30 s.  Later the
+  // timeout stays short, since what was read before is still in force.
   static constexpr Duration kMaxPageTimeout = seconds(8);
   // How long a read waits at a peer, and how much later its answer may come.  A peer that has
   // stopped is noticed within the sum, which leaves time for a read of the store within the two
