Relay trial: a store that is silent, at 5, 30 and 300 gateways

The trial now plays a silence of the store that begins just after a change, so that all reads of the roots are sent into it, with the real RevalidationSchedule. Longest time of any change: see ChangesAfterASilence...; at most two seconds at 5, 30 and 300 gateways, silences of 0.3 to 6.5 s, five seeds each. With renewal and revalidation off the changes after a silence of 3 s take more than ten seconds at all three sizes. Changes that never arrive count now; before, only those that did.

--- a/src/trial/relay_trial.cc
+++ b/src/trial/relay_trial.cc
@@ -13,60 +13,12 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "serving/topic_sources.h"
 #include "trial/event_queue.h"
+#include "trial/relay_gateway.h"
 
-namespace gullward {
+namespace gullward::relay_trial {
 namespace {
 
-// The times of the real follower (gateway/topic_follower.h).
-constexpr Duration kPeerWait = milliseconds(700);
-constexpr Duration kPeerTimeout = milliseconds(500);
-constexpr Duration kStartPause = milliseconds(100);
-constexpr Duration kStartPatience = seconds(1);
-constexpr Duration kRetryPause = milliseconds(400);
-constexpr Duration kStoreWait = seconds(30);
-// Boxes start within this time.
-constexpr Duration kStartSpread = milliseconds(500);
-// Each gateway tells others how far it has read: fewer than the members of a cell, to which the
-// real one sends its notes.  A read that lags behind for this long is given up.
-constexpr Duration kGossipInterval = milliseconds(500);
-constexpr size_t kGossipFanout = 10;
-constexpr Duration kMaxLagAtStore = milliseconds(150);
-constexpr Duration kMaxLagAtPeer = milliseconds(300);
-const Time kStart = Time{} + seconds(1000);
-
-// A read that waits at a gateway or at the store.
-struct WaitingRead {
-  size_t reader = 0;
-  uint64_t number = 0;
-  uint64_t offset = 0;
-};
-
-struct Gateway {
-  std::string box;
-  TopicSources sources;
-  bool is_up = false;
-  Time frozen_until{};
-  bool is_refused = false;
-  // The number of changes that it has, and whether it has read anything.
-  uint64_t offset = 0;
-  bool is_loaded = false;
-  // Whether the store answers the gateway from which all of this comes, and over how many gateways
-  // it came.
-  bool has_store = false;
-  uint32_t hops = 0;
-  Time patient_until{};
-  uint64_t read_number = 0;
-  std::string peer;
-  bool is_reading_peer = false;
-  // Since when others are known to have more than `lag_offset`.
-  std::optional<uint64_t> lag_offset;
-  Time lag_since{};
-  std::vector<WaitingRead> waiting;
-  uint64_t answers = 0;
-};
-
 class RelaySimulation {
  public:
   explicit RelaySimulation(const RelayTrialOptions& trial_options)
@@ -81,6 +33,10 @@
       Gateway gateway;
       gateway.box = name.box;
       if (this->options.is_relayed) gateway.sources.SetPlace(PlaceInTree(name, names));
+      if (this->options.revalidates && gateway.sources.reader_place().reads_store) {
+        RevalidationBounds bounds{.key_trust = kKeyTrust, .change = this->options.change_bound};
+        gateway.schedule.emplace(bounds, this->random());
+      }
       this->gateways.push_back(std::move(gateway));
     }
   }
@@ -91,6 +47,7 @@
       this->events.After(FromSeconds(spread(this->random)), [this, i] { this->Start(i); });
     }
     this->events.After(kGossipInterval, [this] { this->Gossip(); });
+    if (this->options.revalidates) this->RevalidateEachTick();
     this->events.After(this->options.settled_after, [this] {
       this->calls_when_settled = this->result.store_calls;
       this->Change();
@@ -191,8 +148,13 @@
     }
     bool goes_on_with_peer = !gateway.sources.reader_place().reads_store &&
                              gateway.sources.HasFreshPeer(this->events.now());
-    bool must_wait = gateway.is_loaded && read.offset == this->changes.size() && !goes_on_with_peer;
-    if (must_wait) {
+    bool must_wait = gateway.is_loaded && read.offset == this->changes.size() &&
+                     !goes_on_with_peer && !gateway.is_lost;
+    gateway.is_waiting_at_store = must_wait;
+    if (this->IsSilent()) {
+      Duration wait = must_wait ? kStoreWait : Duration(0);
+      this->After(wait + kAnswerTimeout, read, [this, read] { this->NoAnswer(read.reader); });
+    } else if (must_wait) {
       this->waiting_at_store.push_back(read);
       this->After(kStoreWait, read, [this, read] { this->Read(read.reader); });
     } else {
@@ -203,16 +165,29 @@
   void AnswerFromStore(const WaitingRead& read) {
     uint64_t offset = this->changes.size();
     this->After(this->options.store_delay, read, [this, read, offset] {
-      this->gateways[read.reader].sources.NoteStoreAnswered();
-      this->gateways[read.reader].hops = 0;
+      Gateway& gateway = this->gateways[read.reader];
+      gateway.sources.NoteStoreAnswered();
+      gateway.is_lost = gateway.is_unanswered = false;
+      gateway.hops = 0;
       this->SetHasStore(read.reader, true);
       this->Take(read.reader, offset);
       this->Read(read.reader);
     });
   }
 
+  bool IsSilent() const {
+    Time from = kStart + this->options.silent_from;
+    return this->events.now() >= from && this->events.now() < from + this->options.silent_for;
+  }
+
+  void NoAnswer(size_t number) {
+    this->gateways[number].is_unanswered = true;
+    this->StoreFailed(number);
+  }
+
   void StoreFailed(size_t number) {
     Gateway& gateway = this->gateways[number];
+    gateway.is_lost = true;
     gateway.sources.NoteStoreFailed(this->events.now());
     this->SetHasStore(number, false);
     if (gateway.sources.Next(this->events.now())) {
@@ -321,6 +296,71 @@
     }
   }
 
+  void RevalidateEachTick() {
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      Gateway& gateway = this->gateways[i];
+      bool may_ask = gateway.schedule && gateway.is_loaded && this->IsRunning(gateway);
+      if (may_ask && gateway.schedule->IsDue(gateway.validated_at, this->events.now())) {
+        this->Revalidate(i);
+      }
+    }
+    this->events.After(kTick, [this] { this->RevalidateEachTick(); });
+  }
+
+  void Revalidate(size_t number) {
+    this->gateways[number].schedule->NoteRequested();
+    this->result.store_calls += 1;
+    if (this->IsSilent()) {
+      this->events.After(kAnswerTimeout + kRevalidationRetryPause, [this, number] {
+        this->gateways[number].is_unanswered = true;
+        this->gateways[number].schedule->NoteRetry();
+      });
+      return;
+    }
+    uint64_t offset = this->changes.size();
+    Time sent = this->events.now();
+    this->events.After(this->options.store_delay,
+                       [this, number, offset, sent] { this->OnRevalidated(number, offset, sent); });
+  }
+
+  void OnRevalidated(size_t number, uint64_t offset, Time sent) {
+    Gateway& gateway = this->gateways[number];
+    if (!this->IsRunning(gateway) || !gateway.is_loaded) {
+      gateway.schedule->NoteRetry();
+      return;
+    }
+    bool was_silent = std::exchange(gateway.is_unanswered, false);
+    if (was_silent && this->options.renews_reads) this->RenewRead(number);
+    if (gateway.offset >= offset) {
+      gateway.schedule->NoteValidated();
+      this->events.After(this->options.hop_delay,
+                         [this, offset, sent] { this->ShareValidation(offset, sent); });
+      gateway.validated_at = std::max(gateway.validated_at, sent);
+      return;
+    }
+    gateway.schedule->NoteBehind(this->events.now());
+    uint64_t behind_at = gateway.offset;
+    this->events.After(kMaxLagAtStore, [this, number, behind_at] {
+      if (this->gateways[number].offset == behind_at) this->RenewRead(number);
+    });
+  }
+
+  // The roots tell each other.
+  void ShareValidation(uint64_t offset, Time sent) {
+    for (Gateway& gateway : this->gateways) {
+      bool is_proved = gateway.schedule && gateway.is_loaded && gateway.offset >= offset;
+      if (is_proved) gateway.validated_at = std::max(gateway.validated_at, sent);
+    }
+  }
+
+  void RenewRead(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    bool waits = !gateway.is_reading_peer && gateway.is_waiting_at_store;
+    if (!waits || !this->IsRunning(gateway)) return;
+    gateway.is_lost = true;
+    this->Read(number);
+  }
+
   void Gossip() {
     std::uniform_int_distribution<size_t> any(0, this->gateways.size() - 1);
     for (const Gateway& gateway : this->gateways) {
@@ -367,14 +407,27 @@
   }
 
   void Change() {
+    this->events.After(this->options.change_interval, [this] { this->Change(); });
+    if (this->IsSilent()) return;
     this->changes.push_back(this->events.now());
     for (const WaitingRead& read : std::exchange(this->waiting_at_store, {})) {
       this->AnswerFromStore(read);
     }
-    this->events.After(this->options.change_interval, [this] { this->Change(); });
+  }
+
+  // Changes that have not arrived count as if they arrived at the end.
+  void NoteMissingChanges() {
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      const Gateway& gateway = this->gateways[i];
+      if (!this->IsRunning(gateway) || !gateway.is_loaded) continue;
+      for (uint64_t change = gateway.offset; change < this->changes.size(); ++change) {
+        this->NoteArrival(i, this->changes[change]);
+      }
+    }
   }
 
   RelayTrialResult Result() {
+    this->NoteMissingChanges();
     double settled_seconds = ToSeconds(this->options.duration - this->options.settled_after);
     this->result.store_calls_per_s =
         static_cast<double>(this->result.store_calls - this->calls_when_settled) / settled_seconds;
@@ -410,9 +463,12 @@
 };
 
 }  // namespace
+}  // namespace gullward::relay_trial
+
+namespace gullward {
 
 RelayTrialResult PlayRelay(const RelayTrialOptions& options) {
-  return RelaySimulation(options).Play();
+  return relay_trial::RelaySimulation(options).Play();
 }
 
 }  // namespace gullward
--- a/src/trial/relay_trial.h
+++ b/src/trial/relay_trial.h
@@ -1,9 +1,10 @@
 // Measures how a topic of the store reaches all gateways as a fleet grows: how many calls to the
 // store and how many reads between gateways it costs, and how long a change takes.
 //
-// The simulation runs without a network.  Each gateway uses the real PlaceInTree and TopicSources;
-// the simulation adds the store, the reads that wait there and at peers, delays, and gateways that
-// are killed, frozen, or refused by the store for a while.
+// The simulation runs without a network.  Each gateway uses the real PlaceInTree, TopicSources and
+// RevalidationSchedule; the simulation adds the store, the reads that wait there and at peers,
+// delays, gateways that are killed, frozen, or refused by the store for a while, and a store that
+// is silent for a while: it never answers the calls of that time.
 //
 //   RelayTrialResult result = PlayRelay({.gateways = 300});
 //
@@ -41,6 +42,15 @@
   double refused_share = 0;
   Duration refused_from = seconds(10);
   Duration refused_until = seconds(20);
+  // The store is silent for this long from `silent_from`.  No change is made meanwhile.
+  Duration silent_from = seconds(10);
+  Duration silent_for{};
+  // Off: a read that waits at the store is not sent again when the store answers after a silence.
+  bool renews_reads = true;
+  // Off: the roots do not ask the store now and then whether there is something newer.
+  bool revalidates = true;
+  // The time within which a change must be in force, from which the interval of that follows.
+  Duration change_bound = seconds(2);
   uint64_t seed = 1;
 };
 
--- a/src/trial/testing/relay_trial_test.cc
+++ b/src/trial/testing/relay_trial_test.cc
@@ -60,6 +60,41 @@
   }
 }
 
+// A silence that begins just after a change, so that the next reads are sent into it.
+RelayTrialOptions SilentAfterAChange(size_t gateways, Duration silence) {
+  return {
+      .gateways = gateways, .silent_from = seconds(10) + milliseconds(2), .silent_for = silence};
+}
+
+const size_t kFleets[] = {5, 30, 300};
+const Duration kSilences[] = {milliseconds(300), milliseconds(1900), milliseconds(2900),
+                              milliseconds(3900), milliseconds(6500)};
+
+// Failure guarded against: all gateways that read from the store waited on reads that it never
+// answered, so that no gateway of the fleet saw the next change in time.
+BOOST_AUTO_TEST_CASE(ChangesAfterASilenceReachAllInTime) {
+  for (size_t gateways : kFleets) {
+    for (Duration silence : kSilences) {
+      for (uint64_t seed = 1; seed <= 5; ++seed) {
+        RelayTrialOptions options = SilentAfterAChange(gateways, silence);
+        options.seed = seed;
+        Duration longest = PlayRelay(options).longest_change;
+        BOOST_TEST(ToSeconds(longest) <= ToSeconds(kChangeBound),
+                   gateways << " gateways, silent for " << ToSeconds(silence) << " s, seed " << seed
+                            << ": " << ToSeconds(longest) << " s");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithoutRenewalAndRevalidationASilenceHidesChanges) {
+  for (size_t gateways : kFleets) {
+    RelayTrialOptions options = SilentAfterAChange(gateways, seconds(3));
+    options.renews_reads = options.revalidates = false;
+    BOOST_TEST(ToSeconds(PlayRelay(options).longest_change) > 10);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GatewaysThatTheStoreRefusesSeldomAskIt) {
   RelayTrialOptions options{.gateways = 300, .refused_share = 0.35};
   RelayTrialResult relayed = PlayRelay(options);
