An answer to another call ends a reader's pause only

The end of a silence also cleared what a follower knew of lagging peers, and that the store was to be asked next after a failed one, although no call of its own had been answered. It ends the pause between its calls to the store, no more; two rows of reader_tree_test. Tests share RunFor and AllGateways of the fixture.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -288,7 +288,7 @@
   return is_root ? std::min(confirmed_at, this->config_follower.state().proved()) : confirmed_at;
 }
 
-// Only a read that waits at the store can be lost there.
+// Only a read that waits at the store can be lost there, so only the readers of the store ask.
 void GatewayServer::RevalidateEngines(Time now) {
   bool is_on = this->state.fleet.mechanisms().revalidate_engines;
   if (!is_on || !this->engine_follower.place().reads_store) return;
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -46,8 +46,7 @@
 
 void StoreClient::ScheduleTimeout(uint64_t number, Duration after) {
   this->loop->RunAfter(after, [this, number] {
-    bool is_waiting = number == this->call_count && this->pending;
-    if (!is_waiting) return;
+    if (!this->IsPending(number)) return;
     bool is_progressing =
         this->incoming.status != 0 && this->TimeSinceProgress(Now()) < kProgressTimeout;
     if (is_progressing) {
@@ -87,8 +86,7 @@
 }
 
 void StoreClient::OnWholeAnswer(uint64_t number) {
-  bool is_current = number == this->call_count && this->pending;
-  if (this->returns != nullptr && is_current) this->returns->RecordAnswer();
+  if (this->returns != nullptr && this->IsPending(number)) this->returns->RecordAnswer();
   if (this->IsUsable(this->incoming)) {
     this->Finish(number, StoreAnswer(this->incoming));
   } else {
@@ -97,13 +95,12 @@
 }
 
 void StoreClient::FinishUnanswered(uint64_t number, const char* reason) {
-  bool is_current = number == this->call_count && this->pending;
-  if (this->returns != nullptr && is_current) this->returns->RecordNoAnswer();
+  if (this->returns != nullptr && this->IsPending(number)) this->returns->RecordNoAnswer();
   this->Finish(number, {0, "", reason, std::nullopt});
 }
 
 void StoreClient::Finish(uint64_t number, const StoreAnswer& answer) {
-  if (number != this->call_count || !this->pending) return;
+  if (!this->IsPending(number)) return;
   if (answer.status == 0) {
     this->channel->Close();
     this->channel.reset();
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -76,6 +76,7 @@
 
  private:
   void ScheduleTimeout(uint64_t number, Duration after);
+  bool IsPending(uint64_t number) const { return number == this->call_count && this->pending; }
   bool IsUsable(const StoreAnswer& answer);
   void OnWholeAnswer(uint64_t number);
   void FinishUnanswered(uint64_t number, const char* reason);
--- a/src/gateway/testing/gateway_fixture.cc
+++ b/src/gateway/testing/gateway_fixture.cc
@@ -160,6 +160,16 @@
   });
 }
 
+void GatewayFixture::RunFor(Duration span) {
+  this->RunUntil([end = Now() + span] { return Now() >= end; });
+}
+
+bool GatewayFixture::AllGateways(const std::function<bool(const GatewayServer&)>& condition) const {
+  return condition(*this->gateway) &&
+         std::all_of(this->more_gateways.begin(), this->more_gateways.end(),
+                     [&](const auto& other) { return condition(*other); });
+}
+
 bool GatewayFixture::RunUntil(const std::function<bool()>& condition) {
   Time until = Now() + kTestTimeout;
   while (!condition()) {
--- a/src/gateway/testing/gateway_fixture.h
+++ b/src/gateway/testing/gateway_fixture.h
@@ -89,6 +89,12 @@
   // Runs the loop until the condition holds.  Returns false if it does not within kTestTimeout.
   bool RunUntil(const std::function<bool()>& condition);
 
+  // Runs the loop for this long.
+  void RunFor(Duration span);
+
+  // Whether the condition holds for every gateway.
+  bool AllGateways(const std::function<bool(const GatewayServer&)>& condition) const;
+
   // The text of a request for the streaming route, for the plain route whose requests may be
   // repeated, and for the plain route whose requests must not run twice.
   std::string StreamRequest(const std::string& id, const std::string& more_headers = "",
--- a/src/gateway/testing/proof_test.cc
+++ b/src/gateway/testing/proof_test.cc
@@ -25,10 +25,6 @@
 constexpr char kPeersTopic[] = "keyed.gullward-entries";
 constexpr char kEvacuation[] = "evacuate/hall-9";
 
-void RunFor(GatewayFixture* fixture, Duration duration) {
-  fixture->RunUntil([until = Now() + duration] { return Now() >= until; });
-}
-
 // A peer that a gateway sends its notes to.
 struct NotedPeer {
   explicit NotedPeer(GatewayFixture* fixture) {
@@ -101,13 +97,13 @@
   fixture->store.DropConnections();
   fixture->store.RestoreCopy("2");
   Time all_written = Now() + StoreEpoch::kRewriteTime;
-  RunFor(fixture, milliseconds(2050));
+  fixture->RunFor(milliseconds(2050));
   fixture->store.HoldNextAnswer(row.topic);
   fixture->store.RejectTopic("");
   BOOST_REQUIRE(fixture->RunUntil([&] { return fixture->store.IsHolding(); }));
   if (Now() >= all_written) return false;
   row.write(fixture);
-  RunFor(fixture, milliseconds(850));
+  fixture->RunFor(milliseconds(850));
   fixture->store.RejectTopic(row.topic);
   fixture->store.ReleaseAnswer();
   return true;
--- a/src/gateway/testing/silent_outage_test.cc
+++ b/src/gateway/testing/silent_outage_test.cc
@@ -34,16 +34,11 @@
     {3, milliseconds(4100), milliseconds(1000)},
 };
 
-void Wait(GatewayFixture* fixture, Duration span) {
-  Time end = Now() + span;
-  fixture->RunUntil([end] { return Now() >= end; });
-}
-
 // Calls that arrive until the silence ends are never answered.
 void PlaySilence(GatewayFixture* fixture, Duration span) {
   fixture->store.SetFault(StoreFault::kSilent);
   fixture->store.DropConnections();
-  Wait(fixture, span);
+  fixture->RunFor(span);
   uint64_t calls = fixture->store.calls();
   fixture->RunUntil([&] { return fixture->store.calls() > calls; });
   fixture->store.SetFault(StoreFault::kNone);
@@ -57,7 +52,7 @@
   config = nlohmann::json::parse(text);
   config["version"] = version;
   fixture->Publish(config);
-  Wait(fixture, kConfigBound);
+  fixture->RunFor(kConfigBound);
   for (size_t gateway = 0; gateway < gateways; ++gateway) {
     std::string request = fixture->StreamRequest(absl::StrCat("moved-", version, "-", gateway));
     Reply reply = fixture->Call(absl::StrReplaceAll(request, {{"/chat/", path}}), gateway);
@@ -70,7 +65,7 @@
 void CheckThatALeavingEngineGetsNothing(GatewayFixture* fixture, int version, size_t number) {
   const EngineStandin& leaving = *fixture->engines[number];
   fixture->ListEngine(leaving, "models", /*draining=*/true);
-  Wait(fixture, kLeavingBound);
+  fixture->RunFor(kLeavingBound);
   size_t before = leaving.received().size();
   std::string path = absl::StrCat("/moved-", version, "/");
   fixture->SendMany(20, absl::StrCat("after-", number), milliseconds(5),
@@ -86,7 +81,7 @@
                                        << " s, then " << ToSeconds(outage.pause) << " s") {
       auto fixture = StartedFixture({.engines = 4}, outage.gateways);
       PlaySilence(fixture.get(), outage.silence);
-      Wait(fixture.get(), outage.pause);
+      fixture->RunFor(outage.pause);
       CheckThatARouteIsMoved(fixture.get(), outage.gateways, 2);
       CheckThatALeavingEngineGetsNothing(fixture.get(), 2, 0);
       CheckThatARouteIsMoved(fixture.get(), outage.gateways, 3);
--- a/src/gateway/testing/unanswered_read_test.cc
+++ b/src/gateway/testing/unanswered_read_test.cc
@@ -6,7 +6,6 @@
 
 #define BOOST_TEST_MODULE unanswered_read
 #include <boost/test/unit_test.hpp>
-#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -20,29 +19,20 @@
 constexpr Duration kChangeBound = seconds(2);
 constexpr int kEngines = 6;
 
-void Wait(GatewayFixture* fixture, Duration span) {
-  Time end = Now() + span;
-  fixture->RunUntil([end] { return Now() >= end; });
-}
-
 void PublishVersion(GatewayFixture* fixture, uint64_t version) {
   nlohmann::json config = fixture->DefaultConfig();
   config["version"] = version;
   fixture->Publish(config);
 }
 
-bool All(const GatewayFixture& fixture, const std::function<bool(const GatewayServer&)>& has) {
-  bool all = has(*fixture.gateway);
-  for (const auto& gateway : fixture.more_gateways) all = all && has(*gateway);
-  return all;
-}
-
 bool AllHaveVersion(const GatewayFixture& fixture, uint64_t version) {
-  return All(fixture, [&](const auto& gateway) { return gateway.ConfigVersion() == version; });
+  return fixture.AllGateways(
+      [&](const auto& gateway) { return gateway.ConfigVersion() == version; });
 }
 
 bool AllHaveUsable(const GatewayFixture& fixture, size_t engines) {
-  return All(fixture, [&](const auto& gateway) { return gateway.UsableEngines() == engines; });
+  return fixture.AllGateways(
+      [&](const auto& gateway) { return gateway.UsableEngines() == engines; });
 }
 
 // After a change each gateway waits for a moment before its next read.  The store is silent by
@@ -61,14 +51,14 @@
   uint64_t bytes = fixture->store.bytes_answered();
   fixture->store.SetFault(StoreFault::kNone);
   fixture->RunUntil([&] { return fixture->store.bytes_answered() > bytes; });
-  Wait(fixture, milliseconds(300));
+  fixture->RunFor(milliseconds(300));
 }
 
 void CheckThatChangesAreSeenInTime(GatewayFixture* fixture, uint64_t version,
                                    size_t usable_engines) {
   PublishVersion(fixture, version);
   fixture->ListEngine(*fixture->engines[1], "models", /*draining=*/true);
-  Wait(fixture, kChangeBound);
+  fixture->RunFor(kChangeBound);
   BOOST_TEST(AllHaveVersion(*fixture, version));
   BOOST_TEST(AllHaveUsable(*fixture, usable_engines));
 }
@@ -91,7 +81,7 @@
           {.engines = kEngines, .apps = 1, .key_trust_mode = KeyTrust::kUntilChanged},
           outage.gateways);
       FallSilentAfterAChange(fixture.get(), /*version=*/2, /*usable_engines=*/kEngines);
-      Wait(fixture.get(), outage.silence);
+      fixture->RunFor(outage.silence);
       EndSilence(fixture.get());
       CheckThatChangesAreSeenInTime(fixture.get(), /*version=*/3, /*usable_engines=*/kEngines - 1);
     }
--- a/src/gateway/testing/unseen_change_test.cc
+++ b/src/gateway/testing/unseen_change_test.cc
@@ -24,12 +24,6 @@
 constexpr char kConfigTopic[] = "keyed.op";
 constexpr char kEngines[] = "keyed.servers";
 
-bool All(const GatewayFixture& fixture, const std::function<bool(const GatewayServer&)>& has) {
-  bool all = has(*fixture.gateway);
-  for (const auto& gateway : fixture.more_gateways) all = all && has(*gateway);
-  return all;
-}
-
 // Returns the time until the condition holds.
 Duration TimeUntil(GatewayFixture* fixture, const std::function<bool()>& condition) {
   Time begin = Now();
@@ -52,8 +46,8 @@
       fixture->store.SkipNextChange(kConfigTopic);
       fixture->Publish(config);
       Duration taken = TimeUntil(fixture.get(), [&] {
-        return All(*fixture,
-                   [&](const auto& gateway) { return gateway.ConfigVersion() == version; });
+        return fixture->AllGateways(
+            [&](const auto& gateway) { return gateway.ConfigVersion() == version; });
       });
       BOOST_TEST(ToSeconds(taken) <= ToSeconds(kChangeBound),
                  gateways << " gateways, version " << version << ": " << ToSeconds(taken) << " s");
@@ -70,7 +64,8 @@
       fixture->store.SkipNextChange(kEngines);
       fixture->ListEngine(*fixture->engines[engine], "models", /*draining=*/true);
       Duration taken = TimeUntil(fixture.get(), [&] {
-        return All(*fixture, [&](const auto& gateway) { return gateway.UsableEngines() == left; });
+        return fixture->AllGateways(
+            [&](const auto& gateway) { return gateway.UsableEngines() == left; });
       });
       BOOST_TEST(ToSeconds(taken) <= ToSeconds(kChangeBound),
                  gateways << " gateways, engine " << engine << ": " << ToSeconds(taken) << " s");
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -63,7 +63,7 @@
 
 // Pages are not read again: each call for one has a short timeout of its own.
 void TopicFollower::OnStoreAnswersAgain(Time answered) {
-  this->sources.NoteStoreAnswered();
+  this->sources.EndStorePause(answered);
   bool may_be_lost = this->loaded && this->client.is_busy() && this->call_sent < answered;
   if (!may_be_lost) return;
   this->GiveUpRead();
--- a/src/serving/testing/reader_tree_test.cc
+++ b/src/serving/testing/reader_tree_test.cc
@@ -213,6 +213,23 @@
      },
      TopicSources::kFirstStorePause,
      "other"},
+    {"an answer to another call ends the pause",
+     true,
+     {"other"},
+     [](auto* sources) {
+       sources->NoteStoreFailed(kStart);
+       sources->EndStorePause(kStart);
+     },
+     seconds(0),
+     ""},
+    {"and not what is known of peers", false, kTwo,
+     [](auto* sources) {
+       sources->NotePeerStale("parent", kStart);
+       sources->NoteStoreFailed(kStart);
+       sources->EndStorePause(kStart);
+       sources->NoteStoreFailed(kStart);
+     },
+     seconds(0), "root"},
     {"after a stale peer the store is asked once", false, kTwo,
      [](auto* sources) { sources->NotePeerStale("parent", kStart); }, seconds(0), ""},
     {"then the next ancestor", false, kTwo,
--- a/src/serving/topic_sources.h
+++ b/src/serving/topic_sources.h
@@ -82,6 +82,12 @@
     this->store_pause = kFirstStorePause;
   }
 
+  // Records that the store has answered another call of this process, so it may be asked at once.
+  void EndStorePause(Time now) {
+    this->store_paused_until = std::min(this->store_paused_until, now);
+    this->store_pause = kFirstStorePause;
+  }
+
   // How long the store will not be asked yet.
   Duration StorePauseLeft(Time now) const {
     return std::max(this->store_paused_until - now, Duration::zero());
