--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -55,8 +55,7 @@
   // change must be in force within two seconds.
   static constexpr Duration kMaxSilenceLimit = milliseconds(1600);
   // Until the topic has been read once, each page read that times out doubles the timeout, up to
-  // this.  Pages come late when a whole fleet starts and all gateways read at once: with a fixed
-  // timeout of one second, 300 gateways were without the list of 3,000 engines for 30 s.  Later the
+  // this: pages come late when a whole fleet starts and all gateways read at once.  Later the
   // timeout stays short, since what was read before is still in force.
   static constexpr Duration kMaxPageTimeout = seconds(8);
   // How long a read waits at a peer, and how much later its answer may come.  A peer that has
--- a/src/serving/revalidation_schedule.h
+++ b/src/serving/revalidation_schedule.h
@@ -55,8 +55,8 @@
   static constexpr double kJitterShareOfReaders = 0.25;
   // Pause after the store has reported a newer configuration, which is in force here by then.
   static constexpr Duration kNewerConfigPause = milliseconds(500);
-  // The shortest bound that is taken into account.  A shorter one cannot be kept anyway when a read
-  // is lost, and would cost a call in each tenth of a second.
+  // A shorter bound is not taken into account: it could not be kept when a read is lost, and would
+  // cost many calls.
   static constexpr Duration kMinBound = milliseconds(500);
 
   RevalidationSchedule(RevalidationBounds revalidation_bounds, uint64_t seed)
