--- a/src/gateway/testing/gateway_fixture.cc
+++ b/src/gateway/testing/gateway_fixture.cc
@@ -101,7 +101,8 @@
   settings.data_centre = "hall-1";
   settings.callers = settings.ready = settings.metrics = {"127.0.0.1", 0};
   settings.peers = this->peers_address;
-  settings.store = at_store;
+  bool is_at_second = this->boxes_at_second_address.count(settings.box) > 0;
+  settings.store = is_at_second ? this->store.second_address() : at_store;
   settings.mechanisms = this->options.mechanisms;
   settings.key_trust = this->options.key_trust;
   settings.key_trust_mode = this->options.key_trust_mode;
--- a/src/gateway/testing/gateway_fixture.h
+++ b/src/gateway/testing/gateway_fixture.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,6 +126,8 @@
   std::unique_ptr<GatewayServer> gateway;
   // Gateways started by the AddGateway functions; the first of them is number 1.
   std::vector<std::unique_ptr<GatewayServer>> more_gateways;
+  // Boxes whose gateways use the second address of the store.  Set it before they start.
+  std::set<std::string> boxes_at_second_address;
   // Where gateways receive the datagrams of their peers; with port 0 the kernel chooses a port.
   SocketAddress peers_address{"127.0.0.1", 0};
 
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -77,12 +77,19 @@
 }
 
 StoreStandin::StoreStandin(EventLoop* event_loop) : loop(event_loop) {
-  absl::Status status = this->listener.Listen(this->loop, {"127.0.0.1", 0}, [this](int fd) {
+  this->ListenAt(&this->listener);
+  this->ListenAt(&this->second_listener);
+  this->loop->RunEvery(kTick, [this] { this->WakeWaiting(Now()); });
+}
+
+void StoreStandin::ListenAt(TcpListener* at) {
+  bool is_second = at == &this->second_listener;
+  absl::Status status = at->Listen(this->loop, {"127.0.0.1", 0}, [this, is_second](int fd) {
     auto channel = CallerChannel::Adopt(this->loop, fd, CallerLimits{});
     std::weak_ptr<CallerChannel> weak = channel;
     channel->SetHooks({.request =
-                           [this, weak](const CallerRequest& request) {
-                             if (auto self = weak.lock()) this->OnRequest(self, request);
+                           [this, weak, is_second](const CallerRequest& request) {
+                             if (auto self = weak.lock()) this->OnRequest(self, request, is_second);
                            },
                        .malformed = [](ResultCode) {},
                        .gone = {},
@@ -90,7 +97,6 @@
     this->channels.push_back(channel);
   });
   CHECK(status.ok()) << status.message();
-  this->loop->RunEvery(kTick, [this] { this->WakeWaiting(Now()); });
 }
 
 void StoreStandin::PutRaw(const std::string& topic_name, const std::string& bytes) {
@@ -148,9 +154,10 @@
 }
 
 void StoreStandin::OnRequest(const std::shared_ptr<CallerChannel>& channel,
-                             const CallerRequest& request) {
+                             const CallerRequest& request, bool is_at_second) {
   this->call_count += 1;
-  if (this->fault == StoreFault::kSilent) return;
+  bool is_silent = is_at_second && this->is_second_silent;
+  if (is_silent || this->fault == StoreFault::kSilent) return;
   if (this->fault == StoreFault::kReset) return channel->BreakOff();
   if (this->fault == StoreFault::kBusy) return channel->Answer(Head(503), "");
   std::map<std::string, std::string> query = Query(request.head.target);
@@ -164,6 +171,7 @@
     this->AnswerNewest(channel.get(), topic, query["after"]);
   } else if (path == "/v1/log-read") {
     Waiting read{channel, query["topic"]};
+    read.is_at_second = is_at_second;
     read.from = ToNumber(query["from"]);
     read.max_bytes = 1024 * ParseCount(query["max_kb"]).value_or(kDefaultReadKb);
     read.until = Now() + milliseconds(ToNumber(query["waitMs"]));
@@ -258,7 +266,8 @@
     const Topic& topic = this->topics[entry.topic];
     bool is_over = now >= entry.until;
     bool is_skipped = topic.first + topic.records.size() <= entry.skip_until;
-    bool done = !is_skipped && this->AnswerTail(channel.get(), topic, entry, is_over);
+    bool is_silent = entry.is_at_second && this->is_second_silent;
+    bool done = !is_skipped && !is_silent && this->AnswerTail(channel.get(), topic, entry, is_over);
     if (!done) remaining.push_back(std::move(entry));
   }
   this->waiting.insert(this->waiting.end(), remaining.begin(), remaining.end());
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -42,6 +42,13 @@
 
   SocketAddress address() const { return {"127.0.0.1", this->listener.port()}; }
 
+  // A second address of the same store, for callers to which the store can be silent while it
+  // serves the others.
+  SocketAddress second_address() const { return {"127.0.0.1", this->second_listener.port()}; }
+
+  // Sets whether calls at the second address, also those that wait, get no answer.
+  void SetSilentAtSecondAddress(bool silent) { this->is_second_silent = silent; }
+
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Remove(const std::string& topic, const std::string& key) { this->Put(topic, key, ""); }
 
@@ -117,10 +124,14 @@
     Time until{};
     // The read is answered only when the end of the topic is greater than this.
     uint64_t skip_until = 0;
+    // Whether the read came in at the second address.
+    bool is_at_second = false;
   };
 
   AnswerHead Head(int status) const;
-  void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request);
+  void ListenAt(TcpListener* at);
+  void OnRequest(const std::shared_ptr<CallerChannel>& channel, const CallerRequest& request,
+                 bool is_at_second);
   void AnswerNewest(CallerChannel* channel, const Topic& topic, const std::string& after);
   bool AnswerTail(CallerChannel* channel, const Topic& topic, const Waiting& read,
                   bool even_if_empty);
@@ -132,6 +143,8 @@
 
   EventLoop* loop;
   TcpListener listener;
+  TcpListener second_listener;
+  bool is_second_silent = false;
   std::vector<std::shared_ptr<CallerChannel>> channels;
   std::map<std::string, Topic> topics;
   std::vector<Waiting> waiting;
