Proofs keep their age on their way through the tree

Callers see nothing of it; the store gets calls that grow with the fleet. Found by the relay trial once readers revalidate: a proof that a reader gets from a peer counted from when its read was sent, so it was older by a wait at each level; and a read that was sent just before a proof reached the peer waited for the next one. Readers then asked the store although the roots had just done so.

Ruled out: draws of the roots that are all late (1 in 100 with four roots).

The answer of a relay states how long the read has waited, and the reader counts the proof from there. A read states how old the reader's proof is, and the relay answers at once if its own is newer.

The trial passes proofs on through the tree, lets readers revalidate, and has a store that is silent to the roots only.

--- a/src/gateway/testing/topic_relay_test.cc
+++ b/src/gateway/testing/topic_relay_test.cc
@@ -37,7 +37,8 @@
   const TopicUpdate updates[] = {
       {},
       {7, 12, true, {{"a", "1"}, {"b", std::string("\0\xff", 2)}}, seconds(2), seconds(3), 4, true},
-      {std::nullopt, 3, false, {{"", ""}, {"gone", ""}}, Duration(1), Duration(0), 1, false}};
+      {std::nullopt, 3, false, {{"", ""}, {"gone", ""}}, Duration(1), Duration(0), 1, false},
+      {7, 12, false, {}, seconds(2), seconds(3), 4, true, milliseconds(700)}};
   for (const TopicUpdate& update : updates) {
     std::optional<TopicUpdate> read = DecodeTopicUpdate(EncodeTopicUpdate(update));
     BOOST_REQUIRE(read.has_value());
@@ -52,7 +53,8 @@
 BOOST_AUTO_TEST_CASE(APathNamesARead) {
   const TopicRead reads[] = {{"keyed.op", 3, 120, milliseconds(700)},
                              {"keyed.op", std::nullopt, 120, Duration(0)},
-                             {"keyed.servers", std::nullopt, std::nullopt, seconds(1)}};
+                             {"keyed.servers", std::nullopt, std::nullopt, seconds(1)},
+                             {"keyed.op", 3, 120, milliseconds(700), milliseconds(250)}};
   for (const TopicRead& read : reads) BOOST_TEST((ReadFromPath(PathOf(read)) == read));
   for (const char* path : {"/config-record", "/topics/x?from=no", "/topics/x?from=-1", "/"}) {
     BOOST_TEST(!ReadFromPath(path).has_value(), path);
@@ -157,6 +159,97 @@
   BOOST_TEST(fixture.IsAnswered(in_vain));
 }
 
+// Failure guarded against: a read that was sent just before a proof reached this gateway waited for
+// the next proof, so that readers asked the store although the roots had just done so.
+BOOST_AUTO_TEST_CASE(AReaderWithAnOlderProofIsAnsweredAtOnce) {
+  struct Row {
+    std::optional<Duration> proof_age;
+    bool is_answered;
+  };
+  const Row rows[] = {{std::nullopt, false},
+                      {seconds(1), false},
+                      {seconds(1) + TopicRelay::kMinProofGain / 2, false},
+                      {seconds(1) + 2 * TopicRelay::kMinProofGain, true}};
+  for (const Row& row : rows) {
+    RelayFixture fixture;
+    fixture.state = ExampleState();
+    fixture.state.Prove(Now() - seconds(1));
+    TopicRead read{"topic", 5, 11, seconds(3), row.proof_age};
+    bool is_answered = false;
+    fixture.relay.OnRequest(PathOf(read), [&](const HttpPage&) { is_answered = true; });
+    BOOST_TEST(is_answered == row.is_answered);
+  }
+}
+
+// A follower that reads from one peer, and that peer.
+struct PeerReaderFixture {
+  PeerReaderFixture()
+      : store(&loop),
+        recovery(&loop),
+        pages(&loop,
+              [this](const std::string& path, const HttpPages::Answer& answer) {
+                this->relay.OnRequest(path, answer);
+              }),
+        follower(&loop, store.address(), &recovery, {.topic = "topic"}, this->Hooks()) {
+    this->recovery.returns().RecordEpoch(std::nullopt, Now());
+    this->peer_state.Replace({{"a", "1"}}, 10, std::nullopt);
+    this->peer_state.SetHasStore(true);
+    this->peer_state.Prove(Now());
+    this->relay.Add("topic", &this->peer_state);
+    BOOST_REQUIRE(
+        this->listener.Listen(&this->loop, {"127.0.0.1", 0}, [this](int fd) { pages.Adopt(fd); })
+            .ok());
+    ReaderPlace place;
+    place.reads_store = false;
+    place.sources = {"peer"};
+    this->follower.SetPlace(place);
+  }
+
+  TopicFollower::Hooks Hooks() {
+    TopicFollower::Hooks hooks;
+    hooks.replace = [](const std::vector<KeyedRecord>&) {};
+    hooks.change = [](const KeyedRecord&) {};
+    hooks.peer_address = [this](const std::string&) {
+      return std::optional<SocketAddress>({"127.0.0.1", this->listener.port()});
+    };
+    return hooks;
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    Time give_up = Now() + kTestTimeout;
+    while (!condition()) {
+      BOOST_REQUIRE(Now() < give_up);
+      this->loop.RunOnce(milliseconds(20));
+    }
+  }
+
+  EventLoop loop;
+  StoreStandin store;
+  StoreRecovery recovery;
+  TopicState peer_state;
+  TopicRelay relay;
+  HttpPages pages;
+  TcpListener listener;
+  TopicFollower follower;
+};
+
+// Failure guarded against: a proof counted from when the read was sent, and was older by a wait at
+// each level of the tree.
+BOOST_AUTO_TEST_CASE(AProofIsNotOlderByTheWaitAtThePeer) {
+  constexpr Duration kWaited = milliseconds(500);
+  PeerReaderFixture fixture;
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower.position().has_value(); });
+  Time sent = Now();
+  fixture.RunUntil([&] { return Now() >= sent + kWaited; });
+  Time proved = Now();
+  fixture.peer_state.Prove(proved);
+  fixture.relay.OnNews("topic");
+  fixture.RunUntil([&] { return fixture.follower.state().proved() > sent; });
+  BOOST_TEST((fixture.follower.state().proved() <= proved));
+  BOOST_TEST(ToSeconds(proved - fixture.follower.state().proved()) < ToSeconds(kWaited) / 2);
+}
+
 BOOST_AUTO_TEST_CASE(ReadsThatCannotBeServedAreRefused) {
   RelayFixture fixture;
   BOOST_TEST(!fixture.relay.OnRequest("/config-record", [](const HttpPage&) {}));
--- a/src/gateway/topic_follower.cc
+++ b/src/gateway/topic_follower.cc
@@ -259,6 +259,8 @@
   if (this->loaded) read.from = this->next_offset;
   if (this->loaded) read.epoch = this->epoch;
   Time sent = Now();
+  bool is_proved = this->topic_state.proved() != Time{};
+  if (this->loaded && is_proved) read.proof_age = sent - this->topic_state.proved();
   this->peer_client.Call(
       {"GET", PathOf(read), ""}, kPeerWait + kPeerTimeout,
       [this, box, sent](const StoreAnswer& answer) { this->OnPeerAnswer(box, sent, answer); });
@@ -349,9 +351,11 @@
   if (is_behind) return;
   this->epoch = update.epoch;
   this->topic_state.SetHops(update.hops);
-  this->regained = std::max(this->regained, sent - update.regained_ago);
+  // The peer wrote the update no earlier than this.
+  Time written_after = std::min(sent + update.held, Now());
+  this->regained = std::max(this->regained, written_after - update.regained_ago);
   this->topic_state.SetRegained(this->regained);
-  Time proved = sent - update.proved_ago;
+  Time proved = written_after - update.proved_ago;
   if (update.is_snapshot) {
     this->TakeNewestRecords(update.records, update.end, proved);
   } else {
--- a/src/gateway/topic_relay.cc
+++ b/src/gateway/topic_relay.cc
@@ -1,5 +1,5 @@
-// A read is written as a path: /topics/NAME?epoch=E&from=OFFSET&wait_ms=W, where the epoch and the
-// offset may be missing.
+// A read is written as a path: /topics/NAME?wait_ms=W&epoch=E&from=OFFSET&proof_ms=AGE, where all
+// but the first may be missing.
 
 #include "gateway/topic_relay.h"
 
@@ -14,6 +14,13 @@
 namespace {
 
 constexpr std::string_view kPrefix = "/topics/";
+// An older proof counts as this old.
+constexpr Duration kMaxProofAge = std::chrono::hours(24);
+
+Duration MillisUpTo(uint64_t number, Duration limit) {
+  uint64_t limit_ms = static_cast<uint64_t>(ToMillis(limit));
+  return milliseconds(static_cast<int64_t>(std::min(number, limit_ms)));
+}
 
 HttpPage Refusal(int status, const char* reason) {
   HttpPage page;
@@ -29,6 +36,7 @@
       absl::StrCat(std::string(kPrefix), read.topic, "?wait_ms=", ToMillis(read.wait));
   if (read.epoch) absl::StrAppend(&path, "&epoch=", *read.epoch);
   if (read.from) absl::StrAppend(&path, "&from=", *read.from);
+  if (read.proof_age) absl::StrAppend(&path, "&proof_ms=", ToMillis(*read.proof_age));
   return path;
 }
 
@@ -44,10 +52,8 @@
     if (!absl::SimpleAtoi(pair.second, &number)) return std::nullopt;
     if (pair.first == "epoch") read.epoch = number;
     if (pair.first == "from") read.from = number;
-    if (pair.first == "wait_ms") {
-      uint64_t max_ms = static_cast<uint64_t>(ToMillis(TopicRelay::kMaxWait));
-      read.wait = milliseconds(static_cast<int64_t>(std::min(number, max_ms)));
-    }
+    if (pair.first == "wait_ms") read.wait = MillisUpTo(number, TopicRelay::kMaxWait);
+    if (pair.first == "proof_ms") read.proof_age = MillisUpTo(number, kMaxProofAge);
   }
   return read;
 }
@@ -65,9 +71,8 @@
     return true;
   }
   Time now = Now();
-  Waiting entry{
-      *std::move(read), std::move(answer), {}, found->second->proved(), found->second->has_store()};
-  entry.until = now + entry.read.wait;
+  const TopicState& state = *found->second;
+  Waiting entry{*std::move(read), std::move(answer), now, state.proved(), state.has_store()};
   if (this->IsDue(entry, now)) {
     this->Respond(entry, now);
   } else {
@@ -77,13 +82,21 @@
 }
 
 bool TopicRelay::IsDue(const Waiting& entry, Time now) const {
-  if (now >= entry.until) return true;
+  if (now >= entry.arrived + entry.read.wait) return true;
   const TopicState& state = *this->topics.at(entry.read.topic);
   if (!state.is_loaded()) return false;
-  return state.HasNews(entry.read.epoch, entry.read.from) || state.proved() > entry.proof ||
+  return state.HasNews(entry.read.epoch, entry.read.from) || this->HasNewerProof(entry) ||
          state.has_store() != entry.had_store;
 }
 
+// The peer may have sent its read before the last proof reached it.
+bool TopicRelay::HasNewerProof(const Waiting& entry) const {
+  const TopicState& state = *this->topics.at(entry.read.topic);
+  if (state.proved() > entry.proof) return true;
+  return entry.read.proof_age &&
+         state.proved() > entry.arrived - *entry.read.proof_age + kMinProofGain;
+}
+
 void TopicRelay::Respond(const Waiting& entry, Time now) {
   const TopicState& state = *this->topics.at(entry.read.topic);
   if (!state.is_loaded()) {
@@ -92,7 +105,9 @@
   }
   HttpPage page;
   page.type = "application/octet-stream";
-  page.body = EncodeTopicUpdate(state.UpdateSince(entry.read.epoch, entry.read.from, now));
+  TopicUpdate update = state.UpdateSince(entry.read.epoch, entry.read.from, now);
+  update.held = now - entry.arrived;
+  page.body = EncodeTopicUpdate(update);
   this->answered += 1;
   this->answered_bytes += page.body.size();
   entry.answer(page);
@@ -117,7 +132,8 @@
 }
 
 void TopicRelay::Tick(Time now) {
-  this->RespondWhere([&](const Waiting& entry) { return now >= entry.until; }, now);
+  this->RespondWhere([&](const Waiting& entry) { return now >= entry.arrived + entry.read.wait; },
+                     now);
 }
 
 }  // namespace gullward
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -2,9 +2,12 @@
 // (serving/reader_tree.h).
 //
 // A peer asks over HTTP for the changes after an offset, and gets a TopicUpdate (topic_state.h) at
-// once if there are any.  Otherwise the read waits: for a change, for a newer proof than the last
-// one, for the store to stop or begin answering, or for the time that the peer states, so that the
-// peer knows soon if this gateway is gone.
+// once if there are any, or if this gateway has a newer proof than the peer.  Otherwise the read
+// waits: for a change, for a newer proof, for the store to stop or begin answering, or for the time
+// that the peer states, so that the peer knows soon if this gateway is gone.
+//
+// The answer states how long the read has waited.  Otherwise a proof would have to count from when
+// the read was sent, and would be older by a wait at each level of the tree.
 //
 //   TopicRelay relay;
 //   relay.Add("topic", &follower.state());
@@ -38,6 +41,8 @@
   std::optional<uint64_t> from;
   // How long the read may wait.
   Duration wait{};
+  // How old the peer's proof is (TopicState::proved); empty if it has none.
+  std::optional<Duration> proof_age = std::nullopt;
 
   bool operator==(const TopicRead&) const = default;
 };
@@ -50,6 +55,9 @@
  public:
   static constexpr size_t kMaxWaiting = 256;
   static constexpr Duration kMaxWait = seconds(5);
+  // A proof that is newer than the peer's by less than this is not passed on at once: part of the
+  // difference is the time that the read took.
+  static constexpr Duration kMinProofGain = milliseconds(100);
 
   // Adds a topic.  `state` must outlive the relay.
   void Add(const std::string& topic, const TopicState* state) { this->topics[topic] = state; }
@@ -71,13 +79,14 @@
   struct Waiting {
     TopicRead read;
     HttpPages::Answer answer;
-    Time until{};
+    Time arrived{};
     // The state's proof, and whether it had the store, when the read arrived.
     Time proof{};
     bool had_store = false;
   };
 
   bool IsDue(const Waiting& waiting, Time now) const;
+  bool HasNewerProof(const Waiting& waiting) const;
   void Respond(const Waiting& waiting, Time now);
   template <typename Condition>
   void RespondWhere(Condition condition, Time now);
--- a/src/gateway/topic_state.cc
+++ b/src/gateway/topic_state.cc
@@ -43,7 +43,7 @@
   builder.Finish(fb::CreateTopicUpdate(builder, epoch, update.end, update.is_snapshot,
                                        packed_records, Microseconds(update.proved_ago),
                                        Microseconds(update.regained_ago), update.hops,
-                                       update.has_store));
+                                       update.has_store, Microseconds(update.held)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -60,6 +60,7 @@
   update.regained_ago = AgeFrom(packed->regained_ago_us());
   update.hops = packed->hops();
   update.has_store = packed->has_store();
+  update.held = AgeFrom(packed->held_us());
   if (packed->records() == nullptr) return update;
   for (const fb::TopicRecord* record : *packed->records()) {
     if (record->key() == nullptr || record->value() == nullptr) return std::nullopt;
--- a/src/gateway/topic_state.h
+++ b/src/gateway/topic_state.h
@@ -52,6 +52,8 @@
   uint32_t hops = 0;
   // Whether the store answered the gateway that read from it at its last call.
   bool has_store = false;
+  // How long the read had waited at the sender, which answered it that long after its arrival.
+  Duration held{};
 
   bool operator==(const TopicUpdate&) const = default;
 };
--- a/src/trial/relay_gateway.h
+++ b/src/trial/relay_gateway.h
@@ -33,6 +33,8 @@
 inline constexpr size_t kGossipFanout = 10;
 inline constexpr Duration kMaxLagAtStore = milliseconds(150);
 inline constexpr Duration kMaxLagAtPeer = milliseconds(300);
+// A newer proof than the reader's by this much is passed on at once (gateway/topic_relay.h).
+inline constexpr Duration kMinProofGain = milliseconds(100);
 inline constexpr Duration kKeyTrust = seconds(5);
 inline const Time kStart = Time{} + seconds(1000);
 
@@ -41,6 +43,15 @@
   size_t reader = 0;
   uint64_t number = 0;
   uint64_t offset = 0;
+  Time sent{};
+};
+
+// What a gateway answers to the read of a peer.
+struct PeerAnswer {
+  uint64_t offset = 0;
+  Time proved{};
+  uint32_t hops = 0;
+  bool has_store = false;
 };
 
 struct Gateway {
@@ -66,6 +77,7 @@
   // Whether the last call to the store got no answer.
   bool is_unanswered = false;
   std::optional<RevalidationSchedule> schedule;
+  // When the store had nothing newer than what the gateway has.
   Time validated_at{};
   // Since when others are known to have more than `lag_offset`.
   std::optional<uint64_t> lag_offset;
--- a/src/trial/relay_trial.cc
+++ b/src/trial/relay_trial.cc
@@ -33,9 +33,11 @@
       Gateway gateway;
       gateway.box = name.box;
       if (this->options.is_relayed) gateway.sources.SetPlace(PlaceInTree(name, names));
-      if (this->options.revalidates && gateway.sources.reader_place().reads_store) {
+      bool is_root = gateway.sources.reader_place().reads_store;
+      if (this->options.revalidates && (is_root || this->options.revalidates_as_reader)) {
         RevalidationBounds bounds{.key_trust = kKeyTrust, .change = this->options.change_bound};
         gateway.schedule.emplace(bounds, this->random());
+        gateway.schedule->SetReadsStore(is_root);
       }
       this->gateways.push_back(std::move(gateway));
     }
@@ -78,6 +80,7 @@
     Gateway& gateway = this->gateways[number];
     gateway.is_up = true;
     gateway.is_loaded = false;
+    gateway.validated_at = Time{};
     gateway.offset = 0;
     gateway.patient_until = this->events.now() + kStartPatience;
     this->Read(number);
@@ -127,7 +130,7 @@
   void Read(size_t number) {
     Gateway& gateway = this->gateways[number];
     gateway.read_number += 1;
-    WaitingRead read{number, gateway.read_number, gateway.offset};
+    WaitingRead read{number, gateway.read_number, gateway.offset, this->events.now()};
     std::optional<std::string> peer = gateway.sources.Next(this->events.now());
     gateway.is_reading_peer = peer.has_value();
     if (peer) {
@@ -151,7 +154,7 @@
     bool must_wait = gateway.is_loaded && read.offset == this->changes.size() &&
                      !goes_on_with_peer && !gateway.is_lost;
     gateway.is_waiting_at_store = must_wait;
-    if (this->IsSilent()) {
+    if (this->IsSilentTo(gateway)) {
       Duration wait = must_wait ? kStoreWait : Duration(0);
       this->After(wait + kAnswerTimeout, read, [this, read] { this->NoAnswer(read.reader); });
     } else if (must_wait) {
@@ -170,7 +173,7 @@
       gateway.is_lost = gateway.is_unanswered = false;
       gateway.hops = 0;
       this->SetHasStore(read.reader, true);
-      this->Take(read.reader, offset);
+      this->Take(read.reader, offset, read.sent);
       this->Read(read.reader);
     });
   }
@@ -180,6 +183,12 @@
     return this->events.now() >= from && this->events.now() < from + this->options.silent_for;
   }
 
+  bool IsSilentTo(const Gateway& gateway) const {
+    bool is_concerned =
+        !this->options.is_silent_to_roots_only || gateway.sources.reader_place().reads_store;
+    return is_concerned && this->IsSilent();
+  }
+
   void NoAnswer(size_t number) {
     this->gateways[number].is_unanswered = true;
     this->StoreFailed(number);
@@ -213,9 +222,10 @@
       return;
     }
     if (!this->IsRunning(peer)) return;
-    bool has_news =
-        peer.is_loaded && (!this->gateways[read.reader].is_loaded || read.offset < peer.offset);
-    if (has_news) {
+    const Gateway& reader = this->gateways[read.reader];
+    bool has_proof = peer.validated_at > reader.validated_at + kMinProofGain;
+    bool has_news = !reader.is_loaded || read.offset < peer.offset || has_proof;
+    if (peer.is_loaded && has_news) {
       this->AnswerFromPeer(read, at);
       return;
     }
@@ -235,27 +245,24 @@
   void AnswerFromPeer(const WaitingRead& read, size_t at) {
     Gateway& peer = this->gateways[at];
     peer.answers += 1;
-    bool is_loaded = peer.is_loaded;
-    uint64_t offset = peer.offset;
-    uint32_t hops = peer.hops + 1;
-    bool has_store = peer.has_store;
-    this->After(this->options.hop_delay, read, [this, read, is_loaded, offset, hops, has_store] {
-      if (!is_loaded) {
-        this->PeerFailed(read.reader);
-        return;
-      }
-      this->TakeFromPeer(read.reader, offset, hops, has_store);
+    if (!peer.is_loaded) {
+      this->After(this->options.hop_delay, read, [this, read] { this->PeerFailed(read.reader); });
+      return;
+    }
+    PeerAnswer answer{peer.offset, peer.validated_at, peer.hops + 1, peer.has_store};
+    this->After(this->options.hop_delay, read, [this, read, answer] {
+      this->TakeFromPeer(read.reader, answer);
       this->Read(read.reader);
     });
   }
 
-  void TakeFromPeer(size_t number, uint64_t offset, uint32_t hops, bool has_store) {
+  void TakeFromPeer(size_t number, const PeerAnswer& answer) {
     Gateway& gateway = this->gateways[number];
     bool is_root = gateway.sources.reader_place().reads_store;
-    bool relies_on_peer = has_store && (!is_root || hops == 1);
-    gateway.hops = hops;
+    bool relies_on_peer = answer.has_store && (!is_root || answer.hops == 1);
+    gateway.hops = answer.hops;
     this->SetHasStore(number, relies_on_peer);
-    this->Take(number, offset);
+    this->Take(number, answer.offset, answer.proved);
     if (!relies_on_peer) gateway.sources.NotePeerStale(gateway.peer, this->events.now());
   }
 
@@ -281,16 +288,20 @@
     this->Read(number);
   }
 
-  // The gateway now has the changes up to `offset`, and passes them on.
-  void Take(size_t number, uint64_t offset) {
+  // The gateway now has the changes up to `offset`, and the store had no others at `proved`.  Both
+  // are passed on at once.
+  void Take(size_t number, uint64_t offset, Time proved) {
     Gateway& gateway = this->gateways[number];
     bool is_first = !std::exchange(gateway.is_loaded, true);
     if (is_first) this->NoteStarted();
-    if (!is_first && offset <= gateway.offset) return;
+    if (!is_first && offset < gateway.offset) return;
+    bool is_new = is_first || offset > gateway.offset || proved > gateway.validated_at;
+    if (!is_new) return;
     for (uint64_t change = gateway.offset; change < offset; ++change) {
       this->NoteArrival(number, this->changes[change]);
     }
     gateway.offset = offset;
+    gateway.validated_at = std::max(gateway.validated_at, proved);
     for (const WaitingRead& read : std::exchange(gateway.waiting, {})) {
       this->AnswerFromPeer(read, number);
     }
@@ -310,7 +321,7 @@
   void Revalidate(size_t number) {
     this->gateways[number].schedule->NoteRequested();
     this->result.store_calls += 1;
-    if (this->IsSilent()) {
+    if (this->IsSilentTo(this->gateways[number])) {
       this->events.After(kAnswerTimeout + kRevalidationRetryPause, [this, number] {
         this->gateways[number].is_unanswered = true;
         this->gateways[number].schedule->NoteRetry();
@@ -335,21 +346,34 @@
       gateway.schedule->NoteValidated();
       this->events.After(this->options.hop_delay,
                          [this, offset, sent] { this->ShareValidation(offset, sent); });
-      gateway.validated_at = std::max(gateway.validated_at, sent);
+      this->Take(number, gateway.offset, sent);
       return;
     }
     gateway.schedule->NoteBehind(this->events.now());
     uint64_t behind_at = gateway.offset;
     this->events.After(kMaxLagAtStore, [this, number, behind_at] {
-      if (this->gateways[number].offset == behind_at) this->RenewRead(number);
+      if (this->gateways[number].offset == behind_at) this->ReplaceRead(number);
     });
   }
 
-  // The roots tell each other.
+  // The store has shown a change that the current read has not returned.
+  void ReplaceRead(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    if (!gateway.is_reading_peer) {
+      this->RenewRead(number);
+    } else if (this->IsRunning(gateway)) {
+      gateway.sources.NotePeerStale(gateway.peer, this->events.now());
+      this->Read(number);
+    }
+  }
+
+  // The owner tells the roots, and the tree passes it on.
   void ShareValidation(uint64_t offset, Time sent) {
-    for (Gateway& gateway : this->gateways) {
-      bool is_proved = gateway.schedule && gateway.is_loaded && gateway.offset >= offset;
-      if (is_proved) gateway.validated_at = std::max(gateway.validated_at, sent);
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      const Gateway& gateway = this->gateways[i];
+      bool is_root = gateway.sources.reader_place().reads_store;
+      if (!is_root || !gateway.is_loaded || gateway.offset < offset) continue;
+      this->Take(i, gateway.offset, sent);
     }
   }
 
@@ -401,17 +425,29 @@
     auto found = this->interrupted.find(number);
     Time excluded_until =
         found == this->interrupted.end() ? Time{} : found->second + this->options.fault_duration;
-    if (changed_at < excluded_until) return;
+    if (changed_at < excluded_until || this->IsHiddenFrom(this->gateways[number], changed_at))
+      return;
     this->result.longest_change =
         std::max(this->result.longest_change, this->events.now() - changed_at);
   }
 
+  // Whether the change was made while the store was silent to this gateway.
+  bool IsHiddenFrom(const Gateway& gateway, Time changed_at) const {
+    Time from = kStart + this->options.silent_from;
+    bool is_in_silence = changed_at >= from && changed_at < from + this->options.silent_for;
+    return is_in_silence && gateway.sources.reader_place().reads_store;
+  }
+
   void Change() {
     this->events.After(this->options.change_interval, [this] { this->Change(); });
-    if (this->IsSilent()) return;
+    if (this->IsSilent() && !this->options.is_silent_to_roots_only) return;
     this->changes.push_back(this->events.now());
     for (const WaitingRead& read : std::exchange(this->waiting_at_store, {})) {
-      this->AnswerFromStore(read);
+      if (this->IsSilentTo(this->gateways[read.reader])) {
+        this->waiting_at_store.push_back(read);
+      } else {
+        this->AnswerFromStore(read);
+      }
     }
   }
 
--- a/src/trial/relay_trial.h
+++ b/src/trial/relay_trial.h
@@ -4,7 +4,7 @@
 // The simulation runs without a network.  Each gateway uses the real PlaceInTree, TopicSources and
 // RevalidationSchedule; the simulation adds the store, the reads that wait there and at peers,
 // delays, gateways that are killed, frozen, or refused by the store for a while, and a store that
-// is silent for a while: it never answers the calls of that time.
+// is silent for a while, to all gateways or to the roots: it never answers the calls of that time.
 //
 //   RelayTrialResult result = PlayRelay({.gateways = 300});
 //
@@ -42,13 +42,17 @@
   double refused_share = 0;
   Duration refused_from = seconds(10);
   Duration refused_until = seconds(20);
-  // The store is silent for this long from `silent_from`.  No change is made meanwhile.
+  // The store is silent for this long from `silent_from`.  No change is made meanwhile, unless it
+  // is silent to the roots only.
   Duration silent_from = seconds(10);
   Duration silent_for{};
+  bool is_silent_to_roots_only = false;
   // Off: a read that waits at the store is not sent again when the store answers after a silence.
   bool renews_reads = true;
-  // Off: the roots do not ask the store now and then whether there is something newer.
+  // Off: the roots do not ask the store now and then whether there is something newer; or the other
+  // gateways never do.
   bool revalidates = true;
+  bool revalidates_as_reader = true;
   // The time within which a change must be in force, from which the interval of that follows.
   Duration change_bound = seconds(2);
   uint64_t seed = 1;
--- a/src/trial/testing/relay_trial_test.cc
+++ b/src/trial/testing/relay_trial_test.cc
@@ -95,6 +95,50 @@
   }
 }
 
+// The store is silent to the roots for long, and serves all other gateways.
+RelayTrialOptions SilentToRoots(size_t gateways, uint64_t seed) {
+  return {.gateways = gateways,
+          .change_interval = milliseconds(1700),
+          .silent_for = seconds(15),
+          .is_silent_to_roots_only = true,
+          .seed = seed};
+}
+
+const size_t kFleetsWithReaders[] = {30, 300, 1000};
+
+// Failure guarded against: the roots' reads stayed open, and the gateways that read from them saw
+// no change although the store would have told them.
+BOOST_AUTO_TEST_CASE(ChangesReachTheOthersWhileTheStoreIsSilentToTheRoots) {
+  for (size_t gateways : kFleetsWithReaders) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+      Duration longest = PlayRelay(SilentToRoots(gateways, seed)).longest_change;
+      BOOST_TEST(ToSeconds(longest) <= ToSeconds(kChangeBound),
+                 gateways << " gateways, seed " << seed << ": " << ToSeconds(longest) << " s");
+      BOOST_TEST_MESSAGE(gateways << " gateways: " << ToSeconds(longest) << " s");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithoutRevalidationByReadersSilentRootsHideChanges) {
+  for (size_t gateways : kFleetsWithReaders) {
+    RelayTrialOptions options = SilentToRoots(gateways, /*seed=*/1);
+    options.revalidates_as_reader = false;
+    BOOST_TEST(ToSeconds(PlayRelay(options).longest_change) > 10);
+  }
+}
+
+// While the store answers the roots, what they are shown reaches the others before these ask.
+BOOST_AUTO_TEST_CASE(ReadersSeldomAskWhileTheRootsAreServed) {
+  for (size_t gateways : kFleetsWithReaders) {
+    RelayTrialOptions options{.gateways = gateways, .change_interval = seconds(60)};
+    uint64_t with_readers = PlayRelay(options).store_calls;
+    options.revalidates_as_reader = false;
+    uint64_t roots_only = PlayRelay(options).store_calls;
+    BOOST_TEST(with_readers <= roots_only * 1.1,
+               gateways << " gateways: " << with_readers << " for " << roots_only);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GatewaysThatTheStoreRefusesSeldomAskIt) {
   RelayTrialOptions options{.gateways = 300, .refused_share = 0.35};
   RelayTrialResult relayed = PlayRelay(options);
