A relay keeps a newer proof from readers that have read further

Found by reading, no caller has met it: a reader that is ahead of its peer ignores the peer's update, so a proof that is handed out at once would be asked for again at once, for as long as the peer lags.

Ruled out: readers that are level with the peer, which take the proof.

The relay answers at once for a proof only if the reader can use it. A row of AReaderWithAnOlderProofIsAnsweredAtOnce holds it. Before: such a read was answered at once; now it waits for its time.

--- a/src/gateway/testing/topic_relay_test.cc
+++ b/src/gateway/testing/topic_relay_test.cc
@@ -163,18 +163,22 @@
 // the next proof, so that readers asked the store although the roots had just done so.
 BOOST_AUTO_TEST_CASE(AReaderWithAnOlderProofIsAnsweredAtOnce) {
   struct Row {
+    uint64_t from;
     std::optional<Duration> proof_age;
     bool is_answered;
   };
-  const Row rows[] = {{std::nullopt, false},
-                      {seconds(1), false},
-                      {seconds(1) + TopicRelay::kMinProofGain / 2, false},
-                      {seconds(1) + 2 * TopicRelay::kMinProofGain, true}};
+  const Duration older = seconds(1) + 2 * TopicRelay::kMinProofGain;
+  const Row rows[] = {{11, std::nullopt, false},
+                      {11, seconds(1), false},
+                      {11, seconds(1) + TopicRelay::kMinProofGain / 2, false},
+                      {11, older, true},
+                      // A reader that has read further would ask again at once.
+                      {12, older, false}};
   for (const Row& row : rows) {
     RelayFixture fixture;
     fixture.state = ExampleState();
     fixture.state.Prove(Now() - seconds(1));
-    TopicRead read{"topic", 5, 11, seconds(3), row.proof_age};
+    TopicRead read{"topic", 5, row.from, seconds(3), row.proof_age};
     bool is_answered = false;
     fixture.relay.OnRequest(PathOf(read), [&](const HttpPage&) { is_answered = true; });
     BOOST_TEST(is_answered == row.is_answered);
--- a/src/gateway/topic_relay.cc
+++ b/src/gateway/topic_relay.cc
@@ -89,12 +89,14 @@
          state.has_store() != entry.had_store;
 }
 
-// The peer may have sent its read before the last proof reached it.
+// The peer may have sent its read before the last proof reached it.  A peer that has read further
+// has no use for the proof, and would at once ask again.
 bool TopicRelay::HasNewerProof(const Waiting& entry) const {
   const TopicState& state = *this->topics.at(entry.read.topic);
   if (state.proved() > entry.proof) return true;
-  return entry.read.proof_age &&
-         state.proved() > entry.arrived - *entry.read.proof_age + kMinProofGain;
+  bool can_use_proof =
+      entry.read.proof_age && (!entry.read.from || *entry.read.from <= state.end());
+  return can_use_proof && state.proved() > entry.arrived - *entry.read.proof_age + kMinProofGain;
 }
 
 void TopicRelay::Respond(const Waiting& entry, Time now) {
