The relay trial models refused revalidations and the cells

Callers see nothing of it: the simulation alone changes. Traced by printing who asks: a refused gateway was answered when it revalidated; validations went to the roots alone, though the gateways of a cell tell each other, so that each reader of a refused root asked by itself; and a reader that was ahead of its peer was answered at once, as the real relay no longer does.

Refused revalidations are sent again after the pauses of store_recovery, cells of 12 share validations.

--- a/src/trial/relay_gateway.h
+++ b/src/trial/relay_gateway.h
@@ -23,7 +23,11 @@
 inline constexpr Duration kRetryPause = milliseconds(400);
 inline constexpr Duration kStoreWait = seconds(30);
 inline constexpr Duration kAnswerTimeout = seconds(1);
-inline constexpr Duration kRevalidationRetryPause = milliseconds(100);
+// Pauses between calls that are not answered or refused double from the first to the longest
+// (gateway/store_recovery.h).
+inline constexpr Duration kFirstRetryPause = milliseconds(100);
+inline constexpr Duration kMaxRetryPause = milliseconds(400);
+inline constexpr Duration kMaxRetryPauseOfReaders = milliseconds(3200);
 inline constexpr Duration kTick = milliseconds(25);
 // Boxes start within this time.
 inline constexpr Duration kStartSpread = milliseconds(500);
@@ -35,6 +39,8 @@
 inline constexpr Duration kMaxLagAtPeer = milliseconds(300);
 // A newer proof than the reader's by this much is passed on at once (gateway/topic_relay.h).
 inline constexpr Duration kMinProofGain = milliseconds(100);
+// The gateways of a cell tell each other of validations.
+inline constexpr size_t kCellSize = 12;
 inline constexpr Duration kKeyTrust = seconds(5);
 inline const Time kStart = Time{} + seconds(1000);
 
@@ -77,6 +83,7 @@
   // Whether the last call to the store got no answer.
   bool is_unanswered = false;
   std::optional<RevalidationSchedule> schedule;
+  Duration retry_pause = kFirstRetryPause;
   // When the store had nothing newer than what the gateway has.
   Time validated_at{};
   // Since when others are known to have more than `lag_offset`.
--- a/src/trial/relay_trial.cc
+++ b/src/trial/relay_trial.cc
@@ -223,7 +223,8 @@
     }
     if (!this->IsRunning(peer)) return;
     const Gateway& reader = this->gateways[read.reader];
-    bool has_proof = peer.validated_at > reader.validated_at + kMinProofGain;
+    bool has_proof =
+        read.offset <= peer.offset && peer.validated_at > reader.validated_at + kMinProofGain;
     bool has_news = !reader.is_loaded || read.offset < peer.offset || has_proof;
     if (peer.is_loaded && has_news) {
       this->AnswerFromPeer(read, at);
@@ -321,21 +322,38 @@
   void Revalidate(size_t number) {
     this->gateways[number].schedule->NoteRequested();
     this->result.store_calls += 1;
-    if (this->IsSilentTo(this->gateways[number])) {
-      this->events.After(kAnswerTimeout + kRevalidationRetryPause, [this, number] {
+    Gateway& gateway = this->gateways[number];
+    if (this->IsSilentTo(gateway)) {
+      this->events.After(kAnswerTimeout, [this, number] {
         this->gateways[number].is_unanswered = true;
-        this->gateways[number].schedule->NoteRetry();
+        this->RevalidateLater(number);
       });
       return;
     }
+    if (gateway.is_refused) {
+      this->result.refused_calls += 1;
+      this->events.After(this->options.store_delay,
+                         [this, number] { this->RevalidateLater(number); });
+      return;
+    }
     uint64_t offset = this->changes.size();
     Time sent = this->events.now();
     this->events.After(this->options.store_delay,
                        [this, number, offset, sent] { this->OnRevalidated(number, offset, sent); });
   }
 
+  void RevalidateLater(size_t number) {
+    Gateway& gateway = this->gateways[number];
+    bool is_root = gateway.sources.reader_place().reads_store;
+    Duration longest = is_root ? kMaxRetryPause : kMaxRetryPauseOfReaders;
+    Duration pause = gateway.retry_pause;
+    gateway.retry_pause = std::min(2 * pause, longest);
+    this->events.After(pause, [this, number] { this->gateways[number].schedule->NoteRetry(); });
+  }
+
   void OnRevalidated(size_t number, uint64_t offset, Time sent) {
     Gateway& gateway = this->gateways[number];
+    gateway.retry_pause = kFirstRetryPause;
     if (!this->IsRunning(gateway) || !gateway.is_loaded) {
       gateway.schedule->NoteRetry();
       return;
@@ -344,8 +362,9 @@
     if (was_silent && this->options.renews_reads) this->RenewRead(number);
     if (gateway.offset >= offset) {
       gateway.schedule->NoteValidated();
-      this->events.After(this->options.hop_delay,
-                         [this, offset, sent] { this->ShareValidation(offset, sent); });
+      this->events.After(this->options.hop_delay, [this, number, offset, sent] {
+        this->ShareValidation(number, offset, sent);
+      });
       this->Take(number, gateway.offset, sent);
       return;
     }
@@ -367,16 +386,21 @@
     }
   }
 
-  // The owner tells the roots, and the tree passes it on.
-  void ShareValidation(uint64_t offset, Time sent) {
+  // The gateway tells its cell, and a root also the other roots.  The tree passes it on.
+  void ShareValidation(size_t owner, uint64_t offset, Time sent) {
+    bool is_from_root = this->IsRoot(owner);
     for (size_t i = 0; i < this->gateways.size(); ++i) {
       const Gateway& gateway = this->gateways[i];
-      bool is_root = gateway.sources.reader_place().reads_store;
-      if (!is_root || !gateway.is_loaded || gateway.offset < offset) continue;
+      bool is_told = i / kCellSize == owner / kCellSize || (is_from_root && this->IsRoot(i));
+      if (!is_told || !gateway.is_loaded || gateway.offset < offset) continue;
       this->Take(i, gateway.offset, sent);
     }
   }
 
+  bool IsRoot(size_t number) const {
+    return this->gateways[number].sources.reader_place().reads_store;
+  }
+
   void RenewRead(size_t number) {
     Gateway& gateway = this->gateways[number];
     bool waits = !gateway.is_reading_peer && gateway.is_waiting_at_store;
