The soak reads answers before it judges deadlines after a pause of its own

Traced: the gateways' logs have the final answer of all eight, after 3.00 to 3.02 s of 3 s. The soak itself did not run for 3.8 s: no caller sent anything to any gateway from 2168.4 to 2172.3 s, and the pause ended with the settings file of gateway-2, which it was starting again. Starting stands between reading and checking, so the answers lay unread when it checked.

Ruled out: late answers (logs); a pause in the loop (the soak stopped for 4 s on purpose, old and new: 0 broken, since the loop reads first). That the file system held the file up is suspected, not shown.

After more than 200 ms since its last check the soak now reads for 100 ms and then checks, with the same bound. No request is excused.

--- a/src/soak/soak.cc
+++ b/src/soak/soak.cc
@@ -22,6 +22,9 @@
 constexpr uint64_t kDeadlineMs = 3000;
 // Time allowed for an answer to arrive after the deadline, on a busy machine.
 constexpr Duration kAnswerDelayAllowed = milliseconds(1500);
+// A longer time between two checks of deadlines means that this process itself did not run.
+constexpr Duration kPauseOfSoak = milliseconds(200);
+constexpr Duration kTimeToReadAnswers = milliseconds(100);
 // For this long after a fault a gateway may miss deadlines.
 constexpr Duration kGraceAfterFault = seconds(4);
 constexpr uint64_t kKeyTrustMs = 2000;
@@ -518,9 +521,12 @@
 }
 
 // Abandons overdue requests, as a caller would, and reports those whose gateway had no recent
-// fault.
+// fault.  After a pause of this process it first reads the answers that have arrived meanwhile.
 void Soak::CheckDeadlines() {
+  bool was_paused = Now() - this->last_deadline_check > kPauseOfSoak;
+  if (was_paused) this->RunUntil([] { return false; }, kTimeToReadAnswers);
   Time now = Now();
+  this->last_deadline_check = now;
   for (size_t i = 0; i < this->callers.size(); ++i) {
     Caller& caller = this->callers[i];
     bool overdue =
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -175,6 +175,7 @@
   std::vector<EngineProcess> engines;
   std::vector<GatewayProcess> gateways;
   std::vector<Caller> callers;
+  Time last_deadline_check{};
   std::vector<std::string> engine_outputs;
   uint64_t config_version = 0;
   // Valid API keys, oldest first, and when the store acknowledged the revocation of others.
