--- a/src/gateway/testing/silent_roots_test.cc
+++ b/src/gateway/testing/silent_roots_test.cc
@@ -53,7 +53,7 @@
       return gateway.IsReady() && gateway.peers() + 1 == kGateways;
     });
   }));
-  // Each gateway has drawn from whom it reads by the next refresh of its peers.
+  // By the next refresh of its peers each gateway has computed from whom it reads.
   fixture->RunFor(seconds(1));
   fixture->store.SetSilentAtSecondAddress(true);
   return fixture;
