--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -28,18 +28,18 @@
   for (int turn = 0; !ending; ++turn) {
     if (!channel) channel = std::make_unique<Channel>(Connect(gateway.callers));
     std::string attempt = deployment.NewAttemptId();
-    std::string body = "question " + std::to_string(number) + "-" + std::to_string(turn);
+    std::string body = "q" + std::to_string(number) + "-" + std::to_string(turn);
     char part[60];
     std::snprintf(part, sizeof(part), "5c1e07a2:40,%x:209960", 0x10000000 + number * 1000 + turn);
     std::string request = ClientRequest(
         "POST", "/digest/read", attempt, kDeadlineMs, body,
         "Model: m\r\nToken-Count: 210000,782\r\nPrompt-Prefix: " + std::string(part) + "\r\n");
+    double sent = deployment.Elapsed();
     channel->deadline = SecondsNow() + kDeadlineMs / 1000.0;
     Message answer;
     bool answered = channel->fd >= 0 && channel->Send(request) && channel->ReadHead(&answer) &&
                     channel->ReadBody(&answer, true);
     int status = answer.Status();
-    std::string ended = answered ? " whole" : " cut";
     if (status == 200 && answered && answer.body == WholeStream(body, kEvents)) {
       whole += 1;
     } else if (status == 200 && answered) {
@@ -53,8 +53,7 @@
     } else {
       other += 1;
     }
-    deployment.Record("answered " + attempt + " " + gateway.name + " " + std::to_string(status) +
-                      ended);
+    deployment.RecordRequest(sent, attempt, gateway.name, "/digest/read", body, status, answered);
     bool keeps = answered && strcasecmp(answer.Header("Connection").c_str(), "close") != 0;
     if (!keeps) channel.reset();
     if (status == 503)
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -100,6 +100,18 @@
     if (std::system(remove.c_str()) != 0) std::fprintf(stderr, "temporary folder not removed\n");
   }
 
+  // Seconds since the beginning.
+  double Elapsed() const { return SecondsNow() - this->began; }
+
+  // Writes a request and its answer; the time of the line is that of the answer.
+  void RecordRequest(double sent, const std::string& attempt, const std::string& gateway,
+                     const std::string& path, const std::string& body, int status, bool whole) {
+    char at[32];
+    std::snprintf(at, sizeof(at), "%.3f", sent);
+    this->Record("sent " + std::string(at) + " " + attempt + " " + gateway + " " + path + " " +
+                 body + ": " + std::to_string(status) + (whole ? " whole" : " cut"));
+  }
+
   std::string Ip(int host) const { return this->net + std::to_string(host); }
 
   Process Spawn(const std::string& name, const std::vector<std::string>& command,
--- a/review/standins/engine.cc
+++ b/review/standins/engine.cc
@@ -97,6 +97,10 @@
   int last = is_plain ? kParts : events;
   double pause = is_plain ? kPartMs : event_ms;
   SleepMs(pause);
+  if (request.Method() == "HEAD") {
+    std::string length = std::to_string(WholePlain(request.body).size());
+    return channel.Send(Head(200, request, seal + "Content-Length: " + length + "\r\n"));
+  }
   if (!channel.Send(Head(200, request, seal + type + framing))) return false;
   for (int part = first; part <= last; ++part) {
     SleepMs(pause);
