--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -288,7 +288,7 @@
 
   std::string NewAttemptId() {
     char id[40];
-    std::snprintf(id, sizeof(id), "%08x%08x", this->id_seed, ++this->attempt_count);
+    std::snprintf(id, sizeof(id), "%04x%06x", this->id_seed & 0xffff, ++this->attempt_count);
     return id;
   }
 
