Review: stand-ins signal only processes that are still theirs; ticket names repeat

Cause of the first: Deployment::EndAll ended every process that was ever started, also those that IsRunning had reaped before, whose ids the system may have given to others. Done: a process that has been reaped is forgotten.

Cause of the second, a further finding: ticket names are made from the id of the caller's channel, so the requests of a kept channel share them, and a release that is carried out late ends the ticket of a later request.

--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -150,8 +150,14 @@
     kill(process.pid, signal);
   }
 
-  // Whether the process is still running.
-  bool IsRunning(const Process& process) { return waitpid(process.pid, nullptr, WNOHANG) == 0; }
+  // Whether the process is still running.  One that has ended is forgotten, since its id may be used
+  // again from now on.
+  bool IsRunning(const Process& process) {
+    if (waitpid(process.pid, nullptr, WNOHANG) == 0) return true;
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::erase(this->pids, process.pid);
+    return false;
+  }
 
   void WaitFor(const std::string& what, const std::function<bool()>& condition, double seconds) {
     double until = SecondsNow() + seconds;
