The body of a refusal no longer reaches the caller of a resumed stream

Cause: Exchange::OnBody passed the body of an unsuccessful answer to ForwardBody, which wrote it to the caller whenever the caller's answer had begun. In a resumed stream an earlier attempt had begun it.

Ruled out: fragments of a broken event, and late bytes of an earlier connection.

Change: what is written follows from the head of the attempt that sent it. The body of a failure is kept only if that failure may become the answer; any other body is dropped. The stand-ins of engines and store refuse with bodies as HTTP servers send them: with empty ones no test could see this.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -222,8 +222,11 @@
 void Exchange::OnBody(std::string_view bytes) {
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
-  bool passing = this->attempt->head_result == AttemptResult::kSuccess;
-  if (passing && this->admission.route->streaming) {
+  if (this->attempt->head_result != AttemptResult::kSuccess) {
+    this->HoldFailure(bytes);
+    return;
+  }
+  if (this->admission.route->streaming) {
     this->ForwardEvents(bytes);
   } else {
     this->ForwardBody(bytes);
@@ -269,14 +272,26 @@
                                     this->attempt->sent, Now());
 }
 
+// Whether the failure that the attempt's head reports may become the caller's answer.  It may not
+// once another attempt has begun that answer.
+bool Exchange::IsDeliverableFailure() const {
+  AttemptResult result = this->attempt->head_result;
+  return !this->answer_begun &&
+         (result == AttemptResult::kEngineFailure || result == AttemptResult::kRejected);
+}
+
+void Exchange::HoldFailure(std::string_view bytes) {
+  if (this->IsDeliverableFailure()) this->attempt->body.append(bytes);
+}
+
+// Passes on the body of a successful plain answer.
 void Exchange::ForwardBody(std::string_view bytes) {
   if (this->answer_begun) {
     this->caller->WritePart(bytes);
     return;
   }
   this->attempt->body.append(bytes);
-  bool too_large_to_hold = this->attempt->body.size() > kMaxHeldAnswerBytes;
-  if (!too_large_to_hold || this->attempt->head_result != AttemptResult::kSuccess) return;
+  if (this->attempt->body.size() <= kMaxHeldAnswerBytes) return;
   this->BeginAnswer(this->attempt->head.content_length);
   this->caller->WritePart(std::exchange(this->attempt->body, {}));
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -113,6 +113,8 @@
   void NoteEvent(int events);
   void NoteFirstEvent();
   void LogAnswered();
+  bool IsDeliverableFailure() const;
+  void HoldFailure(std::string_view bytes);
   void ForwardBody(std::string_view bytes);
   void OnDone(ChannelResult result);
   void ConcludeAttempt(ChannelResult result);
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -16,6 +16,11 @@
 namespace {
 
 constexpr char kBody[] = "the whole answer";
+// Bodies of refusals, as HTTP servers send them.
+constexpr char kUnavailableBody[] = "Service Unavailable\n";
+constexpr char kReaderGoneBody[] = "a helping engine is gone\n";
+constexpr char kMisdirectedBody[] =
+    "<html><body><h1>421 Misdirected Request</h1></body></html>\r\n";
 
 std::string Event(int id) { return absl::StrCat("id: ", id, "\ndata: event-", id, "\n\n"); }
 
@@ -135,7 +140,9 @@
   CallerChannel* channel = connection->channel.get();
   std::optional<std::string_view> expected =
       FindHeader(request.head.headers, platform::kExpectedEngine);
-  if (expected && *expected != this->options.id) return channel->Answer(this->PlainHead(421), "");
+  if (expected && *expected != this->options.id) {
+    return channel->Answer(this->PlainHead(421), kMisdirectedBody);
+  }
   if (request.head.target == "/v1/order") return this->OnOrder(channel, request);
 
   this->requests.push_back({request, Now(), false, false});
@@ -144,20 +151,20 @@
   if (this->notice.rest) {
     head.headers.emplace_back(platform::kNotRun, "1");
     head.headers.emplace_back(platform::kRetryAfter, absl::StrCat(ToSeconds(*this->notice.rest)));
-    return channel->Answer(head, "");
+    return channel->Answer(head, kUnavailableBody);
   }
   if (this->NamesRefusedReader(request)) {
     head.headers.emplace_back(platform::kNotRun, "1");
     head.headers.emplace_back(platform::kRefusalCause, this->refused_reader->ToString());
-    return channel->Answer(head, "");
+    return channel->Answer(head, kReaderGoneBody);
   }
   EngineFault fault = this->NextFault();
   switch (fault) {
     case EngineFault::kNotRun:
       head.headers.emplace_back(platform::kNotRun, "1");
-      return channel->Answer(head, "");
+      return channel->Answer(head, kUnavailableBody);
     case EngineFault::kWrongEngine:
-      return channel->Answer(this->PlainHead(421), "");
+      return channel->Answer(this->PlainHead(421), kMisdirectedBody);
     case EngineFault::kSilent:
       this->requests.back().ran = true;
       return;
@@ -199,7 +206,7 @@
   CallerChannel* channel = connection->channel.get();
   switch (fault) {
     case EngineFault::kBusyMayHaveRun:
-      return channel->Answer(this->PlainHead(503), "");
+      return channel->Answer(this->PlainHead(503), kUnavailableBody);
     case EngineFault::kFailed:
       return channel->Answer(this->SealedHead(request, 500), "it failed");
     case EngineFault::kResetUnanswered:
--- a/src/standins/store_standin.cc
+++ b/src/standins/store_standin.cc
@@ -23,6 +23,9 @@
 // Size limit of the answer to a read that does not state one.  A larger single record is still
 // sent.
 constexpr size_t kDefaultReadKb = 1024;
+// Bodies of refusals, as HTTP servers send them.
+constexpr char kUnavailableBody[] = "Service Unavailable\n";
+constexpr char kNotFoundBody[] = "404 page not found\n";
 
 // The parameters of a query, without percent-decoding: topic names and numbers need none.
 std::map<std::string, std::string> Query(const std::string& target) {
@@ -159,11 +162,11 @@
   bool is_silent = is_at_second && this->is_second_silent;
   if (is_silent || this->fault == StoreFault::kSilent) return;
   if (this->fault == StoreFault::kReset) return channel->BreakOff();
-  if (this->fault == StoreFault::kBusy) return channel->Answer(Head(503), "");
+  if (this->fault == StoreFault::kBusy) return channel->Answer(Head(503), kUnavailableBody);
   std::map<std::string, std::string> query = Query(request.head.target);
   this->must_hold_answer = !this->held_topic.empty() && query["topic"] == this->held_topic;
   if (!this->rejected_topic.empty() && query["topic"] == this->rejected_topic) {
-    return channel->Answer(Head(503), "");
+    return channel->Answer(Head(503), kUnavailableBody);
   }
   Topic& topic = this->topics[query["topic"]];
   const std::string path = request.head.target.substr(0, request.head.target.find('?'));
@@ -183,7 +186,7 @@
     this->Put(query["topic"], request.body.substr(5, key_size), request.body.substr(5 + key_size));
     channel->Answer(Head(200), "{}");
   } else {
-    channel->Answer(Head(404), "");
+    channel->Answer(Head(404), kNotFoundBody);
   }
 }
 
