Bound what HTTP parsers and request channels keep of an answer without end

Callers of an engine in trouble waited until their deadline, and the gateway's memory grew with what came.

Cause: Beast bounds a head only. The line before a chunk and the trailer fields were buffered whatever their length. A request channel skipped any number of interim answers and of answers to other requests.

Ruled out: heads; Beast's limit of 8 KB held (it is now stated, 16 KB as for requests).

Change: what cannot be parsed yet is at most 16 KB, for answers and for requests. Bytes are parsed where they are and only the rest is copied. A channel skips at most 16 answers and 256 KB for one request, then it is broken.

Test: message_parser_test WhatCannotBeParsedYetIsBounded.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -4,6 +4,7 @@
 
 #include "http/message_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -105,27 +106,39 @@
   return ParseState::kMalformed;
 }
 
-// Parses as much of `unread` as possible, until the end of one message, and removes the
-// parsed bytes from it.
+// Parses as much of `bytes` as possible, until the end of one message, and sets `*parsed` to the
+// number of bytes parsed.
 template <typename Parser>
-ParseState ParseBuffered(Parser* parser, std::string* unread) {
-  size_t offset = 0;
-  ParseState state = ParseState::kNeedMore;
-  while (!parser->is_done() && offset < unread->size()) {
+ParseState Parse(Parser* parser, std::string_view bytes, size_t* parsed) {
+  while (!parser->is_done() && *parsed < bytes.size()) {
     ErrorCode error;
-    size_t parsed =
-        parser->put(boost::asio::buffer(unread->data() + offset, unread->size() - offset), error);
-    offset += parsed;
+    size_t count =
+        parser->put(boost::asio::buffer(bytes.data() + *parsed, bytes.size() - *parsed), error);
+    *parsed += count;
     if (error == http::error::need_more) break;
-    if (error) {
-      state = StateOf(error);
-      break;
-    }
-    if (parsed == 0) break;
+    if (error) return StateOf(error);
+    if (count == 0) break;
+  }
+  return parser->is_done() ? ParseState::kComplete : ParseState::kNeedMore;
+}
+
+// Parses `unread` and then `bytes`, and leaves in `unread` what could not be parsed.  At most
+// `max_unread` bytes may be left of an incomplete message.
+template <typename Parser>
+ParseState ParseBuffered(Parser* parser, std::string_view bytes, size_t max_unread,
+                         std::string* unread) {
+  size_t parsed = 0;
+  ParseState state = ParseState::kNeedMore;
+  if (unread->empty()) {
+    state = Parse(parser, bytes, &parsed);
+    unread->assign(bytes.substr(parsed));
+  } else {
+    unread->append(bytes);
+    state = Parse(parser, *unread, &parsed);
+    unread->erase(0, parsed);
   }
-  unread->erase(0, offset);
-  if (state == ParseState::kNeedMore && parser->is_done()) state = ParseState::kComplete;
-  return state;
+  bool is_too_long = state == ParseState::kNeedMore && unread->size() > max_unread;
+  return is_too_long ? ParseState::kHeadTooLarge : state;
 }
 
 }  // namespace
@@ -157,8 +170,8 @@
 RequestParser::~RequestParser() = default;
 
 ParseState RequestParser::Feed(std::string_view bytes) {
-  this->impl->unread.append(bytes);
-  return ParseBuffered(&*this->impl->parser, &this->impl->unread);
+  size_t max_unread = std::max(this->impl->limits.head_bytes, kMaxResponseHeadBytes);
+  return ParseBuffered(&*this->impl->parser, bytes, max_unread, &this->impl->unread);
 }
 
 void RequestParser::Next() { this->impl->Next(); }
@@ -173,6 +186,7 @@
 
   void Next(bool no_body) {
     this->parser.emplace(&this->hooks.head, &this->hooks.body);
+    this->parser->header_limit(kMaxResponseHeadBytes);
     this->parser->body_limit(kNoLimit);
     this->parser->skip(no_body);
   }
@@ -187,8 +201,7 @@
 ResponseParser::~ResponseParser() = default;
 
 ParseState ResponseParser::Feed(std::string_view bytes) {
-  this->impl->unread.append(bytes);
-  return ParseBuffered(&*this->impl->parser, &this->impl->unread);
+  return ParseBuffered(&*this->impl->parser, bytes, kMaxResponseHeadBytes, &this->impl->unread);
 }
 
 ParseState ResponseParser::FeedEnd() {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -12,6 +12,9 @@
 // requests are therefore handled one at a time, and has_surplus detects an answer without
 // a request.
 //
+// What cannot be parsed yet is bounded: a head, the line before a chunk, and the trailer fields
+// after the last one must each fit into a limit, since a peer in trouble may send them without end.
+//
 // Messages whose framing is ambiguous (two lengths, a length beside chunks, a transfer
 // coding other than chunked) are malformed: if they were forwarded, a sender could hide a
 // second request in the body of the first (request smuggling).
@@ -61,11 +64,16 @@
   kNeedMore,
   // The message has been read to its end.
   kComplete,
+  // The head, the line before a chunk with its extensions, or the trailer is over the limit.
   kHeadTooLarge,
   kBodyTooLarge,
   kMalformed,
 };
 
+// The largest head of an answer in bytes.  The line before a chunk and the trailer, of answers and
+// of requests, have the same limit.
+inline constexpr uint32_t kMaxResponseHeadBytes = 16 << 10;
+
 // Limits in bytes.  A request without a body has a body of zero bytes.
 struct ParseLimits {
   uint32_t head_bytes = 16 << 10;
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -42,12 +42,7 @@
 RequestChannel::RequestChannel(std::shared_ptr<TcpStream> tcp)
     : stream(std::move(tcp)),
       parser({.head = [this](const ResponseHead& head) { this->OnHead(head); },
-              .body =
-                  [this](std::string_view bytes) {
-                    bool wanted =
-                        !this->closed && !this->skipping && this->hooks && this->hooks->body;
-                    if (wanted) this->hooks->body(bytes);
-                  }}) {}
+              .body = [this](std::string_view bytes) { this->OnBody(bytes); }}) {}
 
 RequestChannel::~RequestChannel() { this->Close(); }
 
@@ -56,6 +51,8 @@
   this->is_head_request = is_head;
   this->received_bytes = false;
   this->skipping = false;
+  this->skipped_answers = 0;
+  this->skipped_bytes = 0;
   this->is_fit_for_reuse = false;
   this->parser.Next(is_head);
   this->stream->Write(request);
@@ -75,11 +72,17 @@
 
 void RequestChannel::ReadAnswers(ParseState state) {
   while (state == ParseState::kComplete && this->skipping && !this->closed) {
+    if (this->HasSkippedTooMuch()) break;
     this->skipping = false;
     this->parser.Next(this->is_head_request);
     state = this->parser.Feed("");
   }
-  if (this->closed || state == ParseState::kNeedMore) return;
+  if (this->closed) return;
+  if (this->HasSkippedTooMuch()) {
+    this->Finish(ChannelResult::kBroken);
+    return;
+  }
+  if (state == ParseState::kNeedMore) return;
   if (state == ParseState::kComplete) {
     this->OnAnswerComplete();
   } else {
@@ -92,12 +95,28 @@
   bool is_interim = head.status < kFirstFinalStatus;
   bool is_ours = !this->hooks->accepts || this->hooks->accepts(head);
   this->skipping = is_interim || !is_ours;
-  if (this->skipping) return;
+  if (this->skipping) {
+    this->skipped_answers += 1;
+    return;
+  }
   this->keep_alive_after_answer = head.keep_alive && !head.ends_with_connection;
   this->keep_alive_timeout = KeepAliveTimeout(head);
   if (this->hooks->head) this->hooks->head(head);
 }
 
+void RequestChannel::OnBody(std::string_view bytes) {
+  if (this->closed || !this->hooks) return;
+  if (this->skipping) {
+    this->skipped_bytes += bytes.size();
+  } else if (this->hooks->body) {
+    this->hooks->body(bytes);
+  }
+}
+
+bool RequestChannel::HasSkippedTooMuch() const {
+  return this->skipped_answers > kMaxSkippedAnswers || this->skipped_bytes > kMaxSkippedBytes;
+}
+
 void RequestChannel::OnAnswerComplete() {
   bool all_sent = this->stream->pending() == 0;
   this->is_fit_for_reuse = this->keep_alive_after_answer && all_sent && !this->parser.has_surplus();
--- a/src/http/request_channel.h
+++ b/src/http/request_channel.h
@@ -6,8 +6,9 @@
 //
 // After `done` has reported a whole answer, the channel can carry the next request if
 // reusable() is true.  An answer for which `accepts` returns false belongs to an earlier
-// request: the channel discards it and waits for the next answer.  For each Send, `done`
-// is called once, after all other hooks.  No hook is called after Close.
+// request: the channel discards it and waits for the next answer.  The number of answers and of
+// bytes that are discarded for one request is bounded.  For each Send, `done` is called once, after
+// all other hooks.  No hook is called after Close.
 
 #ifndef GULLWARD_HTTP_REQUEST_CHANNEL_H_
 #define GULLWARD_HTTP_REQUEST_CHANNEL_H_
@@ -30,12 +31,18 @@
   kNotSent,
   // A reused connection was closed before any byte of an answer arrived.
   kClosedUnanswered,
-  // The connection ended before the answer was complete, or the answer is not valid HTTP.
+  // The connection ended before the answer was complete, the answer is not valid HTTP, or too much
+  // came that is not the answer.
   kBroken,
 };
 
 class RequestChannel : public std::enable_shared_from_this<RequestChannel> {
  public:
+  // Interim answers and answers to earlier requests that may come ahead of the answer, and bytes
+  // that their bodies may have in all.
+  static constexpr int kMaxSkippedAnswers = 16;
+  static constexpr size_t kMaxSkippedBytes = 256 << 10;
+
   struct Hooks {
     // Whether an answer belongs to this request.  If not set, every answer does.
     std::function<bool(const ResponseHead&)> accepts;
@@ -78,6 +85,8 @@
   void OnData(std::string_view bytes);
   void OnClosed(StreamEnd end);
   void OnHead(const ResponseHead& head);
+  void OnBody(std::string_view bytes);
+  bool HasSkippedTooMuch() const;
   void OnAnswerComplete();
   void ReadAnswers(ParseState state);
   void Finish(ChannelResult result);
@@ -91,6 +100,9 @@
   bool received_bytes = false;
   // The answer that is being read belongs to an earlier request, or is interim (1xx).
   bool skipping = false;
+  // What was skipped since the last request was sent.
+  int skipped_answers = 0;
+  size_t skipped_bytes = 0;
   bool keep_alive_after_answer = false;
   bool is_fit_for_reuse = false;
   bool closed = false;
--- a/src/http/testing/message_parser_test.cc
+++ b/src/http/testing/message_parser_test.cc
@@ -147,6 +147,40 @@
   }
 }
 
+// Guards against memory that grows with a head, a chunk's line or a trailer that never ends.
+BOOST_AUTO_TEST_CASE(WhatCannotBeParsedYetIsBounded) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> table[] = {
+      {"HTTP/1.1 200 ", "a"},
+      {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+      {"HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
+      {chunked + "1;", "a"},
+      {chunked + "1;a=\"", "b"},
+      {chunked + "0;", "a"},
+      {chunked + "0\r\nX-A: ", "a"},
+      {chunked + "0\r\n", "X-A: a\r\n"},
+  };
+  for (const auto& [prefix, filler] : table) {
+    for (size_t step : {size_t{1}, size_t{1000}, size_t{64 << 10}}) {
+      BOOST_TEST_CONTEXT(prefix << ", " << step << " bytes at a time") {
+        std::string text = prefix;
+        while (text.size() < 4 * kMaxResponseHeadBytes) text += filler;
+        ResponseParser parser(
+            {.head = [](const ResponseHead&) {}, .body = [](std::string_view) {}});
+        parser.Next(/*no_body=*/false);
+        ParseState state = ParseState::kNeedMore;
+        for (size_t at = 0; at < text.size() && state == ParseState::kNeedMore; at += step) {
+          state = parser.Feed(std::string_view(text).substr(at, step));
+        }
+        BOOST_TEST((state == ParseState::kHeadTooLarge));
+      }
+    }
+  }
+  std::string extension = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" +
+                          std::string(2 * kMaxResponseHeadBytes, 'a');
+  BOOST_TEST((ParseRequest(extension, 1000).state == ParseState::kHeadTooLarge));
+}
+
 bool IsModelField(std::string_view name) { return SameHeaderName(name, "Model"); }
 
 BOOST_AUTO_TEST_CASE(ConnectionRemovesHopByHopFieldsButNotKeptFields) {
