The event splitter searches each byte once

Other callers were delayed while one engine sent an event without end.

Cause: with each piece the splitter searched the whole unfinished event again, so the time grew with the square of its size.

Ruled out: the copy of each piece, which is linear.

Change: the splitter remembers up to where no event ends.

Test: AnEventInManyPiecesIsSearchedOnce feeds 256 KB byte by byte.

--- a/src/serving/event_splitter.cc
+++ b/src/serving/event_splitter.cc
@@ -2,15 +2,20 @@
 
 #include "serving/event_splitter.h"
 
+#include <algorithm>
+
 #include "absl/strings/strip.h"
 #include "base/absl_view.h"
 
 namespace gullward {
 namespace {
 
-// The size of the first complete event in `bytes`; 0 if there is none.
-size_t EndOfEvent(std::string_view bytes) {
-  size_t line_end = bytes.find('\n');
+// The bytes of a line end and a blank line less one: an end of an event may reach back so far.
+constexpr size_t kMaxUnfinishedEnd = 2;
+
+// The size of the first complete event in `bytes`; 0 if there is none.  None ends before `from`.
+size_t EndOfEvent(std::string_view bytes, size_t from) {
+  size_t line_end = bytes.find('\n', from);
   while (line_end != std::string_view::npos) {
     size_t next = line_end + 1;
     if (next < bytes.size() && bytes[next] == '\r') ++next;
@@ -44,14 +49,17 @@
   this->partial.append(bytes);
   WholeEvents events;
   size_t done = 0;
-  while (size_t size = EndOfEvent(std::string_view(this->partial).substr(done))) {
+  size_t from = this->searched;
+  while (size_t size = EndOfEvent(std::string_view(this->partial).substr(done), from)) {
     std::optional<std::string> id = IdOf(std::string_view(this->partial).substr(done, size));
     if (id) events.last_id = std::move(id);
     done += size;
     events.count += 1;
+    from = 0;
   }
   events.bytes = this->partial.substr(0, done);
   this->partial.erase(0, done);
+  this->searched = this->partial.size() - std::min(this->partial.size(), kMaxUnfinishedEnd);
   return events;
 }
 
--- a/src/serving/event_splitter.h
+++ b/src/serving/event_splitter.h
@@ -2,7 +2,8 @@
 //
 // An engine may stop in the middle of an event.  The bytes sent to the caller must end between
 // events, so that another engine can resume the stream after the last complete one.  The splitter
-// therefore holds back the bytes of an incomplete event.
+// therefore holds back the bytes of an incomplete event.  Each byte is searched once, however many
+// pieces the event comes in; the owner bounds its size.
 //
 //   EventSplitter splitter;
 //   WholeEvents events = splitter.Feed(bytes);
@@ -35,9 +36,13 @@
 
   // Whether bytes of an incomplete event are held back.
   bool has_partial_event() const { return !this->partial.empty(); }
+  // Number of these bytes.
+  size_t partial_bytes() const { return this->partial.size(); }
 
  private:
   std::string partial;
+  // No event ends before this position of `partial`.
+  size_t searched = 0;
 };
 
 }  // namespace gullward
--- a/src/serving/testing/serving_test.cc
+++ b/src/serving/testing/serving_test.cc
@@ -175,6 +175,20 @@
   BOOST_TEST(splitter.Feed("id: 3\r\ndata: x\r\n\r\n").last_id.value_or("") == "3");
 }
 
+// Guards against searching an unfinished event anew with each piece: a quarter of a megabyte byte
+// by byte would then take minutes.
+BOOST_AUTO_TEST_CASE(AnEventInManyPiecesIsSearchedOnce) {
+  for (const std::string& line : {std::string("a"), std::string("a\n"), std::string("a\r\n")}) {
+    std::string text = "data: ";
+    while (text.size() < 256 << 10) text += line;
+    EventSplitter splitter;
+    for (char byte : text) BOOST_REQUIRE(splitter.Feed(std::string_view(&byte, 1)).count == 0);
+    BOOST_TEST(splitter.partial_bytes() == text.size());
+    BOOST_TEST(splitter.Feed("\n\nid: 1\n\n").count >= 1);
+    BOOST_TEST(!splitter.has_partial_event());
+  }
+}
+
 const Route* ReferenceFindRoute(const ServingConfig& config, const std::string& host,
                                 const std::string& path) {
   const Route* best = nullptr;
