Attempts whose answer does not end are abandoned early

Cause: the body of a failure and an unfinished event were held without a limit, and every byte counted as progress, so the silence timeout did not end the attempt.

Ruled out: successful plain answers; these are passed on beyond 256 KB while the caller reads.

Change: what a request holds of an unfinished answer is bounded (256 KB), and what all hold together (16 MB; the answer is then passed on, or the attempt ended, sooner). Of a body that is not needed, 64 KB and 250 ms are spent to keep the connection. Bytes within an event are no progress. Beyond these the attempt is abandoned and the request goes to another engine if it may run again; otherwise it fails with 502 at once.

A failure of over 256 KB becomes a 502.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -18,11 +18,9 @@
 namespace gullward {
 namespace {
 
-// A plain answer of up to this many bytes is held until it is whole, so that the request can be
-// sent to another engine if the connection breaks, without any effect on the caller.
-constexpr size_t kMaxHeldAnswerBytes = 256 << 10;
-// While the caller has more unread bytes than this, nothing is read from the engine.
-constexpr size_t kMaxUnreadBytes = 256 << 10;
+// Of a body that is not needed, at most this many bytes are read.  A connection of which less is
+// left to read is cheaper to keep than to replace.
+constexpr size_t kMaxDroppedBytes = 64 << 10;
 // A request whose timeout is below this share of the route's timeout counts as a caller's
 // repeated try: the caller has spent the rest of the time on earlier tries.
 constexpr double kFirstTryShare = 0.95;
@@ -36,7 +34,8 @@
       request(std::move(caller_request)),
       facts(ReadFacts(request.head)),
       config(gateway_state->config),
-      times(this->request.arrived) {}
+      times(this->request.arrived),
+      unread(gateway_state->unread_answers) {}
 
 void Exchange::Start(Time now) {
   this->state->counters.requests += 1;
@@ -128,6 +127,7 @@
   this->attempt->choice = choice;
   this->attempt->sent = now;
   this->attempt->last_progress = now;
+  this->attempt->held = ByteReservation(this->state->held_answers);
   this->state->fleet.NoteSent(choice.engine, now);
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   this->LogAttempt(choice, now);
@@ -196,6 +196,7 @@
 void Exchange::OnHead(const ResponseHead& head) {
   if (!this->attempt) return;
   this->attempt->last_progress = Now();
+  this->attempt->head_at = this->attempt->last_progress;
   this->attempt->head = head;
   ReceiveNotice(this->state, this->attempt->choice.engine, head, this->attempt->sent);
   AnswerFacts answer;
@@ -221,17 +222,19 @@
 
 void Exchange::OnBody(std::string_view bytes) {
   if (!this->attempt) return;
-  this->attempt->last_progress = Now();
   if (this->attempt->head_result != AttemptResult::kSuccess) {
+    this->attempt->last_progress = Now();
     this->HoldFailure(bytes);
     return;
   }
   if (this->admission.route->streaming) {
     this->ForwardEvents(bytes);
   } else {
+    this->attempt->last_progress = Now();
     this->ForwardBody(bytes);
   }
-  if (this->attempt && this->caller->pending() > kMaxUnreadBytes) {
+  bool may_read_on = this->unread.Set(this->caller->pending()) || this->caller->pending() == 0;
+  if (this->attempt && !may_read_on) {
     this->attempt->channel->SetReading(false);
     // Events now wait for the caller, which proves nothing of the engine's pace.
     this->attempt->gaps = GapSpan{};
@@ -239,8 +242,17 @@
 }
 
 void Exchange::ForwardEvents(std::string_view bytes) {
+  bool is_within_event = this->attempt->events.has_partial_event();
   WholeEvents whole = this->attempt->events.Feed(bytes);
-  if (whole.count == 0) return;
+  // An engine that never ends its event makes no progress.
+  if (whole.count > 0 || !is_within_event) this->attempt->last_progress = Now();
+  if (whole.count > 0) this->PassOnEvents(whole);
+  if (!this->attempt->held.Set(this->attempt->events.partial_bytes()) && this->BoundsAnswers()) {
+    this->AbandonAnswer("event");
+  }
+}
+
+void Exchange::PassOnEvents(const WholeEvents& whole) {
   if (!this->attempt->any_event) this->NoteFirstEvent();
   this->NoteEvent(whole.count);
   this->state->counters.events_forwarded += static_cast<uint64_t>(whole.count);
@@ -280,8 +292,38 @@
          (result == AttemptResult::kEngineFailure || result == AttemptResult::kRejected);
 }
 
+// Keeps the body of a failure that may become the caller's answer.  Any other is read and dropped,
+// so that the connection can be used again.
 void Exchange::HoldFailure(std::string_view bytes) {
-  if (this->IsDeliverableFailure()) this->attempt->body.append(bytes);
+  bool is_bounded = false;
+  if (this->IsDeliverableFailure()) {
+    this->attempt->body.append(bytes);
+    is_bounded = this->attempt->held.Set(this->attempt->body.size());
+  } else {
+    this->attempt->dropped_bytes += bytes.size();
+    is_bounded = this->attempt->dropped_bytes <= kMaxDroppedBytes;
+  }
+  if (!is_bounded && this->BoundsAnswers()) this->AbandonAnswer("failure");
+}
+
+bool Exchange::BoundsAnswers() const { return this->state->fleet.mechanisms().bound_answers; }
+
+// Ends an attempt whose answer does not end.
+void Exchange::AbandonAnswer(std::string_view reason) {
+  this->state->counters.answers_abandoned += 1;
+  this->state->log->Write(this->Line("answer_abandoned")
+                              .Text("engine", this->attempt->choice.engine.Incarnation())
+                              .Number("status", this->attempt->head.status)
+                              .Text("part", std::string(reason)));
+  // An answer that is not whole promises nothing to a request that must not run twice.
+  AttemptResult result = this->attempt->head_result;
+  bool counts_as_not_run =
+      this->admission.route->repeat != Repeat::kNever &&
+      (result == AttemptResult::kNotRun || result == AttemptResult::kWrongEngine);
+  if (!counts_as_not_run) result = AttemptResult::kUnknown;
+  this->attempt->channel->Close();
+  this->NoteHealth(result, ChannelResult::kBroken);
+  this->AfterAttempt(result);
 }
 
 // Passes on the body of a successful plain answer.
@@ -291,9 +333,10 @@
     return;
   }
   this->attempt->body.append(bytes);
-  if (this->attempt->body.size() <= kMaxHeldAnswerBytes) return;
+  if (this->attempt->held.Set(this->attempt->body.size())) return;
   this->BeginAnswer(this->attempt->head.content_length);
   this->caller->WritePart(std::exchange(this->attempt->body, {}));
+  this->attempt->held.Set(0);
 }
 
 void Exchange::BeginAnswer(std::optional<uint64_t> length) {
@@ -523,6 +566,7 @@
 }
 
 void Exchange::CallerDrained() {
+  this->unread.Set(0);
   if (this->attempt) this->attempt->channel->SetReading(true);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,9 @@
 //   exchange->Start(now);
 //   exchange->Tick(now);           // every few milliseconds, until finished()
 //
+// An attempt that gets bytes that are no answer and do not end is abandoned, and the request goes
+// to another engine if it may run again.  What is held for a request is bounded (gateway_state.h).
+//
 // Every request ends in one of four ways: a whole answer from an engine, a failure answer
 // from the gateway (failure_answer.h), an answer that is broken off by a connection reset,
 // or a caller that disconnects.
@@ -72,11 +75,17 @@
     ResponseHead head;
     // The result that the answer's head implies.  ResultOf adds how the connection ended.
     AttemptResult head_result = AttemptResult::kUnknown;
+    // When the head came; empty before.
+    std::optional<Time> head_at;
     // How the connection ended; empty while it is in use.
     std::optional<ChannelResult> ended;
-    // The part of the answer that is held back until the answer is whole.
+    // The part of the answer that is held back until the answer is whole.  Either `body` or the
+    // unfinished event of `events` is in use; `held` counts its bytes.
     std::string body;
     EventSplitter events;
+    ByteReservation held;
+    // Bytes of a body that is read only to use the connection again.
+    size_t dropped_bytes = 0;
     bool any_event = false;
     // The last events, by which the engine's pace is judged.
     GapSpan gaps;
@@ -110,11 +119,15 @@
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void ForwardEvents(std::string_view bytes);
+  void PassOnEvents(const WholeEvents& whole);
   void NoteEvent(int events);
   void NoteFirstEvent();
   void LogAnswered();
   bool IsDeliverableFailure() const;
   void HoldFailure(std::string_view bytes);
+  bool BoundsAnswers() const;
+  bool IsFailureOverdue(Time now) const;
+  void AbandonAnswer(std::string_view reason);
   void ForwardBody(std::string_view bytes);
   void OnDone(ChannelResult result);
   void ConcludeAttempt(ChannelResult result);
@@ -192,6 +205,8 @@
   // Whether the connection of the last attempt broke before its answer was complete.
   bool broke_off = false;
   AnswerTimes times;
+  // The bytes that the caller has not read yet.
+  ByteReservation unread;
   // Whether the caller has been sent a part of the answer.
   bool answer_begun = false;
   bool is_finished = false;
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -4,6 +4,8 @@
 //     request fails with a code that does not say whether it ran.
 //   - When the engine has been silent for longer than its expected next event and its load
 //     explain, the attempt is abandoned and sent to another engine, if the request may run again.
+//   - When the rest of a failure that is not needed keeps the attempt from ending, the attempt is
+//     abandoned.
 //   - While the connection to the engine is not established, the attempt is withdrawn if the
 //     engine leaves or asks for a rest.
 
@@ -11,6 +13,12 @@
 #include "serving/silence_timeout.h"
 
 namespace gullward {
+namespace {
+
+// How long after its head the body of a failure that is not needed may take.
+constexpr Duration kMaxFailureTime = milliseconds(250);
+
+}  // namespace
 
 // The time in milliseconds in which the engine is expected to send its next event, or a plain
 // service its answer.
@@ -39,6 +47,10 @@
     this->Withdraw(now);
     return;
   }
+  if (this->IsFailureOverdue(now)) {
+    this->AbandonAnswer("failure");
+    return;
+  }
   if (!this->state->fleet.mechanisms().leave_silent_engines) return;
   if (this->IsTooSilent(now) && this->MayTryAnotherEngine(now)) this->LeaveSilentEngine(now);
 }
@@ -69,6 +81,18 @@
   return this->state->fleet.RetryBucketOf(this->service->name).Available(now) >= 1;
 }
 
+// Whether the attempt has failed, its body is not needed, and that body has not ended in time.  It
+// is needed if the failure is to be the caller's answer, or if only a whole answer can show that
+// the request has not run.
+bool Exchange::IsFailureOverdue(Time now) const {
+  bool has_failed = this->attempt->head_at && this->attempt->head_result != AttemptResult::kSuccess;
+  if (!has_failed || now - *this->attempt->head_at < kMaxFailureTime) return false;
+  if (this->admission.route->repeat == Repeat::kNever || !this->BoundsAnswers()) return false;
+  bool may_retry_failure =
+      this->attempt->head_result == AttemptResult::kEngineFailure && this->MayTryAnotherEngine(now);
+  return !this->IsDeliverableFailure() || may_retry_failure;
+}
+
 void Exchange::LeaveSilentEngine(Time now) {
   Duration silent = now - this->attempt->last_progress;
   this->state->log->Write(this->Line("engine_silent")
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <random>
 
+#include "base/byte_budget.h"
 #include "base/result_code.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
@@ -37,6 +38,8 @@
   // Answers of engines that were forwarded whole, and answers that were broken off.
   uint64_t answers_whole = 0;
   uint64_t answers_broken = 0;
+  // Attempts that were ended because what the engine sent did not end (exchange.h).
+  uint64_t answers_abandoned = 0;
   uint64_t callers_gone = 0;
   // Connections that were closed unread for other gateways to read (caller_handoff.h).
   uint64_t callers_handed_off = 0;
@@ -81,6 +84,16 @@
   return prompt_tokens < 110'000 ? "middle" : "vast";
 }
 
+// A plain answer, a failure, or an unfinished event of up to kMaxHeldAnswerBytes is held until it
+// is whole, so that the request can be sent to another engine without any effect on the caller. All
+// requests together hold at most kMaxHeldBytes.
+inline constexpr size_t kMaxHeldAnswerBytes = 256 << 10;
+inline constexpr size_t kMaxHeldBytes = 16 << 20;
+// While a caller has more unread bytes than kMaxUnreadBytes, or callers have kMaxAllUnreadBytes
+// together, nothing more is read for that caller from its engine.
+inline constexpr size_t kMaxUnreadBytes = 256 << 10;
+inline constexpr size_t kMaxAllUnreadBytes = 32 << 20;
+
 struct GatewayState {
   GatewayState(EventLoop* event_loop, const GatewaySettings& gateway_settings, EventLog* event_log,
                uint64_t random_seed, Time started)
@@ -117,6 +130,11 @@
   // What engine time is worth, and how much of each route is served.
   RoomPrice room_price;
   EnginePool pool;
+  // What requests hold of answers that are not whole, and what callers have not read yet.
+  std::shared_ptr<ByteBudget> held_answers =
+      std::make_shared<ByteBudget>(kMaxHeldAnswerBytes, kMaxHeldBytes);
+  std::shared_ptr<ByteBudget> unread_answers =
+      std::make_shared<ByteBudget>(kMaxUnreadBytes, kMaxAllUnreadBytes);
   StartSteps start;
   std::mt19937_64 random;
   // A random number that distinguishes this process from earlier ones of the same box.
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -26,6 +26,8 @@
         counters.decisions_awaited);
   count("gullward_answers_total", "Answers passed on whole", counters.answers_whole);
   count("gullward_answers_broken_total", "Answers broken off", counters.answers_broken);
+  count("gullward_answers_abandoned_total", "Attempts ended since what the engine sent did not end",
+        counters.answers_abandoned);
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_callers_handed_off_total",
         "Connections closed unread, for other gateways to read", counters.callers_handed_off);
--- a/src/gateway/testing/gateway_fixture.cc
+++ b/src/gateway/testing/gateway_fixture.cc
@@ -238,6 +238,10 @@
   return replies;
 }
 
+void GatewayFixture::StopReading() {
+  for (const auto& channel : this->callers) channel->SetReading(false);
+}
+
 int GatewayFixture::RunsOf(const std::string& id) const {
   int runs = 0;
   auto count = [&](const std::vector<std::unique_ptr<EngineStandin>>& list) {
--- a/src/gateway/testing/gateway_fixture.h
+++ b/src/gateway/testing/gateway_fixture.h
@@ -113,6 +113,8 @@
   std::vector<std::shared_ptr<Reply>> SendMany(
       int count, const std::string& name, Duration pause,
       const std::function<std::string(const std::string& id)>& make);
+  // Callers read nothing more of their answers.
+  void StopReading();
   // Closes the connections of all callers.
   void DropCallers() { this->callers.clear(); }
 
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -100,6 +100,9 @@
   // A gateway that cannot keep up with a surge of connections closes some unread
   // (gateway/caller_handoff.h).  Off: each request waits behind all others.
   bool caller_handoff = true;
+  // An attempt that gets a failure or an event without end is ended early (gateway/exchange.h).
+  // Off: it lasts until the request's deadline, and what it sends is kept.
+  bool bound_answers = true;
   // Crashes count against the parts of prompts, not only against whole contents (quarantine.h).
   // Off: requests that differ in content are each sent to engines until three have crashed.
   bool part_quarantine = true;
@@ -163,6 +166,7 @@
     {"quarantine", &Mechanisms::quarantine},
     {"confirm_stream_end", &Mechanisms::confirm_stream_end},
     {"caller_handoff", &Mechanisms::caller_handoff},
+    {"bound_answers", &Mechanisms::bound_answers},
     {"part_quarantine", &Mechanisms::part_quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
