Answers of the store and of peers are bounded in size and time

A store or peer whose answer does not end held up the call for as long as bytes came, and all of it was kept.

Cause: StoreClient appended the body without a limit, and a call whose answer was arriving did not time out.

Ruled out: datagrams of peers and orders to engines; the former are bounded by their size, the latter by 250 ms.

Change: an answer is at most 12 MB (twice the largest planned configuration in base64), all of a process 24 MB, and it arrives within five seconds of its head. Otherwise the call fails, as after a lost connection, and is tried again as before.

Test: endless_store_test, twelve answers without end, fast and as a trickle. Before, by reading: no bound; the test was not run on that code.

Conclusion: a server in trouble costs one call.

--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -7,6 +7,22 @@
 #include "absl/strings/str_cat.h"
 
 namespace gullward {
+namespace {
+
+const std::shared_ptr<ByteBudget>& AnswerBudget() {
+  static const auto* const budget = new std::shared_ptr<ByteBudget>(
+      std::make_shared<ByteBudget>(StoreClient::kMaxAnswerBytes, StoreClient::kMaxBytesInAll));
+  return *budget;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(EventLoop* event_loop, SocketAddress store_address,
+                         StoreReturns* store_returns)
+    : loop(event_loop),
+      address(std::move(store_address)),
+      returns(store_returns),
+      held(AnswerBudget()) {}
 
 void StoreClient::Call(const platform::StoreRequest& call, Duration timeout, Done done) {
   bool usable = this->channel && this->channel->reusable();
@@ -24,15 +40,8 @@
   request += call.body;
 
   RequestChannel::Hooks hooks;
-  hooks.head = [this](const ResponseHead& head) {
-    this->last_progress = Now();
-    this->incoming.status = head.status;
-    this->incoming.epoch = platform::ParseStoreEpoch(head.headers);
-  };
-  hooks.body = [this](std::string_view bytes) {
-    this->last_progress = Now();
-    this->incoming.body.append(bytes);
-  };
+  hooks.head = [this](const ResponseHead& head) { this->OnHead(head); };
+  hooks.body = [this, number](std::string_view bytes) { this->OnBody(number, bytes); };
   hooks.done = [this, number](ChannelResult result) {
     if (result == ChannelResult::kWholeAnswer) {
       this->OnWholeAnswer(number);
@@ -44,6 +53,22 @@
   this->ScheduleTimeout(number, timeout);
 }
 
+void StoreClient::OnHead(const ResponseHead& head) {
+  this->last_progress = this->head_at = Now();
+  this->incoming.status = head.status;
+  this->incoming.epoch = platform::ParseStoreEpoch(head.headers);
+}
+
+void StoreClient::OnBody(uint64_t number, std::string_view bytes) {
+  this->last_progress = Now();
+  this->incoming.body.append(bytes);
+  bool is_too_large = !this->held.Set(this->incoming.body.size());
+  bool is_too_slow = this->last_progress - this->head_at > kMaxTransferTime;
+  if (is_too_large || is_too_slow) {
+    this->FinishUnanswered(number, is_too_large ? "answer too large" : "answer too slow");
+  }
+}
+
 void StoreClient::ScheduleTimeout(uint64_t number, Duration after) {
   this->loop->RunAfter(after, [this, number] {
     if (!this->IsPending(number)) return;
@@ -73,6 +98,8 @@
 
 void StoreClient::Cancel() {
   this->pending = nullptr;
+  this->incoming = {};
+  this->held.Set(0);
   if (this->channel) this->channel->Close();
   this->channel.reset();
 }
@@ -88,7 +115,7 @@
 void StoreClient::OnWholeAnswer(uint64_t number) {
   if (this->returns != nullptr && this->IsPending(number)) this->returns->RecordAnswer();
   if (this->IsUsable(this->incoming)) {
-    this->Finish(number, StoreAnswer(this->incoming));
+    this->Finish(number, std::exchange(this->incoming, {}));
   } else {
     this->Finish(number, {0, "", "answer from before the store's return", std::nullopt});
   }
@@ -105,6 +132,8 @@
     this->channel->Close();
     this->channel.reset();
   }
+  this->incoming = {};
+  this->held.Set(0);
   Done done = std::exchange(this->pending, nullptr);
   done(answer);
 }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -4,7 +4,9 @@
 //   client.Call(call, seconds(1), [](const StoreAnswer& answer) { ... });
 //
 // Every call gets exactly one answer: the store's answer, or a failure after a timeout or a lost
-// connection.  Anything received for the call after that is ignored.  An answer from before the
+// connection.  Anything received for the call after that is ignored.  The size of an answer and the
+// time in which it arrives are bounded, so that a server that sends without end holds up one call
+// only for a while, and takes little memory.  An answer from before the
 // store's return from an older copy counts as a failure (store_returns.h).
 
 #ifndef GULLWARD_GATEWAY_STORE_CLIENT_H_
@@ -15,6 +17,7 @@
 #include <optional>
 #include <string>
 
+#include "base/byte_budget.h"
 #include "gateway/store_returns.h"
 #include "http/request_channel.h"
 #include "platform/store_calls.h"
@@ -44,12 +47,18 @@
   // A call whose answer is still arriving does not time out, since a large configuration takes
   // longer than kAnswerTimeout on a thin link.  Bytes then arrive at least this often.
   static constexpr Duration kProgressTimeout = milliseconds(400);
+  // The longest time from the head of an answer to its end.
+  static constexpr Duration kMaxTransferTime = seconds(5);
+  // The largest body of an answer: twice the largest planned configuration, in base64.
+  static constexpr size_t kMaxAnswerBytes = 12 << 20;
+  // What all clients of the process hold of their answers together.
+  static constexpr size_t kMaxBytesInAll = 2 * kMaxAnswerBytes;
 
   using Done = std::function<void(const StoreAnswer&)>;
 
   // `store_returns` may be null; the epochs of answers are then ignored.
-  StoreClient(EventLoop* event_loop, SocketAddress store_address, StoreReturns* store_returns)
-      : loop(event_loop), address(std::move(store_address)), returns(store_returns) {}
+  // All clients of a process are used on one thread, since they share a bound on memory.
+  StoreClient(EventLoop* event_loop, SocketAddress store_address, StoreReturns* store_returns);
 
   // Sends a call.  No other call may be in progress.
   void Call(const platform::StoreRequest& call, Duration timeout, Done done);
@@ -75,6 +84,8 @@
   uint64_t calls() const { return this->call_count; }
 
  private:
+  void OnHead(const ResponseHead& head);
+  void OnBody(uint64_t number, std::string_view bytes);
   void ScheduleTimeout(uint64_t number, Duration after);
   bool IsPending(uint64_t number) const { return number == this->call_count && this->pending; }
   bool IsUsable(const StoreAnswer& answer);
@@ -88,7 +99,10 @@
   std::shared_ptr<RequestChannel> channel;
   uint64_t call_count = 0;
   StoreAnswer incoming;
+  // The bytes of its body.
+  ByteReservation held;
   Time sent_at{};
+  Time head_at{};
   // When the call was sent, or when bytes last arrived for it.
   Time last_progress{};
   Done pending;
