--- a/src/http/testing/message_parser_test.cc
+++ b/src/http/testing/message_parser_test.cc
@@ -149,6 +149,7 @@
 
 // Guards against memory that grows with a head, a chunk's line or a trailer that never ends.
 BOOST_AUTO_TEST_CASE(WhatCannotBeParsedYetIsBounded) {
+  constexpr size_t kLimit = kMaxResponseHeadBytes;
   const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::pair<std::string, std::string> table[] = {
       {"HTTP/1.1 200 ", "a"},
@@ -164,7 +165,7 @@
     for (size_t step : {size_t{1}, size_t{1000}, size_t{64 << 10}}) {
       BOOST_TEST_CONTEXT(prefix << ", " << step << " bytes at a time") {
         std::string text = prefix;
-        while (text.size() < 4 * kMaxResponseHeadBytes) text += filler;
+        while (text.size() < 4 * kLimit) text += filler;
         ResponseParser parser(
             {.head = [](const ResponseHead&) {}, .body = [](std::string_view) {}});
         parser.Next(/*no_body=*/false);
@@ -176,8 +177,8 @@
       }
     }
   }
-  std::string extension = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" +
-                          std::string(2 * kMaxResponseHeadBytes, 'a');
+  std::string extension =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(2 * kLimit, 'a');
   BOOST_TEST((ParseRequest(extension, 1000).state == ParseState::kHeadTooLarge));
 }
 
