A last chunk that comes in pieces as the first one does not trip an assertion

Cause: WhatCannotBeParsedYetIsBounded aborted under the address sanitizer: Beast 1.74 asserts five bytes when it parses a last chunk for the second time. With no chunk before it ("0\r\n", then one byte) there are four. Only debug builds check this; a release build goes on correctly. The code before had the same fault, since it fed the parser in the same way.

Change: fewer than five bytes that begin with 0 and that the parser has asked to continue wait for more.

It passes there and in the normal build now.

Conclusion: no effect on release builds but for when such bytes are parsed.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -23,6 +23,9 @@
 // Used instead of boost::none, which Beast of Boost 1.74 treats as a limit that every
 // length exceeds.
 constexpr uint64_t kNoLimit = std::numeric_limits<uint64_t>::max();
+// The bytes of the shortest last chunk with the end of its trailer.  Beast asserts that so many are
+// there when it parses a last chunk for the second time.
+constexpr size_t kMinLastChunkBytes = 5;
 
 std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -134,6 +137,8 @@
     unread->assign(bytes.substr(parsed));
   } else {
     unread->append(bytes);
+    bool is_short_last_chunk = unread->front() == '0' && unread->size() < kMinLastChunkBytes;
+    if (is_short_last_chunk) return ParseState::kNeedMore;
     state = Parse(parser, *unread, &parsed);
     unread->erase(0, parsed);
   }
