--- a/review/standins-2/crash-unframed.cc
+++ b/review/standins-2/lost-machine.cc
@@ -1,24 +1,21 @@
-// Engines that crash while they send answers without a length.
+// Machines of engines that are lost while the engines send answers without a length.
 //
-// Six engines, each a process of its own, send streams of 20 events.  For five seconds at a time,
-// one in twenty of the answers of two engines has no length and ends with its channel.  At the end
-// of each such spell one of the two is killed with SIGKILL, and replaced after 4.5 seconds by a new
-// one with a new id.  The route's requests must not run
-// twice, so the gateway can't resume such a stream; it can reset the caller's channel.
+// Six engines send streams of 20 events.  For five seconds at a time, one in twenty of the answers of
+// two engines has no length and ends with its channel.  At the end of each such spell the machine of
+// one of the two is lost for good: its channels end in order, as when the machine is shut down and
+// ends its processes, and its address says nothing any more (machine-gate.h).  A new engine with a
+// new id comes 4.5 seconds later at another address.  The streams may be resumed.
 //
-// The disruption is the crashes; with TROUBLE=0 there are none.  The rule is broken if a caller
-// gets a stream that ends as complete (with its last chunk) before its last event.
-
-#include <signal.h>
+// The disruption is the loss of machines; with TROUBLE=0 there is none.  The rule is broken if a
+// caller gets a stream that ends as complete (with its last chunk) before its last event.
 
 #include <atomic>
 #include <cmath>
-#include <cstring>
-#include <fstream>
 #include <memory>
 #include <thread>
 
 #include "deployment.h"
+#include "machine-gate.h"
 #include "model-engine.h"
 
 namespace review {
@@ -34,35 +31,17 @@
 constexpr int kUnframedEngines = 2;
 constexpr double kSpell = 5;
 constexpr double kBetweenSpells = 0.5;
-// The sites' dose for crashes: 0.17 of the engines, for 4.5 s.
+// The sites' dose for engines that crash or go dark: 0.17 of them, for 4.5 s.
 constexpr double kDown = 4.5;
 // The store drops an entry after three status reports of silence, 1.2 s each.
 constexpr double kEntryLasts = 3.6;
 constexpr int kDeadlineMs = 10'000;
 
-// The program of an engine's process: ID, the file for its port, the file for its record, a seed,
-// the share of answers without a length, and when the spells begin.
-int RunEngine(char** argv) {
-  Record record(argv[4]);
-  ModelEngine::Options options;
-  options.id = argv[2];
-  options.events = kEvents;
-  options.event_interval = kEventInterval;
-  options.seed = static_cast<unsigned>(std::atoi(argv[5]));
-  options.unframed_share = std::atof(argv[6]);
-  options.spell = kSpell;
-  options.between_spells = kBetweenSpells;
-  options.spells_begin = std::atof(argv[7]);
-  ModelEngine engine(options, &record);
-  std::ofstream(std::string(argv[3]) + ".new") << engine.port() << std::endl;
-  std::rename((std::string(argv[3]) + ".new").c_str(), argv[3]);
-  while (true) SleepFor(60);
-}
-
 struct Engine {
   bool is_unframed = false;
   std::string id;
-  pid_t pid = -1;
+  ModelEngine* model = nullptr;
+  MachineGate* machine = nullptr;
 };
 
 class Case {
@@ -73,9 +52,9 @@
   [[noreturn]] void Run();
 
  private:
-  bool StartEngine(Engine* engine);
+  void StartEngine(Engine* engine);
   void SendRequests(int caller, int port, double until);
-  void CrashEngines(double until);
+  void LoseMachines(double until);
 
   CaseOptions options;
   Record record;
@@ -88,23 +67,22 @@
   std::atomic<int> falsely_complete{0};
 };
 
-bool Case::StartEngine(Engine* engine) {
+// The engine and its machine stay in memory until the end of the program.
+void Case::StartEngine(Engine* engine) {
   engine->id = "i-" + std::to_string(++this->engines_started);
-  std::string port_file = this->options.temporary + "/" + engine->id + ".port";
-  engine->pid = StartProcess({"/proc/self/exe", "engine", engine->id, port_file,
-                              this->options.temporary + "/" + engine->id + ".record",
-                              std::to_string(this->engines_started),
-                              std::to_string(engine->is_unframed ? kUnframedShare : 0),
-                              std::to_string(this->spells_begin)},
-                             {}, this->options.temporary + "/engines.log");
-  int port = 0;
-  for (double until = Now() + 5; port == 0 && Now() < until; SleepFor(0.005)) {
-    std::ifstream(port_file) >> port;
-  }
-  if (port == 0) return false;
+  ModelEngine::Options model;
+  model.id = engine->id;
+  model.events = kEvents;
+  model.event_interval = kEventInterval;
+  model.unframed_share = engine->is_unframed ? kUnframedShare : 0;
+  model.spell = kSpell;
+  model.between_spells = kBetweenSpells;
+  model.spells_begin = this->spells_begin;
+  model.seed = static_cast<unsigned>(this->engines_started);
+  engine->model = new ModelEngine(model, &this->record);
+  engine->machine = new MachineGate(engine->model->port());
   this->record.Line(engine->id + " starts");
-  this->store.PutEngine(engine->id, EngineJson("models", port, 16));
-  return true;
+  this->store.PutEngine(engine->id, EngineJson("models", engine->machine->port(), 16));
 }
 
 void Case::SendRequests(int caller, int port, double until) {
@@ -146,7 +124,7 @@
   }
 }
 
-void Case::CrashEngines(double until) {
+void Case::LoseMachines(double until) {
   constexpr double kBeforeEndOfSpell = 0.1;
   for (int next = 0; Now() + kSpell + kBetweenSpells + kDown < until;
        next = (next + 1) % kUnframedEngines) {
@@ -155,8 +133,8 @@
     double wait = kSpell - kBeforeEndOfSpell - in_period;
     SleepFor(wait > 0 ? wait : wait + kSpell + kBetweenSpells);
     Engine& engine = this->engines[static_cast<size_t>(next)];
-    this->record.Line("SIGKILL to " + engine.id);
-    EndProcess(engine.pid);
+    this->record.Line("the machine of " + engine.id + " is lost");
+    engine.machine->Lose();
     SleepFor(kEntryLasts);
     this->store.PutEngine(engine.id, "");
     SleepFor(kDown - kEntryLasts);
@@ -168,12 +146,12 @@
   for (int i = 0; i < kEngines; ++i) {
     Engine& engine = this->engines[static_cast<size_t>(i)];
     engine.is_unframed = i < kUnframedEngines;
-    if (!this->StartEngine(&engine)) Finish(2);
+    this->StartEngine(&engine);
   }
   this->store.PutConfig(
       ConfigJson(1,
                  {RouteJson("chat", "/chat/", "streaming", "models", kDeadlineMs, 2,
-                            ",\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":500")},
+                            ",\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":500")},
                  {ModelServiceJson("models")}));
   Gateway gateway = StartGateway(this->options, "front-1", this->store.port());
   bool is_ready = WaitUntilReady(gateway, 15);
@@ -182,10 +160,9 @@
   for (int i = 0; is_ready && i < kCallers; ++i) {
     callers.emplace_back([=, this] { this->SendRequests(i, gateway.callers_port, until); });
   }
-  if (is_ready && this->options.has_trouble) this->CrashEngines(until);
+  if (is_ready && this->options.has_trouble) this->LoseMachines(until);
   for (std::thread& caller : callers) caller.join();
   EndProcess(gateway.pid);
-  for (Engine& engine : this->engines) EndProcess(engine.pid);
   this->record.Line(std::to_string(this->whole) + " whole streams, " +
                     std::to_string(this->broken_off) + " broken off visibly, " +
                     std::to_string(this->falsely_complete) +
@@ -198,6 +175,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc == 8 && std::strcmp(argv[1], "engine") == 0) return review::RunEngine(argv);
   review::Case(review::ReadCaseOptions(argc, argv)).Run();
 }
