--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -92,8 +92,9 @@
                       const std::string& more, int objective_ms) {
   return "{\"name\":\"" + name + "\",\"host\":\"review.example\",\"pathPrefix\":\"" + prefix +
          "\",\"kind\":\"" + kind + "\",\"timeoutMs\":" + std::to_string(timeout_ms) +
-         ",\"targetLatencyMs\":" + std::to_string(objective_ms) + ",\"priority\":1,\"service\":\"" + service +
-         "\",\"maxAttempts\":" + std::to_string(max_attempts) + ",\"public\":false" + more + "}";
+         ",\"targetLatencyMs\":" + std::to_string(objective_ms) + ",\"priority\":1,\"service\":\"" +
+         service + "\",\"maxAttempts\":" + std::to_string(max_attempts) + ",\"public\":false" +
+         more + "}";
 }
 
 std::string ConfigJson(int version, const std::vector<std::string>& routes,
@@ -114,7 +115,8 @@
   return "{\"name\":\"" + name +
          "\",\"healthPath\":\"/healthz\",\"maxConns\":434,\"protocol\":\"h1\",\"tls\":false,"
          "\"engine\":{\"slots\":16,\"kvCapacity\":" +
-         std::to_string(memory_tokens) + ",\"kvTokenBytes\":327680,"
+         std::to_string(memory_tokens) +
+         ",\"kvTokenBytes\":327680,"
          "\"linkMbps\":400000.0,\"stride\":46,\"models\":[{\"name\":\"m\"}],\"step_ms\":0.925,"
          "\"per_seq_ms\":0.00483,\"context_per_k\":0.00254,\"read_per_s\":256000.0,"
          "\"pairs_per_m\":0.0917,\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":0.0,"
--- a/review/standins-2/large-requests.cc
+++ b/review/standins-2/large-requests.cc
@@ -1,9 +1,9 @@
 // Many callers at once, each with a request of the largest size that the configuration allows.
 //
 // Fourteen callers on kept channels send bodies of 4 MB, a million tokens of four bytes; the engine
-// works for three seconds on each.  For six seconds there are up to 40 callers.  The platform's stand-in
-// does what DEPLOY.md says of memory: it kills the gateway when it holds more than `memoryMb`, 260
-// MB, and starts it again after a short delay.
+// works for three seconds on each.  For six seconds there are up to 40 callers.  The platform's
+// stand-in does what DEPLOY.md says of memory: it kills the gateway when it holds more than
+// `memoryMb`, 260 MB, and starts it again after a short delay.
 //
 // The disruption is the burst; with TROUBLE=0 there are fourteen callers all the time.  The rule is
 // broken if the gateway takes more than three requests from kept channels, passes them on to the
@@ -89,8 +89,8 @@
     }
     this->record.Line("engine runs " + attempt);
     SleepFor(request.body.size() > 10 ? kWork : 0.01);
-    connection->Write(AnswerText(
-        200, {{"Attempt-Id", attempt}, {"Response-Seal", "seal-" + attempt}}, "done"));
+    connection->Write(
+        AnswerText(200, {{"Attempt-Id", attempt}, {"Response-Seal", "seal-" + attempt}}, "done"));
   }
 }
 
@@ -110,8 +110,7 @@
     std::string text = "POST /app/1 HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: " + attempt +
                        "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) +
                        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    std::optional<Message> answer =
-        Call(connection.get(), text, Now() + kDeadlineMs / 1000.0 + 1);
+    std::optional<Message> answer = Call(connection.get(), text, Now() + kDeadlineMs / 1000.0 + 1);
     bool has_reached = false;
     {
       std::lock_guard<std::mutex> lock(this->mutex);
@@ -124,7 +123,7 @@
     bool is_lost = !answer && has_reached && !is_new;
     this->lost += is_lost ? 1 : 0;
     this->record.Line(attempt + " with " + std::to_string(body.size()) + " bytes: " +
-                      (answer ? std::to_string(answer->Status())
+                      (answer    ? std::to_string(answer->Status())
                        : is_lost ? "LOST: passed on to the engine, and the channel ended"
                                  : "the channel ended"));
     if (!answer) connection.reset();
@@ -180,6 +179,4 @@
 }  // namespace
 }  // namespace review
 
-int main(int argc, char** argv) {
-  review::Case(review::ReadCaseOptions(argc, argv)).Run();
-}
+int main(int argc, char** argv) { review::Case(review::ReadCaseOptions(argc, argv)).Run(); }
--- a/review/standins-2/late-answer.cc
+++ b/review/standins-2/late-answer.cc
@@ -54,10 +54,10 @@
   for (int number = 1; Now() < until; ++number) {
     if (!connection) connection = Connect(port, 2);
     if (!connection) return;
-    std::string attempt = (is_long ? "long-" : "short-") + std::to_string(caller) + "-" +
-                          std::to_string(number);
-    std::string text = RequestText(is_long ? "/long/1" : "/short/1", attempt,
-                                   is_long ? "119000,200" : "1000,200");
+    std::string attempt =
+        (is_long ? "long-" : "short-") + std::to_string(caller) + "-" + std::to_string(number);
+    std::string text =
+        RequestText(is_long ? "/long/1" : "/short/1", attempt, is_long ? "119000,200" : "1000,200");
     std::optional<Message> answer = Call(connection.get(), text, Now() + kDeadlineMs / 1000.0);
     if (!answer) {
       record->Line("the channel of " + attempt + " ended without an answer");
@@ -121,8 +121,7 @@
   for (std::thread& caller : callers) caller.join();
   EndProcess(gateway.pid);
   record.Line(std::to_string(counts.answers) + " answers, " + std::to_string(counts.served) +
-              " with status 200, " + std::to_string(counts.foreign) +
-              " that belong to an order");
+              " with status 200, " + std::to_string(counts.foreign) + " that belong to an order");
   if (counts.served == 0) Finish(2);
   Finish(counts.foreign > 0 ? 1 : 0);
 }
@@ -130,6 +129,4 @@
 }  // namespace
 }  // namespace review
 
-int main(int argc, char** argv) {
-  review::Run(review::ReadCaseOptions(argc, argv));
-}
+int main(int argc, char** argv) { review::Run(review::ReadCaseOptions(argc, argv)); }
--- a/review/standins-2/lost-machine.cc
+++ b/review/standins-2/lost-machine.cc
@@ -1,10 +1,10 @@
 // Machines of engines that are lost while the engines send answers without a length.
 //
-// Six engines send streams of 20 events.  For five seconds at a time, one in twenty of the answers of
-// two engines has no length and ends with its channel.  At the end of each such spell the machine of
-// one of the two is lost for good: its channels end in order, as when the machine is shut down and
-// ends its processes, and its address says nothing any more (machine-gate.h).  A new engine with a
-// new id comes 4.5 seconds later at another address.  The streams may be resumed.
+// Six engines send streams of 20 events.  For five seconds at a time, one in twenty of the answers
+// of two engines has no length and ends with its channel.  At the end of each such spell the
+// machine of one of the two is lost for good: its channels end in order, as when the machine is
+// shut down and ends its processes, and its address says nothing any more (machine-gate.h).  A new
+// engine with a new id comes 4.5 seconds later at another address.  The streams may be resumed.
 //
 // The disruption is the loss of machines; with TROUBLE=0 there is none.  The rule is broken if a
 // caller gets a stream that ends as complete (with its last chunk) before its last event.
@@ -26,7 +26,8 @@
 constexpr double kEventInterval = 0.04;
 constexpr int kCallers = 72;
 constexpr double kLength = 75;
-// The sites' dose for answers without a length: 0.05 of the answers of 0.35 of the engines, for 5 s.
+// The sites' dose for answers without a length: 0.05 of the answers of 0.35 of the engines, for 5
+// s.
 constexpr double kUnframedShare = 0.05;
 constexpr int kUnframedEngines = 2;
 constexpr double kSpell = 5;
@@ -98,8 +99,8 @@
     std::optional<Message> answer = Call(connection.get(), text, Now() + kDeadlineMs / 1000.0);
     bool is_stream = answer && answer->Status() == 200;
     if (!is_stream) {
-      this->record.Line(attempt + (answer ? " got " + std::to_string(answer->Status())
-                                          : " got no answer"));
+      this->record.Line(attempt +
+                        (answer ? " got " + std::to_string(answer->Status()) : " got no answer"));
       connection.reset();
       SleepFor(0.1);
       continue;
@@ -117,8 +118,8 @@
       this->record.Line("WRONG: " + attempt + " ended as complete after the event '" + last_line +
                         "' of " + std::to_string(kEvents));
     } else {
-      this->record.Line(attempt + (answer->is_whole ? " got its whole stream"
-                                                    : " was broken off visibly"));
+      this->record.Line(attempt +
+                        (answer->is_whole ? " got its whole stream" : " was broken off visibly"));
     }
     if (!answer->is_whole) connection.reset();
   }
@@ -128,8 +129,7 @@
   constexpr double kBeforeEndOfSpell = 0.1;
   for (int next = 0; Now() + kSpell + kBetweenSpells + kDown < until;
        next = (next + 1) % kUnframedEngines) {
-    double in_period =
-        std::fmod(MonotonicSeconds() - this->spells_begin, kSpell + kBetweenSpells);
+    double in_period = std::fmod(MonotonicSeconds() - this->spells_begin, kSpell + kBetweenSpells);
     double wait = kSpell - kBeforeEndOfSpell - in_period;
     SleepFor(wait > 0 ? wait : wait + kSpell + kBetweenSpells);
     Engine& engine = this->engines[static_cast<size_t>(next)];
@@ -174,6 +174,4 @@
 }  // namespace
 }  // namespace review
 
-int main(int argc, char** argv) {
-  review::Case(review::ReadCaseOptions(argc, argv)).Run();
-}
+int main(int argc, char** argv) { review::Case(review::ReadCaseOptions(argc, argv)).Run(); }
--- a/review/standins-2/model-engine.cc
+++ b/review/standins-2/model-engine.cc
@@ -100,8 +100,9 @@
   this->record->Line(this->options.id + " runs " + attempt + (is_unframed ? ", unframed" : ""));
   int helpers = request.HasHeader("Helpers") ? 2 : 1;
   SleepFor(std::atof(request.Header("Token-Count").c_str()) / this->options.read_per_s / helpers);
-  std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + attempt +
-                     "\r\nResponse-Seal: seal-" + attempt + "\r\nVersions: 1\r\n";
+  std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + attempt +
+      "\r\nResponse-Seal: seal-" + attempt + "\r\nVersions: 1\r\n";
   head += is_unframed ? "Connection: close\r\n\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
   if (!connection->Write(head)) return false;
   int first = 1 + std::atoi(request.Header("Last-Event-Id").c_str());
--- a/review/standins-2/slow-reader.cc
+++ b/review/standins-2/slow-reader.cc
@@ -118,6 +118,4 @@
 }  // namespace
 }  // namespace review
 
-int main(int argc, char** argv) {
-  review::Run(review::ReadCaseOptions(argc, argv));
-}
+int main(int argc, char** argv) { review::Run(review::ReadCaseOptions(argc, argv)); }
