Requests take a bounded memory, whatever their callers send

Callers saw: 64 clients that send large bodies take a gateway over the memory of its box (160 to 260 MB); the platform ends it, and all who are served there lose their answers. 20,000 short requests sent ahead on each of 64 connections ended it by themselves (signal 11).

Cause: CallerChannel held each body whole and kept it after its 413, read on while a request was answered, and answered requests that wait one inside the answer of the other. EngineRequestText copied the body, TcpStream copied it again and kept the buffer. No bound held over all callers, and no whole time for one upload.

Ruled out: the parser's limits on heads and chunk lines, which held.

Change: RequestMemory counts heads, bodies and unparsed bytes of all callers. What does not fit is refused with 2019 (503, not run, Retry-After), before its body where the length is announced, after uploads that have stalled have given way. A quarter is kept for requests of 64 KB or less; a single large one always fits. A caller that has sent ahead is read again only when the answer before has been taken, and its leaving is still seen. Waiting requests are read in a loop. A refused caller is read for 8 MB more at most. An upload has a whole time (60 s). New settings request_memory_mb, request_timeout_seconds, use_bound_requests.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -55,6 +55,8 @@
        "every engine has asked for fewer requests, for none, or is leaving"},
       {ResultCode::kEnginesEvacuated, "engines_evacuated", 503,
        "every engine is in a data centre that the operator evacuates"},
+      {ResultCode::kRequestMemoryFull, "request_memory_full", 503,
+       "the memory for requests is full, so this one was not read whole"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded", 504, "the stated time passed"},
       {ResultCode::kEndpointLost, "endpoint_lost", 502, "the endpoint was lost while it worked"},
       {ResultCode::kEngineFailed, "engine_failed", 502, "the engine broke off"},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -62,6 +62,7 @@
   kQuarantined = 2016,
   kEnginesHoldBack = 2017,
   kEnginesEvacuated = 2018,
+  kRequestMemoryFull = 2019,
 
   kDeadlineExceeded = 3001,
   kEndpointLost = 3002,
--- a/src/gateway/engine_request.cc
+++ b/src/gateway/engine_request.cc
@@ -63,9 +63,10 @@
   RemoveHopByHopHeaders(headers, platform::IsEndToEnd);
 }
 
-std::string EngineRequestText(const CallerRequest& request, const AttemptHeaders& added) {
-  std::string text = absl::StrCat(request.head.method, " ", request.head.target, " HTTP/1.1\r\n");
-  for (const auto& [name, value] : request.head.headers) {
+std::string EngineRequestHead(const RequestHead& head, size_t body_bytes,
+                              const AttemptHeaders& added) {
+  std::string text = absl::StrCat(head.method, " ", head.target, " HTTP/1.1\r\n");
+  for (const auto& [name, value] : head.headers) {
     bool is_replaced = added.last_event_id && SameHeaderName(name, platform::kLastEventId);
     if (!is_replaced) AppendHeader(&text, name, value);
   }
@@ -77,11 +78,10 @@
   if (!added.readers.empty()) {
     AppendHeader(&text, platform::kReaders, absl::StrJoin(added.readers, ","));
   }
-  bool has_body = !request.body.empty() || request.head.method == "POST" ||
-                  request.head.method == "PUT" || request.head.method == "PATCH";
-  if (has_body) AppendHeader(&text, "Content-Length", absl::StrCat(request.body.size()));
+  bool has_body =
+      body_bytes > 0 || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
+  if (has_body) AppendHeader(&text, "Content-Length", absl::StrCat(body_bytes));
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
--- a/src/gateway/engine_request.h
+++ b/src/gateway/engine_request.h
@@ -64,8 +64,9 @@
 // Removes the engine's header fields that a caller must not receive.
 void KeepAnsweredHeaders(HttpHeaders* headers);
 
-// Returns the text of the whole request: request line, header fields and body.
-std::string EngineRequestText(const CallerRequest& request, const AttemptHeaders& added);
+// Returns the text of the request before its body: request line and header fields.
+std::string EngineRequestHead(const RequestHead& head, size_t body_bytes,
+                              const AttemptHeaders& added);
 
 }  // namespace gullward
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -24,6 +24,19 @@
 // A request whose timeout is below this share of the route's timeout counts as a caller's
 // repeated try: the caller has spent the rest of the time on earlier tries.
 constexpr double kFirstTryShare = 0.95;
+
+// Takes the body out of the request, together with what counts it against the memory for requests.
+SharedBytes TakeBody(CallerRequest* request) {
+  struct HeldBody {
+    std::string bytes;
+    std::shared_ptr<const RequestMemory::Share> held;
+  };
+  auto body = std::make_shared<HeldBody>();
+  body->bytes = std::move(request->body);
+  body->held = std::move(request->held);
+  return SharedBytes(body, &body->bytes);
+}
+
 }  // namespace
 
 Exchange::Exchange(GatewayState* gateway_state, uint64_t exchange_id,
@@ -32,6 +45,7 @@
       id(exchange_id),
       caller(std::move(caller_channel)),
       request(std::move(caller_request)),
+      body(TakeBody(&this->request)),
       facts(ReadFacts(request.head)),
       config(gateway_state->config),
       times(this->request.arrived),
@@ -131,8 +145,10 @@
   this->state->fleet.NoteSent(choice.engine, now);
   this->attempt->channel = this->state->pool.Take(choice.engine, now, fresh);
   this->LogAttempt(choice, now);
-  this->attempt->channel->Send(EngineRequestText(this->request, this->HeadersFor(choice, now)),
-                               this->AttemptHooks(), this->request.head.method == "HEAD");
+  std::string head =
+      EngineRequestHead(this->request.head, this->body->size(), this->HeadersFor(choice, now));
+  this->attempt->channel->Send(std::move(head), this->body, this->AttemptHooks(),
+                               this->request.head.method == "HEAD");
 }
 
 AttemptHeaders Exchange::HeadersFor(const FleetChoice& choice, Time now) const {
@@ -531,9 +547,9 @@
     return;
   }
   AnswerHead head = this->TakeAnswerHead();
-  std::string body = std::move(this->attempt->body);
+  std::string answer = std::move(this->attempt->body);
   this->Finish();
-  channel->Answer(head, body);
+  channel->Answer(head, answer);
 }
 
 // Answers with a failure of the gateway's own.
@@ -573,6 +589,7 @@
 void Exchange::Finish() {
   this->is_finished = true;
   this->attempt.reset();
+  this->body = std::make_shared<const std::string>();
   this->ReleaseTickets();
   this->state->fleet.loads().End(this->id);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -172,7 +172,10 @@
   GatewayState* state;
   uint64_t id;
   std::shared_ptr<CallerChannel> caller;
+  // The request without its body.
   CallerRequest request;
+  // Shared with the connection to the engine until the body has been sent.
+  SharedBytes body;
   RequestFacts facts;
   // The configuration at the request's arrival; it applies until the request ends.
   std::shared_ptr<const ConfigIndex> config;
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -12,8 +12,7 @@
 ContentId Exchange::Content() {
   if (!this->content) {
     const RequestHead& head = this->request.head;
-    this->content =
-        ContentOf({this->admission.account, head.method, head.target, this->request.body});
+    this->content = ContentOf({this->admission.account, head.method, head.target, *this->body});
   }
   return *this->content;
 }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -16,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/absl_view.h"
 #include "gateway/failure_answer.h"
+#include "platform/headers.h"
 #include "transport/tcp_stream.h"
 
 namespace gullward {
@@ -37,6 +38,9 @@
 // A gateway with an outdated configuration asks peers of other data centres only after this
 // delay.
 constexpr Duration kRemotePeerDelay = milliseconds(1200);
+// When a request that did not fit into the memory for requests should be sent again.  An upload
+// that has stalled gives way after this time.
+constexpr Duration kMemoryRetryAfter = seconds(1);
 // Part of the stop grace that is reserved for the last writes.
 constexpr Duration kStopMargin = milliseconds(400);
 
@@ -208,21 +212,48 @@
   uint64_t id = this->next_id++;
   CallerLimits limits;
   if (this->state.config) limits = this->state.config->config().limits;
-  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
-  channel->SetHooks(
-      {.request = [this, id](CallerRequest request) { this->OnRequest(id, std::move(request)); },
-       .malformed = [this, id](ResultCode code) { this->OnMalformed(id, code); },
-       .gone = [this, id] { this->OnCallerGone(id); },
-       .drained =
-           [this, id] {
-             auto found = this->callers.find(id);
-             bool busy = found != this->callers.end() && found->second.exchange;
-             if (busy) found->second.exchange->CallerDrained();
-           }});
+  limits.request_timeout = this->state.settings.request_timeout;
+  auto channel = CallerChannel::Adopt(this->loop, fd, limits, this->state.request_memory);
+  channel->SetHooks(this->CallerHooks(id));
   if (this->stopping) channel->CloseAfterAnswer();
   this->callers[id] = Caller{channel, nullptr};
 }
 
+CallerChannel::Hooks GatewayServer::CallerHooks(uint64_t id) {
+  CallerChannel::Hooks hooks;
+  hooks.request = [this, id](CallerRequest request) { this->OnRequest(id, std::move(request)); };
+  hooks.malformed = [this, id](ResultCode code) { this->OnMalformed(id, code); };
+  hooks.gone = [this, id] { this->OnCallerGone(id); };
+  hooks.drained = [this, id] {
+    auto found = this->callers.find(id);
+    bool busy = found != this->callers.end() && found->second.exchange;
+    if (busy) found->second.exchange->CallerDrained();
+  };
+  hooks.needs_room = [this, id](bool is_large) { return this->MakeRoom(id, is_large); };
+  return hooks;
+}
+
+// Rejects the upload that has stalled for the longest time.  Only a large one makes room for a
+// large one.  Returns whether there was any.
+bool GatewayServer::MakeRoom(uint64_t for_caller, bool is_large) {
+  Time now = Now();
+  std::optional<Time> oldest;
+  std::shared_ptr<CallerChannel> chosen;
+  for (const auto& [id, caller] : this->callers) {
+    size_t held = caller.channel->held_bytes();
+    bool helps = held > 0 && (!is_large || RequestMemory::IsLarge(held));
+    if (id == for_caller || !helps) continue;
+    std::optional<Time> since = caller.channel->StalledSince(now);
+    if (!since || (oldest && *oldest <= *since)) continue;
+    oldest = since;
+    chosen = caller.channel;
+  }
+  if (!chosen) return false;
+  this->state.counters.uploads_displaced += 1;
+  chosen->RejectUpload();
+  return true;
+}
+
 void GatewayServer::OnRequest(uint64_t caller_id, CallerRequest request) {
   auto found = this->callers.find(caller_id);
   if (found == this->callers.end()) return;
@@ -237,9 +268,21 @@
   if (found == this->callers.end()) return;
   const ResultCodeInfo& info = Info(code);
   this->state.counters.failures[code] += 1;
-  this->log.Write(LogLine(info.name).Number("code", static_cast<double>(code)));
-  AnswerHead head = FailureHead(code, /*attempt_id=*/"", /*route=*/nullptr);
-  found->second.channel->Answer(head, FailureBody(code));
+  CallerChannel& channel = *found->second.channel;
+  std::string attempt_id(
+      FindHeader(channel.request_head().headers, platform::kAttemptId).value_or(""));
+  LogLine line(info.name);
+  line.Number("code", static_cast<double>(code));
+  if (!attempt_id.empty()) line.Text("request", attempt_id);
+  std::optional<Duration> retry_after;
+  if (code == ResultCode::kRequestMemoryFull) {
+    retry_after = kMemoryRetryAfter;
+    line.Number("request_memory", static_cast<double>(this->state.request_memory->used()))
+        .Number("callers", static_cast<double>(this->callers.size()));
+  }
+  this->log.Write(line);
+  AnswerHead head = FailureHead(code, attempt_id, /*route=*/nullptr, retry_after);
+  channel.Answer(head, FailureBody(code));
 }
 
 void GatewayServer::OnCallerGone(uint64_t caller_id) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -121,6 +121,8 @@
 
   bool HandsOff(Time now);
   void OnCaller(int fd);
+  CallerChannel::Hooks CallerHooks(uint64_t caller_id);
+  bool MakeRoom(uint64_t for_caller, bool is_large);
   void OnRequest(uint64_t caller_id, CallerRequest request);
   void OnMalformed(uint64_t caller_id, ResultCode code);
   void OnCallerGone(uint64_t caller_id);
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -27,6 +27,8 @@
   snapshot.relayed_bytes = this->topic_relay.bytes();
   snapshot.configs_from_peers = this->config_from_peers.received();
   snapshot.store_returns = this->store_recovery.returns().epoch().returns();
+  snapshot.callers = this->callers.size();
+  snapshot.request_memory = this->state.request_memory->used();
   snapshot.engines = this->state.fleet.directory().size();
   snapshot.peers = this->load_exchange.peers();
   snapshot.neighbours = this->load_exchange.neighbours();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "base/result_code.h"
 #include "gateway/crash_watch.h"
 #include "gateway/engine_pool.h"
+#include "gateway/request_memory.h"
 #include "gateway/room_price.h"
 #include "gateway/settings.h"
 #include "gateway/start_steps.h"
@@ -43,6 +44,8 @@
   uint64_t callers_gone = 0;
   // Connections that were closed unread for other gateways to read (caller_handoff.h).
   uint64_t callers_handed_off = 0;
+  // Uploads that were rejected to make room for others.
+  uint64_t uploads_displaced = 0;
   uint64_t events_forwarded = 0;
   // Orders to engines for memory (ticket_set.h).
   uint64_t orders = 0;
@@ -105,6 +108,9 @@
               gateway_settings.mechanisms, started),
         room_price(gateway_settings.mechanisms.learned_price, event_log),
         pool(event_loop),
+        request_memory(std::make_shared<RequestMemory>(gateway_settings.mechanisms.bound_requests
+                                                           ? gateway_settings.request_memory_bytes
+                                                           : RequestMemory::kUnlimited)),
         start(started),
         random(random_seed),
         incarnation(random_seed) {}
@@ -130,6 +136,8 @@
   // What engine time is worth, and how much of each route is served.
   RoomPrice room_price;
   EnginePool pool;
+  // What requests hold until they are answered.
+  std::shared_ptr<RequestMemory> request_memory;
   // What requests hold of answers that are not whole, and what callers have not read yet.
   std::shared_ptr<ByteBudget> held_answers =
       std::make_shared<ByteBudget>(kMaxHeldAnswerBytes, kMaxHeldBytes);
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -31,6 +31,8 @@
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_callers_handed_off_total",
         "Connections closed unread, for other gateways to read", counters.callers_handed_off);
+  count("gullward_uploads_displaced_total", "Stalled uploads rejected to make room for others",
+        counters.uploads_displaced);
   count("gullward_events_total", "Stream events passed on", counters.events_forwarded);
   count("gullward_spilled_total", "Attempts at engines of other cells", counters.spilled);
   for (const auto& [outcome, callers] :
@@ -162,6 +164,10 @@
   AddCrashes(*snapshot.crashes, &text);
   AddPrices(*snapshot.prices, &text);
   AddLatencies(counters, &text);
+  text.Gauge("gullward_callers", "Connections of callers", {},
+             static_cast<double>(snapshot.callers));
+  text.Gauge("gullward_request_memory_bytes", "What requests hold until they are answered", {},
+             static_cast<double>(snapshot.request_memory));
   text.Gauge("gullward_engines", "Engines on the list", {}, static_cast<double>(snapshot.engines));
   text.Gauge("gullward_peers", "Other gateways known", {}, static_cast<double>(snapshot.peers));
   text.Gauge("gullward_neighbours", "Gateways of the home cell that are told at once", {},
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -36,6 +36,9 @@
   // Cell members that were put off to a later round because their cell is large.
   uint64_t peers_deferred = 0;
   // Current values.
+  size_t callers = 0;
+  // What requests hold of the memory for them.
+  size_t request_memory = 0;
   size_t engines = 0;
   size_t peers = 0;
   // Home cell: the other gateways addressed in one round, and the engines.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -10,6 +10,8 @@
 
 constexpr double kDaySeconds = 86400;
 constexpr double kMaxQuarantineDays = 7;
+constexpr double kBytesPerMegabyte = 1 << 20;
+constexpr double kMaxDescriptors = 1e9;
 
 // "true" or an empty value: keys are accepted only within the time limit.  "false": keys are
 // accepted until the configuration changes.  The setting is a string, so that a template whose
@@ -57,6 +59,12 @@
       FromSeconds(reader.Number("registration_pause_ms", 1000, 0, 10'000) / 1000);
   settings.quarantine =
       FromSeconds(reader.Number("quarantine_seconds", 3600, 1, kMaxQuarantineDays * kDaySeconds));
+  settings.request_memory_bytes =
+      static_cast<size_t>(reader.Number("request_memory_mb", 64, 1, 1e6) * kBytesPerMegabyte);
+  settings.request_timeout =
+      FromSeconds(reader.Number("request_timeout_seconds", 60, 0.1, kDaySeconds));
+  settings.max_descriptors =
+      static_cast<uint64_t>(reader.Number("max_descriptors", 0, 0, kMaxDescriptors));
   settings.mechanisms = ReadMechanisms(reader);
   reader.Finish();
   return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -42,6 +42,12 @@
   Duration registration_pause = seconds(1);
   // How long a request content that crashes engines is refused.
   Duration quarantine = std::chrono::hours(1);
+  // The memory that requests may take together while they are read and until they are answered.
+  size_t request_memory_bytes = 64 << 20;
+  // The whole time in which a request must have arrived.
+  Duration request_timeout = seconds(60);
+  // The descriptors that the process may open; 0 if only the system's limit counts.
+  uint64_t max_descriptors = 0;
   // The time between the stop signal and the kill.
   Duration stop_grace = seconds(8);
 
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -26,6 +26,8 @@
 // The bytes of the shortest last chunk with the end of its trailer.  Beast asserts that so many are
 // there when it parses a last chunk for the second time.
 constexpr size_t kMinLastChunkBytes = 5;
+// The memory that the buffer of unparsed bytes may keep while it is empty.
+constexpr size_t kMaxIdleBytes = 1 << 10;
 
 std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -142,6 +144,8 @@
     state = Parse(parser, *unread, &parsed);
     unread->erase(0, parsed);
   }
+  // An empty buffer keeps no memory, since most connections are idle.
+  if (unread->empty() && unread->capacity() > kMaxIdleBytes) std::string().swap(*unread);
   bool is_too_long = state == ParseState::kNeedMore && unread->size() > max_unread;
   return is_too_long ? ParseState::kHeadTooLarge : state;
 }
@@ -183,6 +187,12 @@
 
 bool RequestParser::has_surplus() const { return !this->impl->unread.empty(); }
 
+size_t RequestParser::buffered_bytes() const {
+  return this->impl->unread.empty() ? 0 : this->impl->unread.capacity();
+}
+
+void RequestParser::DropSurplus() { std::string().swap(this->impl->unread); }
+
 class ResponseParser::Impl {
  public:
   using Parser = BeastParser<false, ResponseHead>;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -101,6 +101,12 @@
   // Whether there are unparsed bytes; after a complete message, they follow its end.
   bool has_surplus() const;
 
+  // The memory that unparsed bytes take.
+  size_t buffered_bytes() const;
+
+  // Drops the unparsed bytes.  The connection cannot be read any more.
+  void DropSurplus();
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// A body of this size or less is copied behind its head, which saves a system call.
+constexpr size_t kMaxCopiedBytes = 16 << 10;
 
 // The seconds of the field "Keep-Alive: timeout=N"; nothing if the head does not have it.
 std::optional<Duration> KeepAliveTimeout(const ResponseHead& head) {
@@ -46,7 +48,7 @@
 
 RequestChannel::~RequestChannel() { this->Close(); }
 
-void RequestChannel::Send(std::string_view request, Hooks request_hooks, bool is_head) {
+void RequestChannel::BeginRequest(Hooks request_hooks, bool is_head) {
   this->hooks = std::move(request_hooks);
   this->is_head_request = is_head;
   this->received_bytes = false;
@@ -55,9 +57,21 @@
   this->skipped_bytes = 0;
   this->is_fit_for_reuse = false;
   this->parser.Next(is_head);
+}
+
+void RequestChannel::Send(std::string_view request, Hooks request_hooks, bool is_head) {
+  this->BeginRequest(std::move(request_hooks), is_head);
   this->stream->Write(request);
 }
 
+void RequestChannel::Send(std::string head, SharedBytes body, Hooks request_hooks, bool is_head) {
+  this->BeginRequest(std::move(request_hooks), is_head);
+  bool is_long = body->size() > kMaxCopiedBytes;
+  if (!is_long) head += *body;
+  this->stream->Write(head);
+  if (is_long) this->stream->Write(std::move(body));
+}
+
 void RequestChannel::OnData(std::string_view bytes) {
   std::shared_ptr<RequestChannel> self = this->shared_from_this();
   if (!this->hooks) {
--- a/src/http/request_channel.h
+++ b/src/http/request_channel.h
@@ -61,6 +61,9 @@
   // a HEAD request, whose answer has no body.
   void Send(std::string_view request, Hooks request_hooks, bool is_head);
 
+  // Sends a request whose body is given apart from its head.  A long body is not copied.
+  void Send(std::string head, SharedBytes body, Hooks request_hooks, bool is_head);
+
   // Sets a hook that runs when the server closes the channel, or sends bytes, while no
   // request is under way.
   void OnIdleEnd(std::function<void()> hook) { this->on_idle_end = std::move(hook); }
@@ -82,6 +85,7 @@
 
  private:
   explicit RequestChannel(std::shared_ptr<TcpStream> tcp);
+  void BeginRequest(Hooks request_hooks, bool is_head);
   void OnData(std::string_view bytes);
   void OnClosed(StreamEnd end);
   void OnHead(const ResponseHead& head);
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -103,6 +103,10 @@
   // An attempt that gets a failure or an event without end is ended early (gateway/exchange.h).
   // Off: it lasts until the request's deadline, and what it sends is kept.
   bool bound_answers = true;
+  // What requests hold together, and the connections of callers, are bounded
+  // (gateway/request_memory.h, gateway/descriptor_shares.h).  Off: both grow with what callers
+  // send.
+  bool bound_requests = true;
   // Crashes count against the parts of prompts, not only against whole contents (quarantine.h).
   // Off: requests that differ in content are each sent to engines until three have crashed.
   bool part_quarantine = true;
@@ -167,6 +171,7 @@
     {"confirm_stream_end", &Mechanisms::confirm_stream_end},
     {"caller_handoff", &Mechanisms::caller_handoff},
     {"bound_answers", &Mechanisms::bound_answers},
+    {"bound_requests", &Mechanisms::bound_requests},
     {"part_quarantine", &Mechanisms::part_quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
--- a/src/serving/serving_config.h
+++ b/src/serving/serving_config.h
@@ -106,6 +106,8 @@
   uint64_t body_bytes = 4 << 20;
   Duration head_timeout = seconds(3);
   Duration idle_timeout = seconds(15);
+  // The whole time in which a request must have arrived.  The configuration does not state it.
+  Duration request_timeout = seconds(60);
 
   bool operator==(const CallerLimits&) const = default;
 };
--- a/src/soak/process_set.cc
+++ b/src/soak/process_set.cc
@@ -48,6 +48,11 @@
   return false;
 }
 
+pid_t ProcessSet::IdOf(const std::string& name) const {
+  auto found = this->running.find(name);
+  return found == this->running.end() ? 0 : found->second;
+}
+
 std::string ProcessSet::ReadyAddress(const std::string& name) const {
   return ReadWholeFile(this->PathOf(name + ".ready"));
 }
--- a/src/soak/process_set.h
+++ b/src/soak/process_set.h
@@ -37,6 +37,9 @@
   // Whether the process is still running.  Reaps it if it has ended.
   bool IsRunning(const std::string& name);
 
+  // The process id of a running process; 0 if there is none of this name.
+  pid_t IdOf(const std::string& name) const;
+
   // "IP:PORT" from the ready file, or "" while the file does not exist.
   std::string ReadyAddress(const std::string& name) const;
 
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -25,6 +25,9 @@
 // How long FinishAndClose waits for the peer to close.
 constexpr Duration kFinishWait = seconds(2);
 constexpr size_t kReadBytes = 64 << 10;
+// Bytes that are written one after the other are buffered in pieces of about this size, so that
+// what has been sent can be released.
+constexpr size_t kPieceBytes = 64 << 10;
 
 void SetSocketOptions(int fd) {
   int one = 1;
@@ -85,6 +88,12 @@
   }
   if ((events & EPOLLOUT) != 0) this->SendSome();
   if (this->state == State::kClosed) return;
+  if ((events & EPOLLRDHUP) != 0 && this->WatchesForLeave()) {
+    std::function<void()> left = std::exchange(this->hooks.left, nullptr);
+    this->UpdateInterest();
+    left();
+    if (this->state == State::kClosed) return;
+  }
   if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) this->ReadSome();
 }
 
@@ -102,46 +111,96 @@
   if (this->state == State::kOpen && this->hooks.connected) this->hooks.connected();
 }
 
-void TcpStream::Write(std::string_view bytes) {
-  if (this->state == State::kClosed || this->state == State::kFinishing) return;
-  bool send_now = this->state == State::kOpen && this->unsent.empty();
-  if (send_now) {
-    ssize_t sent = send(this->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (sent == static_cast<ssize_t>(bytes.size())) return;
-    // If the connection is broken, the next read reports it: no hook runs within Write.
-    if (sent > 0) bytes.remove_prefix(static_cast<size_t>(sent));
+std::string_view TcpStream::Piece::rest() const {
+  std::string_view all = this->shared ? std::string_view(*this->shared) : this->own;
+  return all.substr(this->sent);
+}
+
+bool TcpStream::MaySendNow() const { return this->state == State::kOpen && this->unsent.empty(); }
+
+// Returns how many bytes the kernel has accepted.  If the connection is broken, the next read
+// reports it.
+size_t TcpStream::SendNow(std::string_view bytes) const {
+  ssize_t sent = send(this->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  return sent > 0 ? static_cast<size_t>(sent) : 0;
+}
+
+void TcpStream::Buffer(Piece piece) {
+  size_t bytes = piece.rest().size();
+  if (bytes == 0) return;
+  bool fits_last = !piece.shared && !this->unsent.empty() && !this->unsent.back().shared &&
+                   this->unsent.back().own.size() + bytes <= kPieceBytes;
+  if (fits_last) {
+    this->unsent.back().own.append(piece.rest());
+  } else {
+    this->unsent.push_back(std::move(piece));
   }
-  this->unsent.append(bytes);
+  this->unsent_bytes += bytes;
   this->UpdateInterest();
 }
 
+void TcpStream::Write(std::string_view bytes) {
+  if (this->state == State::kClosed || this->state == State::kFinishing) return;
+  if (this->MaySendNow()) bytes.remove_prefix(this->SendNow(bytes));
+  if (!bytes.empty()) this->Buffer({std::string(bytes), nullptr});
+}
+
+void TcpStream::Write(SharedBytes bytes) {
+  if (this->state == State::kClosed || this->state == State::kFinishing) return;
+  size_t sent = this->MaySendNow() ? this->SendNow(*bytes) : 0;
+  this->Buffer({"", std::move(bytes), sent});
+}
+
+void TcpStream::LimitReceiveBuffer(int bytes) {
+  setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 void TcpStream::SendSome() {
-  if (this->unsent.empty()) return;
-  ssize_t sent = send(this->fd, this->unsent.data(), this->unsent.size(), MSG_NOSIGNAL);
-  if (sent < 0) {
-    if (errno == EAGAIN || errno == EINTR) return;
-    this->End(StreamEnd::kBroken);
+  while (!this->unsent.empty()) {
+    Piece& piece = this->unsent.front();
+    std::string_view rest = piece.rest();
+    ssize_t sent = send(this->fd, rest.data(), rest.size(), MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EAGAIN || errno == EINTR) return;
+      this->End(StreamEnd::kBroken);
+      return;
+    }
+    piece.sent += static_cast<size_t>(sent);
+    this->unsent_bytes -= static_cast<size_t>(sent);
+    if (static_cast<size_t>(sent) < rest.size()) return;
+    this->unsent.pop_front();
+    if (!this->unsent.empty()) continue;
+    this->UpdateInterest();
+    this->ShutDownWhenSent();
+    if (this->state == State::kOpen && this->hooks.drained) this->hooks.drained();
     return;
   }
-  this->unsent.erase(0, static_cast<size_t>(sent));
-  if (!this->unsent.empty()) return;
-  this->UpdateInterest();
-  this->ShutDownWhenSent();
-  if (this->state == State::kOpen && this->hooks.drained) this->hooks.drained();
+}
+
+void TcpStream::DropUnsent() {
+  this->unsent.clear();
+  this->unsent_bytes = 0;
 }
 
 void TcpStream::ReadSome() {
   static char buffer[kReadBytes];
   ssize_t count = recv(this->fd, buffer, sizeof(buffer), 0);
   if (count > 0) {
+    auto size = static_cast<size_t>(count);
     bool wanted = this->state == State::kOpen && this->hooks.data;
-    if (wanted) this->hooks.data(std::string_view(buffer, static_cast<size_t>(count)));
+    if (wanted) this->hooks.data(std::string_view(buffer, size));
+    if (this->state == State::kFinishing) this->Discard(size);
     return;
   }
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
   this->End(count == 0 ? StreamEnd::kFinished : StreamEnd::kBroken);
 }
 
+void TcpStream::Discard(size_t bytes) {
+  this->discarded_bytes += bytes;
+  if (this->discarded_bytes > kMaxDiscardedBytes) this->Close();
+}
+
 bool TcpStream::HasPeerClosed() const {
   if (this->state != State::kOpen) return true;
   char next = 0;
@@ -155,11 +214,16 @@
   if (this->state == State::kOpen) this->UpdateInterest();
 }
 
+bool TcpStream::WatchesForLeave() const {
+  return this->state == State::kOpen && !this->reading && this->hooks.left;
+}
+
 void TcpStream::UpdateInterest() {
   if (this->state == State::kClosed || this->state == State::kConnecting) return;
   uint32_t wanted = 0;
   if (!this->unsent.empty()) wanted |= EPOLLOUT;
   if (this->reading || this->state == State::kFinishing) wanted |= EPOLLIN;
+  if (this->WatchesForLeave()) wanted |= EPOLLRDHUP;
   if (wanted == this->interest) return;
   this->interest = wanted;
   this->loop->Rewatch(this->fd, wanted);
@@ -183,6 +247,7 @@
 void TcpStream::Close() {
   if (this->state == State::kClosed) return;
   this->state = State::kClosed;
+  this->DropUnsent();
   if (this->fd < 0) return;
   this->loop->Unwatch(this->fd);
   close(this->fd);
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -8,11 +8,13 @@
 // called after Close.  Write passes the bytes to the kernel at once, so that forwarding an
 // event costs one system call, and buffers the bytes that the kernel does not accept.
 // pending() is the size of this buffer, by which the owner can apply back-pressure to the
-// source of the bytes.
+// source of the bytes.  Shared bytes are buffered without a copy, and are released as soon as they
+// have been sent.
 
 #ifndef GULLWARD_TRANSPORT_TCP_STREAM_H_
 #define GULLWARD_TRANSPORT_TCP_STREAM_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +39,9 @@
   kRefused,
 };
 
+// Bytes with several owners, which none of them changes.
+using SharedBytes = std::shared_ptr<const std::string>;
+
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   struct Hooks {
@@ -49,6 +54,9 @@
     std::function<void()> drained;
     // Called when an outgoing connection is established.
     std::function<void()> connected;
+    // Called once if the peer shuts down its sending side while reading is paused.  Received bytes
+    // may be left to read.  Optional.
+    std::function<void()> left = {};
   };
 
   // Takes ownership of an accepted socket.
@@ -64,12 +72,16 @@
 
   // Sends the bytes, and buffers those that the kernel does not accept.
   void Write(std::string_view bytes);
+  void Write(SharedBytes bytes);
+
+  // Bounds the received bytes that the kernel keeps for this connection.
+  void LimitReceiveBuffer(int bytes);
 
   // Whether an outgoing connection is not established yet; nothing has been sent then.
   bool is_connecting() const { return this->state == State::kConnecting; }
 
   // Number of written bytes that the kernel has not accepted yet.
-  size_t pending() const { return this->unsent.size(); }
+  size_t pending() const { return this->unsent_bytes; }
 
   // Whether the peer has closed or reset the connection and no received bytes are left to
   // read, or the stream is not open.  This asks the kernel, because the end of the connection
@@ -82,8 +94,10 @@
 
   // Sends the pending bytes, shuts down the sending side, and discards received bytes until
   // the peer closes too, for at most two seconds.  Closing a socket with unread bytes would
-  // reset the connection, and the peer could lose an answer that is still in transit.
+  // reset the connection, and the peer could lose an answer that is still in transit.  A peer that
+  // sends more than kMaxDiscardedBytes is reset all the same.
   void FinishAndClose();
+  static constexpr size_t kMaxDiscardedBytes = 8 << 20;
 
   // Closes at once; pending bytes are lost.
   void Close();
@@ -95,12 +109,27 @@
  private:
   enum class State { kConnecting, kOpen, kFinishing, kClosed };
 
+  // Bytes to be sent: either the stream's own or shared ones.
+  struct Piece {
+    std::string own;
+    SharedBytes shared;
+    size_t sent = 0;
+
+    std::string_view rest() const;
+  };
+
   TcpStream(EventLoop* loop, int fd, State state);
   void Start();
   void OnEvents(uint32_t events);
   void OnConnected();
   void ReadSome();
+  bool MaySendNow() const;
+  size_t SendNow(std::string_view bytes) const;
+  void Buffer(Piece piece);
   void SendSome();
+  void DropUnsent();
+  void Discard(size_t bytes);
+  bool WatchesForLeave() const;
   void ShutDownWhenSent();
   void UpdateInterest();
   void End(StreamEnd end);
@@ -110,7 +139,9 @@
   State state;
   bool reading = true;
   uint32_t interest = 0;
-  std::string unsent;
+  std::deque<Piece> unsent;
+  size_t unsent_bytes = 0;
+  size_t discarded_bytes = 0;
   Hooks hooks;
 };
 
