Connections are bounded at every port of a gateway

Callers saw: with 400 connections at each port and 200 descriptors, ordinary requests were not answered, since none was left for engines and the store. Clients that ask for metrics ahead and do not read them took 4,064 MB.

Cause: nothing bounded the connections of callers, operators and peers, nor what the pages hold for them. Without descriptors the listening socket stays readable, so the loop never waited.

The datagrams of 100,000 unknown senders took 25 MB before: they are forgotten after 1.5 s, so nothing was changed there.

Change: descriptor_shares.h divides the descriptors. A new connection replaces the one that has been idle or stalled for the longest time. The pages' requests and unread answers have bounds over all connections. A listener without descriptors pauses for 50 ms. New setting max_descriptors.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -15,6 +15,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/absl_view.h"
+#include "gateway/descriptor_shares.h"
 #include "gateway/failure_answer.h"
 #include "platform/headers.h"
 #include "transport/tcp_stream.h"
@@ -87,6 +88,7 @@
                    this->OnPeerRequest(path, answer);
                  }),
       config_from_peers(event_loop, this->ConfigFromPeersHooks()) {
+  this->SetConnectionLimits();
   this->topic_relay.Add(std::string(platform::kConfigTopic), &this->config_follower.state());
   this->topic_relay.Add(std::string(platform::kEnginesTopic), &this->engine_follower.state());
   this->topic_relay.Add(std::string(platform::kPeersTopic), &this->load_exchange.topic_state());
@@ -194,7 +196,8 @@
   this->log.Write(LogLine("started")
                       .Text("box", settings.box)
                       .Text("data_centre", settings.data_centre)
-                      .Text("callers", settings.callers.ToString()));
+                      .Text("callers", settings.callers.ToString())
+                      .Number("max_callers", static_cast<double>(this->max_callers)));
   return absl::OkStatus();
 }
 
@@ -209,6 +212,11 @@
     TcpStream::Adopt(this->loop, fd)->Reset();
     return;
   }
+  if (!this->HasPlaceForCaller()) {
+    this->state.counters.callers_refused += 1;
+    TcpStream::Adopt(this->loop, fd)->Reset();
+    return;
+  }
   uint64_t id = this->next_id++;
   CallerLimits limits;
   if (this->state.config) limits = this->state.config->config().limits;
@@ -233,6 +241,37 @@
   return hooks;
 }
 
+// The system's limit may change while the process runs.
+void GatewayServer::SetConnectionLimits() {
+  DescriptorShares shares =
+      ShareDescriptors(UsableDescriptors(this->state.settings.max_descriptors));
+  this->max_callers = shares.callers;
+  this->operator_pages.SetMaxConnections(shares.operators);
+  this->peer_pages.SetMaxConnections(shares.peers);
+}
+
+// Whether one more connection is within the bound.  If not, closes the one that has been idle, or
+// whose request has stalled, for the longest time.
+bool GatewayServer::HasPlaceForCaller() {
+  if (!this->state.fleet.mechanisms().bound_requests) return true;
+  if (this->callers.size() < this->max_callers) return true;
+  Time now = Now();
+  std::optional<Time> oldest;
+  auto chosen = this->callers.end();
+  for (auto it = this->callers.begin(); it != this->callers.end(); ++it) {
+    std::optional<Time> since = it->second.channel->ReplaceableSince(now);
+    if (!since || (oldest && *oldest <= *since)) continue;
+    oldest = since;
+    chosen = it;
+  }
+  if (chosen == this->callers.end()) return false;
+  this->state.counters.callers_closed_idle += 1;
+  std::shared_ptr<CallerChannel> channel = chosen->second.channel;
+  this->callers.erase(chosen);
+  channel->CloseNow();
+  return true;
+}
+
 // Rejects the upload that has stalled for the longest time.  Only a large one makes room for a
 // large one.  Returns whether there was any.
 bool GatewayServer::MakeRoom(uint64_t for_caller, bool is_large) {
@@ -365,6 +404,7 @@
 }
 
 void GatewayServer::TickConnections(Time now) {
+  this->SetConnectionLimits();
   for (auto it = this->callers.begin(); it != this->callers.end();) {
     it->second.channel->Tick(now);
     it = it->second.channel->is_closed() ? this->callers.erase(it) : std::next(it);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -122,6 +122,8 @@
   bool HandsOff(Time now);
   void OnCaller(int fd);
   CallerChannel::Hooks CallerHooks(uint64_t caller_id);
+  void SetConnectionLimits();
+  bool HasPlaceForCaller();
   bool MakeRoom(uint64_t for_caller, bool is_large);
   void OnRequest(uint64_t caller_id, CallerRequest request);
   void OnMalformed(uint64_t caller_id, ResultCode code);
@@ -200,6 +202,7 @@
   TcpListener metrics_listener;
   TcpListener peers_listener;
   std::map<uint64_t, Caller> callers;
+  size_t max_callers = 0;
   HttpPages operator_pages;
   HttpPages peer_pages;
   ConfigFromPeers config_from_peers;
--- a/src/gateway/gateway_server_pages.cc
+++ b/src/gateway/gateway_server_pages.cc
@@ -28,6 +28,7 @@
   snapshot.configs_from_peers = this->config_from_peers.received();
   snapshot.store_returns = this->store_recovery.returns().epoch().returns();
   snapshot.callers = this->callers.size();
+  snapshot.max_callers = this->max_callers;
   snapshot.request_memory = this->state.request_memory->used();
   snapshot.engines = this->state.fleet.directory().size();
   snapshot.peers = this->load_exchange.peers();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -44,6 +44,10 @@
   uint64_t callers_gone = 0;
   // Connections that were closed unread for other gateways to read (caller_handoff.h).
   uint64_t callers_handed_off = 0;
+  // Connections that were closed to keep within the bound on them (descriptor_shares.h): those
+  // without a request under way, and new ones where each had one.
+  uint64_t callers_closed_idle = 0;
+  uint64_t callers_refused = 0;
   // Uploads that were rejected to make room for others.
   uint64_t uploads_displaced = 0;
   uint64_t events_forwarded = 0;
--- a/src/gateway/http_pages.cc
+++ b/src/gateway/http_pages.cc
@@ -3,7 +3,9 @@
 #include "gateway/http_pages.h"
 
 #include <iterator>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "base/result_code.h"
 
@@ -38,25 +40,68 @@
   return page;
 }
 
-HttpPages::HttpPages(EventLoop* event_loop, Handler page_maker)
-    : HttpPages(event_loop, AsyncHandler([page_maker = std::move(page_maker)](
-                                             const std::string& path, const Answer& answer) {
+HttpPages::HttpPages(EventLoop* event_loop, Handler page_maker, const HttpPagesLimits& page_limits)
+    : HttpPages(event_loop,
+                AsyncHandler([page_maker = std::move(page_maker)](const std::string& path,
+                                                                  const Answer& answer) {
                   answer(page_maker(path));
-                })) {}
+                }),
+                page_limits) {}
 
-HttpPages::HttpPages(EventLoop* event_loop, AsyncHandler request_handler)
-    : loop(event_loop), handler(std::move(request_handler)) {}
+HttpPages::HttpPages(EventLoop* event_loop, AsyncHandler request_handler,
+                     const HttpPagesLimits& page_limits)
+    : loop(event_loop),
+      limits(page_limits),
+      request_memory(std::make_shared<RequestMemory>(page_limits.request_bytes)),
+      handler(std::move(request_handler)) {}
+
+// Whether one more connection is within the limit.  If not, closes the one that has been idle, or
+// whose request has stalled, for the longest time.
+bool HttpPages::HasPlace() {
+  auto is_closed = [](const auto& channel) { return channel->is_closed(); };
+  std::erase_if(this->channels, is_closed);
+  if (this->channels.size() < this->limits.connections) return true;
+  Time now = Now();
+  std::optional<Time> oldest;
+  std::shared_ptr<CallerChannel> chosen;
+  for (const std::shared_ptr<CallerChannel>& channel : this->channels) {
+    std::optional<Time> since = channel->ReplaceableSince(now);
+    if (!since || (oldest && *oldest <= *since)) continue;
+    oldest = since;
+    chosen = channel;
+  }
+  if (!chosen) return false;
+  chosen->CloseNow();
+  std::erase(this->channels, chosen);
+  return true;
+}
+
+size_t HttpPages::UnreadBytes() const {
+  size_t bytes = 0;
+  for (const auto& channel : this->channels) bytes += channel->is_closed() ? 0 : channel->pending();
+  return bytes;
+}
+
+// A client whose answer there is no room for is closed, and may come again.
+void HttpPages::Send(CallerChannel* channel, const HttpPage& page) const {
+  SendPage(channel, page);
+  if (this->UnreadBytes() > kMaxUnreadBytes && channel->pending() > 0) channel->CloseNow();
+}
 
 void HttpPages::Adopt(int fd) {
-  CallerLimits limits;
-  limits.body_bytes = kMaxBodyBytes;
-  auto channel = CallerChannel::Adopt(this->loop, fd, limits);
+  if (!this->HasPlace()) {
+    TcpStream::Adopt(this->loop, fd)->Reset();
+    return;
+  }
+  CallerLimits caller_limits;
+  caller_limits.body_bytes = kMaxBodyBytes;
+  auto channel = CallerChannel::Adopt(this->loop, fd, caller_limits, this->request_memory);
   std::weak_ptr<CallerChannel> weak = channel;
   CallerChannel::Hooks hooks;
   hooks.request = [this, weak](const CallerRequest& request) {
-    this->handler(request.head.target, [weak](const HttpPage& page) {
+    this->handler(request.head.target, [this, weak](const HttpPage& page) {
       auto self = weak.lock();
-      if (self && !self->is_closed()) SendPage(self.get(), page);
+      if (self && !self->is_closed()) this->Send(self.get(), page);
     });
   };
   hooks.malformed = [weak](ResultCode code) {
--- a/src/gateway/http_pages.h
+++ b/src/gateway/http_pages.h
@@ -4,6 +4,10 @@
 //   HttpPages later(&loop, [](const std::string& path, HttpPages::Answer answer) { ... });
 //   listener.Listen(&loop, address, [&](int fd) { pages.Adopt(fd); });
 //   pages.Tick(now);               // now and then
+//
+// The connections, what their requests take, and what they have not read of their answers are
+// bounded, since anyone may connect.  A new connection replaces the one that has been idle for the
+// longest time, so that a crowd of idle ones shuts nobody out.
 
 #ifndef GULLWARD_GATEWAY_HTTP_PAGES_H_
 #define GULLWARD_GATEWAY_HTTP_PAGES_H_
@@ -28,6 +32,14 @@
 
 HttpPage NotFound();
 
+struct HttpPagesLimits {
+  size_t connections = 64;
+  // What requests take together; one of any size is read.
+  size_t request_bytes = 1 << 20;
+
+  bool operator==(const HttpPagesLimits&) const = default;
+};
+
 class HttpPages {
  public:
   using Handler = std::function<HttpPage(const std::string& path)>;
@@ -36,8 +48,15 @@
   // Calls `answer` once, now or later.
   using AsyncHandler = std::function<void(const std::string& path, Answer answer)>;
 
-  HttpPages(EventLoop* event_loop, Handler page_maker);
-  HttpPages(EventLoop* event_loop, AsyncHandler request_handler);
+  // Answers that have not been read, of all connections together.
+  static constexpr size_t kMaxUnreadBytes = 16 << 20;
+
+  HttpPages(EventLoop* event_loop, Handler page_maker, const HttpPagesLimits& page_limits = {});
+  HttpPages(EventLoop* event_loop, AsyncHandler request_handler,
+            const HttpPagesLimits& page_limits = {});
+
+  // Bounds the connections from now on.  Those that are open stay open.
+  void SetMaxConnections(size_t connections) { this->limits.connections = connections; }
 
   // Takes over an accepted connection and answers its requests.
   void Adopt(int fd);
@@ -48,7 +67,13 @@
   size_t connections() const { return this->channels.size(); }
 
  private:
+  bool HasPlace();
+  void Send(CallerChannel* channel, const HttpPage& page) const;
+  size_t UnreadBytes() const;
+
   EventLoop* loop;
+  HttpPagesLimits limits;
+  std::shared_ptr<RequestMemory> request_memory;
   AsyncHandler handler;
   std::vector<std::shared_ptr<CallerChannel>> channels;
 };
--- a/src/gateway/metrics_page.cc
+++ b/src/gateway/metrics_page.cc
@@ -31,6 +31,10 @@
   count("gullward_callers_gone_total", "Callers that left early", counters.callers_gone);
   count("gullward_callers_handed_off_total",
         "Connections closed unread, for other gateways to read", counters.callers_handed_off);
+  count("gullward_callers_closed_idle_total", "Idle or stalled connections closed for new ones",
+        counters.callers_closed_idle);
+  count("gullward_callers_refused_total", "Connections refused since every other had a request",
+        counters.callers_refused);
   count("gullward_uploads_displaced_total", "Stalled uploads rejected to make room for others",
         counters.uploads_displaced);
   count("gullward_events_total", "Stream events passed on", counters.events_forwarded);
@@ -166,6 +170,8 @@
   AddLatencies(counters, &text);
   text.Gauge("gullward_callers", "Connections of callers", {},
              static_cast<double>(snapshot.callers));
+  text.Gauge("gullward_max_callers", "Connections of callers that may be open", {},
+             static_cast<double>(snapshot.max_callers));
   text.Gauge("gullward_request_memory_bytes", "What requests hold until they are answered", {},
              static_cast<double>(snapshot.request_memory));
   text.Gauge("gullward_engines", "Engines on the list", {}, static_cast<double>(snapshot.engines));
--- a/src/gateway/metrics_page.h
+++ b/src/gateway/metrics_page.h
@@ -37,6 +37,7 @@
   uint64_t peers_deferred = 0;
   // Current values.
   size_t callers = 0;
+  size_t max_callers = 0;
   // What requests hold of the memory for them.
   size_t request_memory = 0;
   size_t engines = 0;
--- a/src/transport/tcp_listener.cc
+++ b/src/transport/tcp_listener.cc
@@ -1,4 +1,6 @@
-// Accepts until no connection is pending, so that a burst of connections costs one wake-up.
+// Accepts until no connection is pending, so that a burst of connections costs one wake-up.  When
+// the descriptors are used up, the socket stays readable although nothing can be accepted, so it is
+// not watched for a while; otherwise the loop would never wait.
 
 #include "transport/tcp_listener.h"
 
@@ -6,9 +8,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace gullward {
+namespace {
+
+constexpr Duration kAcceptPause = milliseconds(50);
+
+}  // namespace
 
 TcpListener::~TcpListener() { this->Close(); }
 
@@ -35,9 +43,22 @@
 void TcpListener::AcceptAll() {
   while (true) {
     int accepted = accept4(this->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) return;
+    if (accepted < 0) break;
     this->on_accepted(accepted);
   }
+  bool is_used_up = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+  if (is_used_up) this->PauseAccepting();
+}
+
+void TcpListener::PauseAccepting() {
+  if (std::exchange(*this->is_paused, true)) return;
+  this->loop->Rewatch(this->fd, 0);
+  this->loop->RunAfter(kAcceptPause, [this, weak = std::weak_ptr<bool>(this->is_paused)] {
+    std::shared_ptr<bool> paused = weak.lock();
+    if (!paused) return;
+    *paused = false;
+    if (this->fd >= 0) this->loop->Rewatch(this->fd, EPOLLIN);
+  });
 }
 
 }  // namespace gullward
--- a/src/transport/tcp_listener.h
+++ b/src/transport/tcp_listener.h
@@ -1,9 +1,12 @@
 // A listening TCP socket that passes each accepted connection to a hook.
+//
+// While the process has no descriptor left, connections wait in the kernel's queue.
 
 #ifndef GULLWARD_TRANSPORT_TCP_LISTENER_H_
 #define GULLWARD_TRANSPORT_TCP_LISTENER_H_
 
 #include <functional>
+#include <memory>
 
 #include "absl/status/status.h"
 #include "transport/event_loop.h"
@@ -31,9 +34,12 @@
 
  private:
   void AcceptAll();
+  void PauseAccepting();
 
   EventLoop* loop = nullptr;
   int fd = -1;
+  // Ends with the listener, which a timer may outlast.
+  std::shared_ptr<bool> is_paused = std::make_shared<bool>(false);
   std::function<void(int)> on_accepted;
 };
 
