The test of shared bytes does not hold its connection up

Cause: it paused the reader while it wrote 30 MB; under the thread sanitizer that took longer than the 1.5 s after which a connection without acknowledgements is given up, and the test failed once.

Change: the same pieces in the same order, of a third of the size, against a small receive buffer; the checks are the same, and that bytes had to wait is still one of them.

--- a/src/transport/testing/tcp_stream_test.cc
+++ b/src/transport/testing/tcp_stream_test.cc
@@ -45,10 +45,12 @@
 
 BOOST_AUTO_TEST_CASE(PiecesOfAllKindsArriveInOrder) {
   StreamPair pair;
-  pair.server->SetReading(false);
+  // Nothing is read while the loop does not run.  A small buffer fills soon, so that the connection
+  // is not given up meanwhile.
+  pair.server->LimitReceiveBuffer(64 << 10);
   std::string expected;
   for (int i = 0; i < 40; ++i) {
-    std::string text(static_cast<size_t>(i * 77'291 % 1'500'000), static_cast<char>('a' + i % 26));
+    std::string text(static_cast<size_t>(i * 77'291 % 500'000), static_cast<char>('a' + i % 26));
     expected += text;
     if (i % 3 == 0) {
       pair.client->Write(std::make_shared<const std::string>(text));
@@ -58,7 +60,6 @@
   }
   size_t most = pair.client->pending();
   BOOST_TEST(most > 0u);
-  pair.server->SetReading(true);
   BOOST_TEST(pair.RunUntil([&] { return pair.received.size() == expected.size(); }));
   BOOST_TEST((pair.received == expected));
   BOOST_TEST(pair.client->pending() == 0u);
