One search for the connection to close, and no limits that nobody passes

Change: FindLongest serves all three; HttpPages has constants and SetMaxConnections; RequestMemory::kOwnPagesBytes is used by the allocator's setting and by the count. Behaviour is the same; no test was changed.

--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -30,14 +30,11 @@
 constexpr Duration kStalledAfter = seconds(1);
 constexpr Duration kSlowAfter = seconds(10);
 
-// From this size on, an allocation has pages of its own, and those that were never written to take
-// no memory.
-constexpr size_t kOwnPagesBytes = 128 << 10;
 // What a header field takes besides its name and value.
 constexpr size_t kFieldBytes = 2 * sizeof(std::string);
 
 size_t MemoryOf(const std::string& text) {
-  return text.capacity() < kOwnPagesBytes ? text.capacity() : text.size();
+  return text.capacity() < RequestMemory::kOwnPagesBytes ? text.capacity() : text.size();
 }
 
 size_t MemoryOf(const RequestHead& head) {
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -188,6 +188,21 @@
   size_t bytes_at_progress = 0;
 };
 
+// Returns the entry whose time is the earliest; the end if none has a time.  `since` gives the time
+// of an entry, such as that of StalledSince, or nothing.
+template <typename Entries, typename Since>
+auto FindLongest(Entries& entries, const Since& since) {
+  std::optional<Time> earliest;
+  auto found = entries.end();
+  for (auto it = entries.begin(); it != entries.end(); ++it) {
+    std::optional<Time> time = since(*it);
+    if (!time || (earliest && *earliest <= *time)) continue;
+    earliest = time;
+    found = it;
+  }
+  return found;
+}
+
 }  // namespace gullward
 
 #endif  // GULLWARD_GATEWAY_CALLER_CHANNEL_H_
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -255,15 +255,9 @@
 bool GatewayServer::HasPlaceForCaller() {
   if (!this->state.fleet.mechanisms().bound_requests) return true;
   if (this->callers.size() < this->max_callers) return true;
-  Time now = Now();
-  std::optional<Time> oldest;
-  auto chosen = this->callers.end();
-  for (auto it = this->callers.begin(); it != this->callers.end(); ++it) {
-    std::optional<Time> since = it->second.channel->ReplaceableSince(now);
-    if (!since || (oldest && *oldest <= *since)) continue;
-    oldest = since;
-    chosen = it;
-  }
+  auto chosen = FindLongest(this->callers, [now = Now()](const auto& entry) {
+    return entry.second.channel->ReplaceableSince(now);
+  });
   if (chosen == this->callers.end()) return false;
   this->state.counters.callers_closed_idle += 1;
   std::shared_ptr<CallerChannel> channel = chosen->second.channel;
@@ -275,21 +269,17 @@
 // Rejects the upload that has stalled for the longest time.  Only a large one makes room for a
 // large one.  Returns whether there was any.
 bool GatewayServer::MakeRoom(uint64_t for_caller, bool is_large) {
-  Time now = Now();
-  std::optional<Time> oldest;
-  std::shared_ptr<CallerChannel> chosen;
-  for (const auto& [id, caller] : this->callers) {
-    size_t held = caller.channel->held_bytes();
+  auto stalled_since = [&, now = Now()](const auto& entry) {
+    const CallerChannel& channel = *entry.second.channel;
+    size_t held = channel.held_bytes();
     bool helps = held > 0 && (!is_large || RequestMemory::IsLarge(held));
-    if (id == for_caller || !helps) continue;
-    std::optional<Time> since = caller.channel->StalledSince(now);
-    if (!since || (oldest && *oldest <= *since)) continue;
-    oldest = since;
-    chosen = caller.channel;
-  }
-  if (!chosen) return false;
+    return entry.first != for_caller && helps ? channel.StalledSince(now) : std::nullopt;
+  };
+  auto chosen = FindLongest(this->callers, stalled_since);
+  if (chosen == this->callers.end()) return false;
   this->state.counters.uploads_displaced += 1;
-  chosen->RejectUpload();
+  std::shared_ptr<CallerChannel> channel = chosen->second.channel;
+  channel->RejectUpload();
   return true;
 }
 
--- a/src/gateway/http_pages.cc
+++ b/src/gateway/http_pages.cc
@@ -40,19 +40,15 @@
   return page;
 }
 
-HttpPages::HttpPages(EventLoop* event_loop, Handler page_maker, const HttpPagesLimits& page_limits)
-    : HttpPages(event_loop,
-                AsyncHandler([page_maker = std::move(page_maker)](const std::string& path,
-                                                                  const Answer& answer) {
+HttpPages::HttpPages(EventLoop* event_loop, Handler page_maker)
+    : HttpPages(event_loop, AsyncHandler([page_maker = std::move(page_maker)](
+                                             const std::string& path, const Answer& answer) {
                   answer(page_maker(path));
-                }),
-                page_limits) {}
+                })) {}
 
-HttpPages::HttpPages(EventLoop* event_loop, AsyncHandler request_handler,
-                     const HttpPagesLimits& page_limits)
+HttpPages::HttpPages(EventLoop* event_loop, AsyncHandler request_handler)
     : loop(event_loop),
-      limits(page_limits),
-      request_memory(std::make_shared<RequestMemory>(page_limits.request_bytes)),
+      request_memory(std::make_shared<RequestMemory>(kMaxRequestBytes)),
       handler(std::move(request_handler)) {}
 
 // Whether one more connection is within the limit.  If not, closes the one that has been idle, or
@@ -60,19 +56,13 @@
 bool HttpPages::HasPlace() {
   auto is_closed = [](const auto& channel) { return channel->is_closed(); };
   std::erase_if(this->channels, is_closed);
-  if (this->channels.size() < this->limits.connections) return true;
-  Time now = Now();
-  std::optional<Time> oldest;
-  std::shared_ptr<CallerChannel> chosen;
-  for (const std::shared_ptr<CallerChannel>& channel : this->channels) {
-    std::optional<Time> since = channel->ReplaceableSince(now);
-    if (!since || (oldest && *oldest <= *since)) continue;
-    oldest = since;
-    chosen = channel;
-  }
-  if (!chosen) return false;
-  chosen->CloseNow();
-  std::erase(this->channels, chosen);
+  if (this->channels.size() < this->max_connections) return true;
+  auto chosen = FindLongest(this->channels, [now = Now()](const auto& channel) {
+    return channel->ReplaceableSince(now);
+  });
+  if (chosen == this->channels.end()) return false;
+  (*chosen)->CloseNow();
+  this->channels.erase(chosen);
   return true;
 }
 
--- a/src/gateway/http_pages.h
+++ b/src/gateway/http_pages.h
@@ -32,14 +32,6 @@
 
 HttpPage NotFound();
 
-struct HttpPagesLimits {
-  size_t connections = 64;
-  // What requests take together; one of any size is read.
-  size_t request_bytes = 1 << 20;
-
-  bool operator==(const HttpPagesLimits&) const = default;
-};
-
 class HttpPages {
  public:
   using Handler = std::function<HttpPage(const std::string& path)>;
@@ -48,15 +40,16 @@
   // Calls `answer` once, now or later.
   using AsyncHandler = std::function<void(const std::string& path, Answer answer)>;
 
+  // What requests of all connections take together; one of any size is read.
+  static constexpr size_t kMaxRequestBytes = 1 << 20;
   // Answers that have not been read, of all connections together.
   static constexpr size_t kMaxUnreadBytes = 16 << 20;
 
-  HttpPages(EventLoop* event_loop, Handler page_maker, const HttpPagesLimits& page_limits = {});
-  HttpPages(EventLoop* event_loop, AsyncHandler request_handler,
-            const HttpPagesLimits& page_limits = {});
+  HttpPages(EventLoop* event_loop, Handler page_maker);
+  HttpPages(EventLoop* event_loop, AsyncHandler request_handler);
 
   // Bounds the connections from now on.  Those that are open stay open.
-  void SetMaxConnections(size_t connections) { this->limits.connections = connections; }
+  void SetMaxConnections(size_t connections) { this->max_connections = connections; }
 
   // Takes over an accepted connection and answers its requests.
   void Adopt(int fd);
@@ -72,7 +65,7 @@
   size_t UnreadBytes() const;
 
   EventLoop* loop;
-  HttpPagesLimits limits;
+  size_t max_connections = 64;
   std::shared_ptr<RequestMemory> request_memory;
   AsyncHandler handler;
   std::vector<std::shared_ptr<CallerChannel>> channels;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -18,11 +18,6 @@
 namespace gullward {
 namespace {
 
-// Allocations of this size or more are returned to the system when they are freed.  By default the
-// allocator raises this size to that of the largest allocation that was freed, and long bodies then
-// leave holes in the heap that stay resident.
-constexpr int kOwnPagesBytes = 128 << 10;
-
 std::optional<GatewaySettings> ReadSettings(std::vector<ConfigError>* errors) {
   std::string file;
   std::optional<toml::table> table = LoadSettings(errors, &file);
@@ -63,7 +58,9 @@
   using namespace gullward;
   InitProcess("gullward-gateway --settings FILE: accepts requests from callers on an entry box",
               &argc, &argv);
-  mallopt(M_MMAP_THRESHOLD, kOwnPagesBytes);
+  // By default the allocator raises this size to that of the largest allocation that was freed, and
+  // long bodies then leave holes in the heap that stay resident.
+  mallopt(M_MMAP_THRESHOLD, RequestMemory::kOwnPagesBytes);
   const char* settings_file = std::getenv("GULLWARD_SETTINGS");
   if (FLAGS_settings.empty() && settings_file != nullptr) FLAGS_settings = settings_file;
   std::vector<ConfigError> errors;
--- a/src/gateway/request_memory.h
+++ b/src/gateway/request_memory.h
@@ -24,6 +24,10 @@
 class RequestMemory {
  public:
   static constexpr size_t kSmallBytes = 64 << 10;
+  // Allocations of this size or more have pages of their own, if the process tells its allocator
+  // so. Those that were never written to take no memory, and all are given back when they are
+  // freed.
+  static constexpr size_t kOwnPagesBytes = 128 << 10;
   static constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
 
   explicit RequestMemory(size_t most_bytes) : most(most_bytes) {}
