An answer with a status that no server sends is malformed

Callers saw: with an engine that answered with a status of 000 to 099, a 504 at their deadline; with 600 or 999, that answer with the engine's seal.

Cause: the parser took every number of three digits for a status. RequestChannel skips what is below 200 as an interim answer and waits for the final one, which never comes.

Change: ResponseParser calls a status malformed that is outside 100 to 599 (RFC 9110, section 15), or 101, since no request asks for another protocol. All answers that gateways, the soak and the tests read pass through it: engines, orders, the store and peers. Gateways ask no engine's health path; their check of lost engines reads no answer.

Why this works: a malformed answer ends the attempt as one that may have run, so that the request goes to another engine where it may, and otherwise fails with 502 at once.

--- a/src/gateway/testing/endless_answer_test.cc
+++ b/src/gateway/testing/endless_answer_test.cc
@@ -15,9 +15,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "gateway/store_client.h"
-#include "gateway/testing/gateway_fixture.h"
-#include "platform/testing/document_writer.h"
-#include "standins/endless_server.h"
+#include "gateway/testing/faulty_server_fixture.h"
 
 namespace gullward {
 namespace {
@@ -106,25 +104,9 @@
   return info.uordblks + info.hblkhd;
 }
 
-// A gateway whose list of engines has some that answer without end.
-struct EndlessFixture {
-  EndlessFixture(const EndlessAnswer& answer, const std::string& service, bool has_sound_engines)
-      : fixture({.engines = 1, .apps = 1, .mechanisms = {.shared_order = false}}),
-        server(&this->fixture.loop, answer) {
-    this->fixture.Publish(this->fixture.DefaultConfig());
-    this->ListSound(*this->fixture.engines[0], "models", has_sound_engines);
-    this->ListSound(*this->fixture.apps[0], "app", has_sound_engines);
-    EngineRecord record{"endless", service, this->server.address(), "hall-1", 16, false};
-    this->fixture.store.Put("keyed.servers", "endless", platform::EngineDocument(record));
-    this->fixture.StartGateway();
-  }
-
-  // Sound engines are in another data centre, so that the first attempts go to the endless one.
-  void ListSound(const EngineStandin& engine, const std::string& service, bool is_listed) {
-    EngineRecord record{engine.id(), service, engine.address(), "hall-2", 16, false};
-    std::string document = is_listed ? platform::EngineDocument(record) : "";
-    this->fixture.store.Put("keyed.servers", engine.id(), document);
-  }
+// A server that answers without end, and what the process allocates meanwhile.
+struct EndlessFixture : FaultyServerFixture {
+  using FaultyServerFixture::FaultyServerFixture;
 
   // Sends requests, waits until all have ended, and returns the replies.
   std::vector<std::shared_ptr<Reply>> CallAll(
@@ -141,8 +123,6 @@
     return replies;
   }
 
-  GatewayFixture fixture;
-  EndlessServer server;
   size_t most_allocated = 0;
 };
 
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -28,6 +28,15 @@
 constexpr size_t kMinLastChunkBytes = 5;
 // The memory that the buffer of unparsed bytes may keep while it is empty.
 constexpr size_t kMaxIdleBytes = 1 << 10;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+
+// Whether the status can belong to an answer (RFC 9110, section 15).  No request here asks for
+// another protocol, so none is answered by a switch to it.
+bool IsValidStatus(int status) {
+  return status >= kMinStatus && status <= kMaxStatus && status != kSwitchingProtocols;
+}
 
 std::string ToString(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -54,8 +63,12 @@
     }
   }
 
-  void on_response_impl(int code, beast::string_view reason, int, ErrorCode&) override {
+  void on_response_impl(int code, beast::string_view reason, int, ErrorCode& error) override {
     if constexpr (!kIsRequest) {
+      if (!IsValidStatus(code)) {
+        error = http::error::bad_status;
+        return;
+      }
       this->head.status = code;
       this->head.reason = ToString(reason);
     }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -18,6 +18,9 @@
 // Messages whose framing is ambiguous (two lengths, a length beside chunks, a transfer
 // coding other than chunked) are malformed: if they were forwarded, a sender could hide a
 // second request in the body of the first (request smuggling).
+//
+// So are answers with a status that no server in order sends: outside 100 to 599, or 101.  A status
+// below 100 would otherwise pass for an interim one, after which the answer is still to come.
 
 #ifndef GULLWARD_HTTP_MESSAGE_PARSER_H_
 #define GULLWARD_HTTP_MESSAGE_PARSER_H_
--- a/src/http/testing/message_parser_test.cc
+++ b/src/http/testing/message_parser_test.cc
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "http/testing/broken_heads.h"
+
 namespace gullward {
 namespace {
 
@@ -147,6 +149,38 @@
   }
 }
 
+// Guards against passing on an answer of a server in trouble as if it were one.
+BOOST_AUTO_TEST_CASE(ABrokenHeadIsMalformed) {
+  for (const BrokenHead& row : BrokenHeads()) {
+    for (size_t step : {row.answer.size(), size_t{1}}) {
+      BOOST_TEST_CONTEXT(row.what << ", " << step << " bytes at a time") {
+        int heads = 0;
+        ResponseParser parser(
+            {.head = [&](const ResponseHead&) { heads += 1; }, .body = [](std::string_view) {}});
+        ParseState state = ParseState::kNeedMore;
+        for (size_t at = 0; at < row.answer.size() && state == ParseState::kNeedMore; at += step) {
+          state = parser.Feed(std::string_view(row.answer).substr(at, step));
+        }
+        BOOST_TEST((state == ParseState::kMalformed));
+        BOOST_TEST(heads == 0);
+      }
+    }
+  }
+}
+
+// Guards against taking a valid status for a broken one.
+BOOST_AUTO_TEST_CASE(EveryStatusFrom100To599IsRead) {
+  for (int status = 100; status <= 599; ++status) {
+    if (status == 101) continue;
+    std::string head = absl::StrCat("HTTP/1.1 ", status, " Reason\r\nContent-Length: 0\r\n\r\n");
+    int got = 0;
+    ResponseParser parser({.head = [&](const ResponseHead& read) { got = read.status; },
+                           .body = [](std::string_view) {}});
+    BOOST_TEST((parser.Feed(head) == ParseState::kComplete));
+    BOOST_TEST(got == status);
+  }
+}
+
 // Guards against memory that grows with a head, a chunk's line or a trailer that never ends.
 BOOST_AUTO_TEST_CASE(WhatCannotBeParsedYetIsBounded) {
   constexpr size_t kLimit = kMaxResponseHeadBytes;
--- a/src/standins/endless_server.cc
+++ b/src/standins/endless_server.cc
@@ -19,7 +19,7 @@
   bool is_paced = this->answer.interval > Duration(0);
   do {
     this->block += this->answer.filler;
-  } while (!is_paced && this->block.size() < kBlockBytes);
+  } while (!is_paced && !this->block.empty() && this->block.size() < kBlockBytes);
   absl::Status status = this->listener.Listen(this->loop, {"127.0.0.1", 0}, [this](int fd) {
     auto answering = std::make_shared<Answering>();
     answering->stream = TcpStream::Adopt(this->loop, fd);
@@ -60,6 +60,7 @@
 void EndlessServer::Begin(const std::shared_ptr<Answering>& answering) {
   if (std::exchange(answering->begun, true)) return;
   answering->stream->Write(this->answer.prefix);
+  if (this->answer.filler.empty()) return;
   if (this->answer.interval > Duration(0)) {
     this->WriteAfterInterval(answering);
   } else {
@@ -74,7 +75,8 @@
 
 // Writes until the kernel takes no more; the stream's hook then calls this again.
 void EndlessServer::WriteOn(const std::shared_ptr<Answering>& answering) {
-  bool is_done = answering->sent >= kMaxBytes || this->answer.interval > Duration(0);
+  bool is_done = answering->sent >= kMaxBytes || this->answer.interval > Duration(0) ||
+                 this->answer.filler.empty();
   if (is_done || answering->stream->HasPeerClosed()) return;
   this->WriteBlock(answering.get());
   if (answering->stream->pending() > 0) return;
--- a/src/standins/endless_server.h
+++ b/src/standins/endless_server.h
@@ -4,7 +4,8 @@
 //
 //   EndlessServer server(&loop, {.prefix = "HTTP/1.1 500 Error\r\n\r\n", .filler = "x"});
 //
-// It writes as fast as its peer reads, or one filler at each interval.
+// It writes as fast as its peer reads, or one filler at each interval.  Without a filler, it writes
+// the prefix only and leaves the connection open.
 
 #ifndef GULLWARD_STANDINS_ENDLESS_SERVER_H_
 #define GULLWARD_STANDINS_ENDLESS_SERVER_H_
