--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -8,6 +8,8 @@
 
 #include <utility>
 
+#include "http/head_check.h"
+
 namespace gullward {
 namespace {
 
@@ -19,7 +21,7 @@
   CHECK_EQ(result, CURLE_OK);
 }
 
-bool IsSuccess(long status) { return status >= 200 && status < 300; }
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
 
@@ -34,6 +36,7 @@
   bool has_data_hook = false;
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
+  HeadCheck head;
   std::string body;
   EventLoop* loop = nullptr;
   std::shared_ptr<std::unordered_map<uint64_t, Hooks>> hooks;
@@ -82,12 +85,18 @@
   curl_multi_wakeup(this->multi);
 }
 
+// libcurl fails the transfer if fewer bytes are taken than it has passed.
+size_t HttpClient::ReceiveHeadLine(char* data, size_t size, size_t count, void* cls) {
+  auto* transfer = static_cast<Transfer*>(cls);
+  size_t bytes = size * count;
+  return transfer->head.AddLine(std::string_view(data, bytes)) ? bytes : 0;
+}
+
 size_t HttpClient::ReceiveBody(char* data, size_t size, size_t count, void* cls) {
   auto* transfer = static_cast<Transfer*>(cls);
   size_t bytes = size * count;
-  long status = 0;
-  curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (transfer->has_data_hook && IsSuccess(status)) {
+  if (!transfer->head.status()) return 0;
+  if (transfer->has_data_hook && IsSuccess(*transfer->head.status())) {
     transfer->loop->Post(
         [hooks = transfer->hooks, number = transfer->number, part = std::string(data, bytes)] {
           auto found = hooks->find(number);
@@ -159,6 +168,8 @@
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.repeatable ? 0L : 1L);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &HttpClient::ReceiveHeadLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpClient::ReceiveBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
   curl_multi_add_handle(this->multi, easy);
@@ -171,15 +182,18 @@
   std::unique_ptr<Transfer> transfer = std::move(found->second);
   this->running.erase(found);
   HttpResult result;
-  result.complete = curl_result == CURLE_OK;
+  result.complete = curl_result == CURLE_OK && transfer->head.status();
   // With these errors no byte of the call has been sent.
   result.connected = curl_result != CURLE_COULDNT_CONNECT &&
                      curl_result != CURLE_COULDNT_RESOLVE_HOST &&
                      curl_result != CURLE_URL_MALFORMAT;
-  if (!result.complete) result.error = curl_easy_strerror(static_cast<CURLcode>(curl_result));
-  long status = 0;
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  result.status = static_cast<int>(status);
+  if (curl_result != CURLE_OK) {
+    result.error = curl_easy_strerror(static_cast<CURLcode>(curl_result));
+  }
+  // The check fails a transfer through libcurl, whose description then says less.
+  std::string_view head_error = transfer->head.error();
+  if (!result.complete && !head_error.empty()) result.error = head_error;
+  result.status = transfer->head.status().value_or(0);
   char* content_type = nullptr;
   curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &content_type);
   if (content_type != nullptr) result.content_type = content_type;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -9,6 +9,9 @@
 //                                {.done = [](const HttpResult& result) { ... }});
 //   client.Cancel(call);           // its hooks are not called any more
 //
+// The heads of answers are also read by ResponseParser, which is stricter than libcurl and bounds
+// them: a call whose answer it calls malformed or too large fails.
+//
 // A call whose answer's body is longer than max_body_bytes fails, unless the call has a
 // data hook and the answer's status is 2xx: then the body is not collected.
 
@@ -51,11 +54,11 @@
   bool complete = false;
   // False if no connection was established, so that no byte of the call was sent.
   bool connected = false;
-  // HTTP status; 0 if no answer arrived.
+  // HTTP status; 0 if no valid head of a final answer arrived.
   int status = 0;
   std::string content_type;
   std::string body;
-  // libcurl's description of the failure; empty if the answer is complete.
+  // Description of the failure; empty if the answer is complete.
   std::string error;
 };
 
@@ -84,6 +87,7 @@
  private:
   struct Transfer;
 
+  static size_t ReceiveHeadLine(char* data, size_t size, size_t count, void* transfer);
   static size_t ReceiveBody(char* data, size_t size, size_t count, void* transfer);
   void RunThread();
   void ProcessCommands();
