In a planned stop, no caller is left without an answer

Callers saw: an upload that began before the stop and ended 2.8 to 7.4 s after it was sent to an engine; where that needed 6 s, the connection closed at 7.6 s without an answer, also for requests that must not run twice. Requests that no engine had yet were closed in the same way.

Cause: the stop closed idle connections after 2.6 s, since a later request could not be finished, but read those on that had begun, and sent requests on and again. At the end of the grace the process ended whatever was left.

Change: once the port for callers is closed, uploads and requests that no engine has are refused with 2005 (503 and Retry-After, and not run). At the end of the grace a request that an engine has gets the new code 3008 (502, which promises nothing), one that no engine has 2005, and an answer that has begun is reset. The process goes on for a moment so that callers receive this. use_answer_at_stop switches it off.

Ruled out: to read late uploads to their end and refuse them then; callers would learn later what is known at once.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -65,6 +65,8 @@
       {ResultCode::kServiceFailed, "service_failed", 502, "the service broke off"},
       {ResultCode::kEnginesEnded, "engines_ended", 502,
        "the engine ended while it ran this, as others did before; no other is tried"},
+      {ResultCode::kGatewayStopped, "gateway_stopped", 502,
+       "the gateway stopped before the engine had answered"},
       {ResultCode::kSettingsInvalid, "settings_invalid", 0, "a settings file was refused"},
       {ResultCode::kConfigInvalid, "config_invalid", 0, "a configuration was refused by its check"},
       {ResultCode::kConfigConflict, "config_conflict", 0, "an object had moved on: publish again"},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -71,6 +71,7 @@
   kCallerGone = 3005,
   kServiceFailed = 3006,
   kEnginesEnded = 3007,
+  kGatewayStopped = 3008,
 
   kSettingsInvalid = 4001,
   kConfigInvalid = 4002,
--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -252,8 +252,10 @@
   this->hooks.malformed(code);
 }
 
-void CallerChannel::RejectUpload() {
-  if (this->phase == Phase::kReading) this->Reject(ResultCode::kRequestMemoryFull);
+bool CallerChannel::RejectUpload(ResultCode code) {
+  if (this->phase != Phase::kReading) return false;
+  this->Reject(code);
+  return true;
 }
 
 std::optional<Time> CallerChannel::ReplaceableSince(Time now) const {
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -117,8 +117,8 @@
   // The memory that the request takes that is being read.
   size_t held_bytes() const { return this->held.bytes(); }
 
-  // Rejects the request that is being read, to make room for another.
-  void RejectUpload();
+  // Rejects the request that is being read.  Returns whether there was one.
+  bool RejectUpload(ResultCode code);
 
   // The head of a request that is rejected; empty if it has not been read whole.
   const RequestHead& request_head() const { return this->request.head; }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -98,6 +98,10 @@
 }
 
 void Exchange::StartAttempt(Time now) {
+  if (this->MustRefuseForStop()) {
+    this->RefuseForStop();
+    return;
+  }
   bool key_is_vouched = !this->admission.needs_key || this->state->keys.IsFresh(now);
   if (!key_is_vouched) {
     this->ApplyStepUnsent(now);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,6 +52,9 @@
   // been silent for too long.
   void Tick(Time now);
 
+  // Ends the request because the process stops.  It is refused if no engine has it.
+  void EndForStop();
+
   // Cancels the attempt under way.  To be called when the caller has disconnected.
   void CallerGone();
 
@@ -156,6 +159,8 @@
   void RefuseUnsent();
   void Refuse(ResultCode code, std::optional<Duration> retry_after = std::nullopt);
   void LogFailure(ResultCode code);
+  bool MustRefuseForStop() const;
+  void RefuseForStop();
   void GiveUp();
   void CancelAttempt();
   void Finish();
--- a/src/gateway/exchange_tickets.cc
+++ b/src/gateway/exchange_tickets.cc
@@ -39,6 +39,10 @@
 
 void Exchange::OnTickets(const FleetChoice& choice, bool all, const std::string& refused_by) {
   if (this->is_finished) return;
+  if (this->MustRefuseForStop()) {
+    this->RefuseForStop();
+    return;
+  }
   Time now = Now();
   // The engine may have asked for less work while the ticket orders were under way.
   if (all && this->state->fleet.StillAdmits(choice, now)) {
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -8,8 +8,11 @@
 //     abandoned.
 //   - While the connection to the engine is not established, the attempt is withdrawn if the
 //     engine leaves or asks for a rest.
+//   - In a planned stop of the process, a request that no engine has is refused, since another
+//     gateway has more time for it.  At the end of the grace every request ends.
 
 #include "gateway/exchange.h"
+#include "gateway/failure_answer.h"
 #include "serving/silence_timeout.h"
 
 namespace gullward {
@@ -119,6 +122,29 @@
   this->AfterAttempt(AttemptResult::kNotRun);
 }
 
+// A request that may have run goes on: it cannot be refused as not run.
+bool Exchange::MustRefuseForStop() const {
+  return this->state->refuses_unsent && !this->answer_begun && !this->may_have_run;
+}
+
+// Other gateways take the request at once.
+void Exchange::RefuseForStop() { this->Refuse(ResultCode::kDraining, kMinRetryAfter); }
+
+void Exchange::EndForStop() {
+  if (this->is_finished) return;
+  bool is_sent = this->attempt && !this->attempt->channel->is_connecting();
+  this->CancelAttempt();
+  if (this->answer_begun) {
+    this->ApplyStep(NextStep::kBreakOff, AttemptResult::kUnknown);
+    return;
+  }
+  if (is_sent || this->may_have_run) {
+    this->Refuse(ResultCode::kGatewayStopped);
+  } else {
+    this->RefuseForStop();
+  }
+}
+
 void Exchange::GiveUp() {
   this->CancelAttempt();
   if (this->answer_begun) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -42,8 +42,13 @@
 // When a request that did not fit into the memory for requests should be sent again.  An upload
 // that has stalled gives way after this time.
 constexpr Duration kMemoryRetryAfter = seconds(1);
-// Part of the stop grace that is reserved for the last writes.
+// Part of the stop grace that is reserved for the last answers, and how long the process goes on in
+// it so that callers receive them.
 constexpr Duration kStopMargin = milliseconds(400);
+constexpr Duration kLastAnswers = milliseconds(150);
+// How long the process goes on after it has rejected uploads.  Callers may still be sending, and
+// the end of the process would reset their connections before they have read the answer.
+constexpr Duration kRejectionWait = seconds(1);
 
 }  // namespace
 
@@ -279,7 +284,7 @@
   if (chosen == this->callers.end()) return false;
   this->state.counters.uploads_displaced += 1;
   std::shared_ptr<CallerChannel> channel = chosen->second.channel;
-  channel->RejectUpload();
+  channel->RejectUpload(ResultCode::kRequestMemoryFull);
   return true;
 }
 
@@ -344,15 +349,19 @@
   this->log.Flush();
 }
 
-// Holds references to the running exchanges first: an exchange that ends may start the
-// caller's next request and so replace its entry in `callers`.
-void GatewayServer::TickExchanges(Time now) {
+// Returns references of their own: an exchange that ends may start the caller's next request and so
+// replace its entry in `callers`.
+std::vector<std::shared_ptr<Exchange>> GatewayServer::RunningExchanges() {
   std::vector<std::shared_ptr<Exchange>> running;
   for (auto& [id, caller] : this->callers) {
     if (caller.exchange && caller.exchange->finished()) caller.exchange.reset();
     if (caller.exchange) running.push_back(caller.exchange);
   }
-  for (const std::shared_ptr<Exchange>& exchange : running) exchange->Tick(now);
+  return running;
+}
+
+void GatewayServer::TickExchanges(Time now) {
+  for (const std::shared_ptr<Exchange>& exchange : this->RunningExchanges()) exchange->Tick(now);
 }
 
 // The peers that read from a root need a proof for all of the operator's topic.
@@ -447,19 +456,39 @@
 void GatewayServer::StopAccepting() {
   this->callers_listener.Close();
   for (auto& [id, caller] : this->callers) caller.channel->CloseIfIdle();
+  if (!this->state.fleet.mechanisms().answer_at_stop) return;
+  this->state.refuses_unsent = true;
+  this->RejectUploads();
 }
 
-void GatewayServer::StopWhenIdle(Time now) {
-  bool busy = false;
-  for (const auto& [id, caller] : this->callers) {
-    bool in_use = caller.exchange && !caller.exchange->finished();
-    busy = busy || in_use;
+void GatewayServer::RejectUploads() {
+  std::vector<std::shared_ptr<CallerChannel>> channels;
+  for (const auto& [id, caller] : this->callers) channels.push_back(caller.channel);
+  for (const auto& channel : channels) {
+    if (channel->RejectUpload(ResultCode::kDraining)) this->last_rejection = Now();
   }
+}
+
+void GatewayServer::EndExchanges() {
+  for (const std::shared_ptr<Exchange>& exchange : this->RunningExchanges()) {
+    this->ended_at_stop = true;
+    exchange->EndForStop();
+  }
+}
+
+void GatewayServer::StopWhenIdle(Time now) {
   Duration elapsed = now - this->stop_began;
-  if (elapsed >= kBalancerReactionTime) this->StopAccepting();
-  bool out_of_time = elapsed >= this->state.settings.stop_grace - kStopMargin;
-  bool done = !busy && elapsed >= kBalancerReactionTime;
+  Duration left = this->state.settings.stop_grace - elapsed;
+  bool is_ending = left <= kStopMargin;
+  bool answers = this->state.fleet.mechanisms().answer_at_stop;
+  if (elapsed >= kBalancerReactionTime || (is_ending && answers)) this->StopAccepting();
+  if (is_ending && answers) this->EndExchanges();
+  bool is_idle = this->RunningExchanges().empty();
+  bool awaits_readers = now - this->last_rejection < kRejectionWait;
+  bool done = is_idle && !is_ending && !awaits_readers && elapsed >= kBalancerReactionTime;
+  bool out_of_time = left <= (answers ? kStopMargin - kLastAnswers : kStopMargin);
   if (!done && !out_of_time) return;
+  bool busy = !is_idle || this->ended_at_stop;
   this->log.Write(LogLine("stopped").Number("busy", busy ? 1 : 0));
   this->log.Flush();
   this->loop->Stop();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -55,8 +55,9 @@
   absl::Status Start();
 
   // Reports this gateway as not ready, but serves new callers until the balancer has reacted.
-  // Finishes the requests in progress and then stops the loop.  Requests that outlast the stop
-  // grace of the settings are abandoned.
+  // Finishes the requests in progress and then stops the loop.  Then it takes no new callers, and
+  // refuses requests that no engine has.  Requests that outlast the stop grace of the settings get
+  // a failure as their answer.
   void DrainAndStop();
 
   // Whether the load balancer may send callers to this gateway.
@@ -179,6 +180,9 @@
   void StartReadingEngines();
   Duration RandomReadDelay();
   void StopAccepting();
+  void RejectUploads();
+  std::vector<std::shared_ptr<Exchange>> RunningExchanges();
+  void EndExchanges();
   void StopWhenIdle(Time now);
   // The operators' pages: metrics as text, and the state of the process as JSON.
   std::string Metrics() const;
@@ -218,6 +222,10 @@
   bool engine_list_changed = false;
   bool keys_were_fresh = false;
   bool stopping = false;
+  // When uploads were last rejected because of the stop.
+  Time last_rejection{};
+  // Whether requests were left at the end of the stop grace.
+  bool ended_at_stop = false;
   // The newest configuration version that a peer has announced and this gateway lacks, and
   // when its first report arrived.
   uint64_t newer_version = 0;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -152,6 +152,8 @@
   // A random number that distinguishes this process from earlier ones of the same box.
   uint64_t incarnation;
   GatewayCounters counters;
+  // Whether requests that no engine has are refused, because this process is about to stop.
+  bool refuses_unsent = false;
   // Detects requests that crash engines; set by the server.
   CrashWatch* crash_watch = nullptr;
   // Sends the load to the peers at once rather than at the next tick.  Called when new work
--- a/src/gateway/testing/caller_channel_test.cc
+++ b/src/gateway/testing/caller_channel_test.cc
@@ -91,7 +91,7 @@
     hooks.needs_room = [this, raw](bool) {
       for (const auto& other : this->channels) {
         if (other.get() == raw || !other->StalledSince(Now())) continue;
-        other->RejectUpload();
+        other->RejectUpload(ResultCode::kRequestMemoryFull);
         return true;
       }
       return false;
--- a/src/gateway/testing/gateway_fixture.cc
+++ b/src/gateway/testing/gateway_fixture.cc
@@ -58,9 +58,9 @@
     this->ListEngine(*this->engines.back(), kModels);
   }
   for (int i = 0; i < this->options.apps; ++i) {
-    EngineStandin::Options engine;
-    engine.id = absl::StrCat("app-", i);
-    this->apps.push_back(std::make_unique<EngineStandin>(&this->loop, engine));
+    EngineStandin::Options app = this->options.app;
+    app.id = absl::StrCat("app-", i);
+    this->apps.push_back(std::make_unique<EngineStandin>(&this->loop, app));
     this->ListEngine(*this->apps.back(), kApp);
   }
 }
--- a/src/gateway/testing/gateway_fixture.h
+++ b/src/gateway/testing/gateway_fixture.h
@@ -37,6 +37,8 @@
   int apps = 2;
   // Options of each model engine.
   EngineStandin::Options engine = {};
+  // Options of each engine of the plain service.
+  EngineStandin::Options app = {};
   // Settings of each gateway.
   Duration key_trust = seconds(5);
   KeyTrust key_trust_mode = KeyTrust::kBounded;
--- a/src/serving/mechanisms.h
+++ b/src/serving/mechanisms.h
@@ -107,6 +107,10 @@
   // (gateway/request_memory.h, gateway/descriptor_shares.h).  Off: both grow with what callers
   // send.
   bool bound_requests = true;
+  // Once a planned stop has closed the port for callers, requests that no engine has are refused as
+  // not run, and at the end of its grace each request that is left gets an answer.  Off: requests
+  // are read and sent to engines until the end, which closes their connections.
+  bool answer_at_stop = true;
   // Crashes count against the parts of prompts, not only against whole contents (quarantine.h).
   // Off: requests that differ in content are each sent to engines until three have crashed.
   bool part_quarantine = true;
@@ -172,6 +176,7 @@
     {"caller_handoff", &Mechanisms::caller_handoff},
     {"bound_answers", &Mechanisms::bound_answers},
     {"bound_requests", &Mechanisms::bound_requests},
+    {"answer_at_stop", &Mechanisms::answer_at_stop},
     {"part_quarantine", &Mechanisms::part_quarantine},
     {"engine_notices", &Mechanisms::engine_notices},
     {"evacuation", &Mechanisms::evacuation},
