An entry with port 0 names no engine

Seen: an entry of the engines' list with port 0 was taken as an engine, to which no connection can be made, so that requests were tried there first.

Cause: the address is read like one to listen on, where port 0 means any.

The copy also rejects entries without slots, as the list does.

Result: platform_test passes.

--- a/src/serving/engine_list.cc
+++ b/src/serving/engine_list.cc
@@ -34,8 +34,10 @@
   if (packed->engines() == nullptr) return std::nullopt;
   std::vector<EngineRecord> engines;
   for (const fb::EngineEntry* entry : *packed->engines()) {
-    absl::StatusOr<SocketAddress> address = SocketAddress::Parse(StringOrEmpty(entry->address()));
-    if (!address.ok()) return std::nullopt;
+    absl::StatusOr<SocketAddress> address =
+        SocketAddress::ParseServer(StringOrEmpty(entry->address()));
+    bool is_engine = address.ok() && entry->slots() > 0;
+    if (!is_engine) return std::nullopt;
     engines.push_back({StringOrEmpty(entry->id()), StringOrEmpty(entry->service()), *address,
                        StringOrEmpty(entry->data_centre()), entry->slots(), entry->draining(),
                        entry->born()});
--- a/src/serving/gateway_entry.cc
+++ b/src/serving/gateway_entry.cc
@@ -19,7 +19,7 @@
   if (!verifier.VerifyBuffer<fb::GatewayEntry>(nullptr)) return std::nullopt;
   const auto* packed = flatbuffers::GetRoot<fb::GatewayEntry>(bytes);
   if (packed->address() == nullptr || packed->data_centre() == nullptr) return std::nullopt;
-  absl::StatusOr<SocketAddress> address = SocketAddress::Parse(packed->address()->str());
+  absl::StatusOr<SocketAddress> address = SocketAddress::ParseServer(packed->address()->str());
   if (!address.ok()) return std::nullopt;
   return Peer{box, *address, packed->data_centre()->str()};
 }
--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -44,6 +44,12 @@
   return SocketAddress{host, port};
 }
 
+absl::StatusOr<SocketAddress> SocketAddress::ParseServer(const std::string& text) {
+  absl::StatusOr<SocketAddress> address = Parse(text);
+  if (address.ok() && address->port == 0) return MalformedError(text);
+  return address;
+}
+
 std::string SocketAddress::ToString() const {
   std::string host_text = IsIpv6(this->host) ? "[" + this->host + "]" : this->host;
   return host_text + ":" + std::to_string(this->port);
--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -25,6 +25,9 @@
   // Parses "IP:PORT".  Returns InvalidArgument with the text if it is malformed.
   static absl::StatusOr<SocketAddress> Parse(const std::string& text);
 
+  // Parses the address of a server to connect to: as Parse, but port 0 is malformed too.
+  static absl::StatusOr<SocketAddress> ParseServer(const std::string& text);
+
   // "IP:PORT", with an IPv6 number in brackets.
   std::string ToString() const;
 
