An event of an engine that does not end fails the endpoint's attempt

Seen by reading, and shown now: gullward-endpoint kept an event without end until the call's timeout.

Evidence: engine_client_test, before the change: no failure within 5 s.

Change: an unfinished event of more than 1 MB ends the call; the attempt has failed after it ran.

Result: engine_client_test passes.

--- a/src/endpoint/engine_client.cc
+++ b/src/endpoint/engine_client.cc
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr Duration kControlTimeout = seconds(2);
+// The largest event of an engine.  Its text is a few tokens.
+constexpr size_t kMaxEventBytes = 1 << 20;
 constexpr char kDataPrefix[] = "data: ";
 constexpr char kDoneMarker[] = "[DONE]";
 
@@ -93,7 +95,18 @@
     start = end + 2;
   }
   unparsed.erase(0, start);
+  bool is_endless = unparsed.size() > kMaxEventBytes;
   if (tokens > 0) this->hooks.output(id, {std::move(text), tokens});
+  if (is_endless) this->AbandonStream(id);
+}
+
+// Ends an attempt whose engine sends an event that does not end.
+void EngineClient::AbandonStream(const AttemptId& id) {
+  auto found = this->streams.find(id);
+  if (found == this->streams.end()) return;
+  this->http->Cancel(found->second.call);
+  this->streams.erase(found);
+  this->hooks.failed(id, {ResultCode::kEngineFailed, Ran::kYes});
 }
 
 void EngineClient::OnEvent(const AttemptId& id, const std::string& event, std::string* text,
--- a/src/endpoint/engine_client.h
+++ b/src/endpoint/engine_client.h
@@ -62,6 +62,7 @@
 
   void OnData(const AttemptId& id, const std::string& part);
   void OnEvent(const AttemptId& id, const std::string& data, std::string* text, uint32_t* tokens);
+  void AbandonStream(const AttemptId& id);
   void OnDone(const AttemptId& id, const HttpResult& result);
   std::string Url(uint32_t engine, const std::string& path) const;
 
