--- a/src/gateway/testing/hostile_ports_test.cc
+++ b/src/gateway/testing/hostile_ports_test.cc
@@ -35,14 +35,16 @@
   return absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
 }
 
+void CheckServed(const SocketAddress& server, const std::string& request) {
+  std::string answer = GatewayProcesses::CallUntilServed(server, request);
+  BOOST_TEST(IsServed(answer), request.substr(0, request.find('\r')) << ": " << answer);
+}
+
 void CheckGateway(GatewayProcesses* gateway) {
-  auto call = [](const SocketAddress& server, const std::string& request) {
-    return IsServed(GatewayProcesses::CallUntilServed(server, request));
-  };
-  BOOST_TEST(call(gateway->callers(), OrdinaryStream("stream")));
-  BOOST_TEST(call(gateway->callers(), OrdinaryOrder("order")));
-  BOOST_TEST(call(gateway->ready(), Get("/v1/readyz")));
-  BOOST_TEST(call(gateway->metrics(), Get("/metrics")));
+  CheckServed(gateway->callers(), OrdinaryStream("stream"));
+  CheckServed(gateway->callers(), OrdinaryOrder("order"));
+  CheckServed(gateway->ready(), Get("/v1/readyz"));
+  CheckServed(gateway->metrics(), Get("/metrics"));
   BOOST_TEST(gateway->IsRunning());
   if (kMeasuresMemory) BOOST_TEST(gateway->PeakMemoryBytes() < kBoxBytes);
 }
