--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -349,8 +349,8 @@
   this->log.Flush();
 }
 
-// Returns references of their own: an exchange that ends may start the caller's next request and so
-// replace its entry in `callers`.
+// Returns shared pointers, which keep an exchange alive that ends while it runs: it may start the
+// caller's next request and so be replaced in `callers`.
 std::vector<std::shared_ptr<Exchange>> GatewayServer::RunningExchanges() {
   std::vector<std::shared_ptr<Exchange>> running;
   for (auto& [id, caller] : this->callers) {
--- a/src/http/head_check.h
+++ b/src/http/head_check.h
@@ -1,7 +1,7 @@
 // Checks the heads of the answer to one request, as libcurl passes them line by line.
 //
-// libcurl accepts answers that no server in order sends, and trailers of any length.
-// ResponseParser decides here as for every other reader of answers:
+// libcurl accepts malformed heads and trailers of any length.  ResponseParser decides here as for
+// every other reader of answers:
 //
 //   HeadCheck check;
 //   bool is_valid = check.AddLine("HTTP/1.1 200 OK\r\n") && check.AddLine("\r\n");
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -19,8 +19,8 @@
 // coding other than chunked) are malformed: if they were forwarded, a sender could hide a
 // second request in the body of the first (request smuggling).
 //
-// So are answers with a status that no server in order sends: outside 100 to 599, or 101.  A status
-// below 100 would otherwise pass for an interim one, after which the answer is still to come.
+// Answers with a status outside 100 to 599, or of 101, are malformed too.  A status below 100 would
+// otherwise pass for an interim one, after which the final answer is awaited.
 
 #ifndef GULLWARD_HTTP_MESSAGE_PARSER_H_
 #define GULLWARD_HTTP_MESSAGE_PARSER_H_
--- a/src/http/testing/broken_answer_readers_test.cc
+++ b/src/http/testing/broken_answer_readers_test.cc
@@ -1,7 +1,7 @@
 // What reads answers through a connection, against servers whose answers are broken or do not end.
 //
-// Failure guarded against: each reader took another part of a broken head for an answer, or waited
-// for the answer that should follow it.
+// Failure guarded against: a malformed head was taken for an answer, or for an interim one after
+// which the final answer was awaited; which ones differed between the readers.
 
 #define BOOST_TEST_MODULE broken_answer_readers
 #include <boost/test/unit_test.hpp>
@@ -15,7 +15,7 @@
 namespace gullward {
 namespace {
 
-// A broken answer is known as one at once.
+// A malformed head must fail the call long before its timeout.
 constexpr Duration kAtOnce = seconds(2);
 constexpr Duration kCallTimeout = seconds(8);
 
@@ -103,7 +103,7 @@
   }
 }
 
-// Guards against refusing what servers in order send.
+// Guards against rejecting valid answers.
 BOOST_AUTO_TEST_CASE(AClientReadsWholeAnswersOfEveryFraming) {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string answers[] = {
--- a/src/http/testing/broken_heads.h
+++ b/src/http/testing/broken_heads.h
@@ -1,5 +1,4 @@
-// Heads of answers that no HTTP server in order sends, for the tests of everything that reads
-// answers.
+// Malformed heads of answers, for the tests of everything that reads answers.
 //
 //   for (const BrokenHead& row : BrokenHeads()) ExpectMalformed(row.answer);
 
@@ -19,7 +18,7 @@
   std::string answer;
 };
 
-// The fields make the answer one of success from an engine, but for what is broken.
+// The other fields are those of an engine's successful answer.
 inline std::string AnswerWith(const std::string& status_line, const std::string& field = "") {
   return absl::StrCat(status_line, "\r\n", field,
                       "Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong");
