One name for the first final status, one way to give a request up

HeadCheck and RequestChannel each had a constant that tells interim from final heads, and HeadCheck kept a status only to compare it. Exchange::EndForStop repeated what GiveUp does at the deadline. late_stop_test began its uploads in four places with the same lines. The comment on DrainAndStop told the steps in the wrong order.

Change: ResponseHead::is_interim serves both readers; GiveUp takes the code; BeginUpload serves the tests. Behaviour, bounds and assertions are the same.

Ruled out: one fixture for the callers of late_stop_test and unsent_at_stop_test, which share the connection and differ in what they keep of the answer and in their buffer.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -161,7 +161,7 @@
   void LogFailure(ResultCode code);
   bool MustRefuseForStop() const;
   void RefuseForStop();
-  void GiveUp();
+  void GiveUp(ResultCode code, std::optional<Duration> retry_after = std::nullopt);
   void CancelAttempt();
   void Finish();
   double ExpectedSilenceMs() const;
--- a/src/gateway/exchange_timeouts.cc
+++ b/src/gateway/exchange_timeouts.cc
@@ -41,7 +41,7 @@
   if (this->tickets) this->tickets->Tick(now);
   if (!this->attempt) return;
   if (now >= this->admission.answer_deadline) {
-    this->GiveUp();
+    this->GiveUp(ResultCode::kDeadlineExceeded);
     return;
   }
   bool awaits_check = this->attempt->ended.has_value();
@@ -133,24 +133,20 @@
 void Exchange::EndForStop() {
   if (this->is_finished) return;
   bool is_sent = this->attempt && !this->attempt->channel->is_connecting();
-  this->CancelAttempt();
-  if (this->answer_begun) {
-    this->ApplyStep(NextStep::kBreakOff, AttemptResult::kUnknown);
-    return;
-  }
   if (is_sent || this->may_have_run) {
-    this->Refuse(ResultCode::kGatewayStopped);
+    this->GiveUp(ResultCode::kGatewayStopped);
   } else {
-    this->RefuseForStop();
+    this->GiveUp(ResultCode::kDraining, kMinRetryAfter);
   }
 }
 
-void Exchange::GiveUp() {
+// Ends the request, and breaks off an answer that has begun.
+void Exchange::GiveUp(ResultCode code, std::optional<Duration> retry_after) {
   this->CancelAttempt();
   if (this->answer_begun) {
     this->ApplyStep(NextStep::kBreakOff, AttemptResult::kUnknown);
   } else {
-    this->Refuse(ResultCode::kDeadlineExceeded);
+    this->Refuse(code, retry_after);
   }
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -55,9 +55,9 @@
   absl::Status Start();
 
   // Reports this gateway as not ready, but serves new callers until the balancer has reacted.
-  // Finishes the requests in progress and then stops the loop.  Then it takes no new callers, and
-  // refuses requests that no engine has.  Requests that outlast the stop grace of the settings get
-  // a failure as their answer.
+  // After that it takes no new callers, refuses requests that no engine has, finishes the others
+  // and stops the loop.  Requests that outlast the stop grace of the settings get a failure as
+  // their answer.
   void DrainAndStop();
 
   // Whether the load balancer may send callers to this gateway.
--- a/src/gateway/testing/late_stop_test.cc
+++ b/src/gateway/testing/late_stop_test.cc
@@ -47,6 +47,15 @@
   return request;
 }
 
+// Begins to send a LongOrder; kRestOfOrder ends it.
+constexpr char kRestOfOrder[] = "56789";
+std::unique_ptr<Upload> BeginUpload(GatewayFixture* fixture, const std::string& id) {
+  auto upload = std::make_unique<Upload>(&fixture->loop, fixture->gateway->callers_port());
+  std::string request = LongOrder(*fixture, id);
+  upload->stream->Write(request.substr(0, request.size() - std::string(kRestOfOrder).size()));
+  return upload;
+}
+
 // Whether an answer promises that the request has not run, and says when to come back.
 bool IsRefusedForStop(const std::string& answer) {
   return absl::StartsWith(answer, "HTTP/1.1 503") && absl::StrContains(answer, "Retry-After: ") &&
@@ -79,9 +88,7 @@
   const Duration ends[] = {milliseconds(2800), seconds(5), milliseconds(7400)};
   std::vector<std::unique_ptr<Upload>> uploads;
   for (size_t i = 0; i < std::size(ends); ++i) {
-    uploads.push_back(std::make_unique<Upload>(&fixture->loop, fixture->gateway->callers_port()));
-    std::string request = LongOrder(*fixture, absl::StrCat("upload-", i));
-    uploads.back()->stream->Write(request.substr(0, request.size() - 5));
+    uploads.push_back(BeginUpload(fixture.get(), absl::StrCat("upload-", i)));
   }
   fixture->RunFor(milliseconds(200));
   fixture->gateway->DrainAndStop();
@@ -91,7 +98,7 @@
   BOOST_TEST(fixture->RunUntil([&] {
     Duration elapsed = Now() - stop_began;
     while (ended < uploads.size() && elapsed >= ends[ended]) {
-      uploads[ended++]->stream->Write("56789");
+      uploads[ended++]->stream->Write(kRestOfOrder);
     }
     for (size_t i = 0; i < uploads.size(); ++i) {
       bool is_new = !uploads[i]->answer.empty() && answered_after[i] == Duration::zero();
@@ -112,26 +119,22 @@
 // Guards against a process that ends while its caller has not received the refusal.
 BOOST_AUTO_TEST_CASE(AnUploadIsRefusedBeforeAGatewayWithoutOtherRequestsStops) {
   auto fixture = StartedFixture();
-  Upload upload(&fixture->loop, fixture->gateway->callers_port());
-  std::string request = LongOrder(*fixture, "alone");
-  upload.stream->Write(request.substr(0, request.size() - 5));
+  auto upload = BeginUpload(fixture.get(), "alone");
   fixture->RunFor(milliseconds(200));
   fixture->gateway->DrainAndStop();
   RunUntilStopped(fixture.get());
-  BOOST_TEST(IsRefusedForStop(upload.answer), upload.answer);
+  BOOST_TEST(IsRefusedForStop(upload->answer), upload->answer);
 }
 
 BOOST_AUTO_TEST_CASE(AnUploadThatEndsEarlyInTheStopIsServed) {
   auto fixture = StartedFixture();
-  Upload upload(&fixture->loop, fixture->gateway->callers_port());
-  std::string request = LongOrder(*fixture, "early");
-  upload.stream->Write(request.substr(0, request.size() - 5));
+  auto upload = BeginUpload(fixture.get(), "early");
   fixture->RunFor(milliseconds(200));
   fixture->gateway->DrainAndStop();
   fixture->RunFor(seconds(2));
-  upload.stream->Write("56789");
+  upload->stream->Write(kRestOfOrder);
   RunUntilStopped(fixture.get());
-  BOOST_TEST(absl::StartsWith(upload.answer, "HTTP/1.1 200"), upload.answer);
+  BOOST_TEST(absl::StartsWith(upload->answer, "HTTP/1.1 200"), upload->answer);
   BOOST_TEST(fixture->RunsOf("early") == 1);
 }
 
@@ -221,15 +224,13 @@
   auto fixture = StartedFixture(options);
   auto busy = fixture->Send(fixture->StreamRequest("busy"));
   BOOST_TEST(fixture->RunUntil([&] { return !busy->body.empty(); }));
-  Upload upload(&fixture->loop, fixture->gateway->callers_port());
-  std::string request = LongOrder(*fixture, "late");
-  upload.stream->Write(request.substr(0, request.size() - 5));
+  auto upload = BeginUpload(fixture.get(), "late");
   fixture->RunFor(milliseconds(200));
   fixture->gateway->DrainAndStop();
   fixture->RunFor(seconds(3));
-  upload.stream->Write("56789");
-  BOOST_TEST(fixture->RunUntil([&] { return !upload.answer.empty(); }));
-  BOOST_TEST(absl::StartsWith(upload.answer, "HTTP/1.1 200"), upload.answer);
+  upload->stream->Write(kRestOfOrder);
+  BOOST_TEST(fixture->RunUntil([&] { return !upload->answer.empty(); }));
+  BOOST_TEST(absl::StartsWith(upload->answer, "HTTP/1.1 200"), upload->answer);
 }
 
 }  // namespace
--- a/src/http/head_check.cc
+++ b/src/http/head_check.cc
@@ -5,14 +5,9 @@
 #include "http/request_channel.h"
 
 namespace gullward {
-namespace {
-
-constexpr int kFirstFinalStatus = 200;
-
-}  // namespace
 
 HeadCheck::HeadCheck()
-    : parser({.head = [this](const ResponseHead& head) { this->last_status = head.status; },
+    : parser({.head = [this](const ResponseHead& head) { this->OnHead(head); },
               .body = [](std::string_view) {}}) {
   this->parser.Next(/*no_body=*/true);
 }
@@ -25,18 +20,18 @@
   }
   ParseState state = this->parser.Feed(line);
   if (state == ParseState::kNeedMore) return true;
-  this->is_broken = state != ParseState::kComplete || !this->OnHeadComplete();
+  this->is_broken =
+      state != ParseState::kComplete || this->interim_heads > RequestChannel::kMaxSkippedAnswers;
+  if (!this->final_status) this->parser.Next(/*no_body=*/true);
   return !this->is_broken;
 }
 
-bool HeadCheck::OnHeadComplete() {
-  if (this->last_status >= kFirstFinalStatus) {
-    this->final_status = this->last_status;
-    return true;
+void HeadCheck::OnHead(const ResponseHead& head) {
+  if (head.is_interim()) {
+    this->interim_heads += 1;
+  } else {
+    this->final_status = head.status;
   }
-  this->interim_heads += 1;
-  this->parser.Next(/*no_body=*/true);
-  return this->interim_heads <= RequestChannel::kMaxSkippedAnswers;
 }
 
 std::string_view HeadCheck::error() const {
--- a/src/http/head_check.h
+++ b/src/http/head_check.h
@@ -36,11 +36,9 @@
   std::string_view error() const;
 
  private:
-  bool OnHeadComplete();
+  void OnHead(const ResponseHead& head);
 
   ResponseParser parser;
-  // The status of the head that was read last.
-  int last_status = 0;
   std::optional<int> final_status;
   int interim_heads = 0;
   size_t trailer_bytes = 0;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -48,6 +48,9 @@
   bool operator==(const RequestHead&) const = default;
 };
 
+// Lower statuses belong to interim (1xx) answers, which another one follows.
+inline constexpr int kFirstFinalStatus = 200;
+
 struct ResponseHead {
   int status = 0;
   std::string reason;
@@ -59,6 +62,8 @@
   // neither a length nor chunks.
   bool ends_with_connection = false;
 
+  bool is_interim() const { return this->status < kFirstFinalStatus; }
+
   bool operator==(const ResponseHead&) const = default;
 };
 
--- a/src/http/request_channel.cc
+++ b/src/http/request_channel.cc
@@ -11,7 +11,6 @@
 namespace gullward {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
 // A body of this size or less is copied behind its head, which saves a system call.
 constexpr size_t kMaxCopiedBytes = 16 << 10;
 
@@ -106,9 +105,8 @@
 
 void RequestChannel::OnHead(const ResponseHead& head) {
   if (this->closed || !this->hooks) return;
-  bool is_interim = head.status < kFirstFinalStatus;
   bool is_ours = !this->hooks->accepts || this->hooks->accepts(head);
-  this->skipping = is_interim || !is_ours;
+  this->skipping = head.is_interim() || !is_ours;
   if (this->skipping) {
     this->skipped_answers += 1;
     return;
